--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/agent/package-info.java
@@ -0,0 +1,2 @@
+/** The agent role: everything that reaches one target passes here. */
+package org.coltsfootproxy.agent;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -0,0 +1,73 @@
+package org.coltsfootproxy.base;
+
+/**
+ * The closed list of log events, each with a number that never changes its meaning.
+ *
+ * <p>{@code docs/EVENTS.md} is tested against this table.
+ */
+public enum EventCode {
+    // 100-199: processes and settings
+    PROCESS_STARTED(100, Level.INFO, "process started"),
+    PROCESS_STOPPING(101, Level.INFO, "planned stop began"),
+    PROCESS_STOPPED(102, Level.INFO, "process stopped"),
+    RING_FULL(103, Level.WARN, "a ring between two duties was full"),
+    DUTY_FAILED(104, Level.ERROR, "a duty failed on one input and went on"),
+
+    // 200-299: consensus and storage
+    LEADER_ELECTED(200, Level.INFO, "this host became leader"),
+    LEADER_STEPPED_DOWN(201, Level.INFO, "this host stepped down as leader"),
+
+    // 300-399: configuration, membership and leases
+    TICKET_ACCEPTED(300, Level.INFO, "a change ticket was accepted"),
+    TICKET_REFUSED(301, Level.WARN, "a change ticket was refused"),
+    CONFIG_APPLIED(302, Level.INFO, "a configuration version came into force"),
+    CONFIG_LEASE_LOST(303, Level.WARN, "the configuration can't be confirmed as current"),
+
+    // 400-499: entry, limits and routing
+    TARGET_SET_ASIDE(400, Level.WARN, "a target was set aside"),
+
+    // 500-599: agent and admission
+
+    // 600-699: jobs
+
+    // 700-799: network
+    PEER_CONNECTED(700, Level.INFO, "a peer connected"),
+    PEER_LOST(701, Level.WARN, "a peer's connection was lost"),
+    PEER_REFUSED(702, Level.WARN, "a peer's connection was refused"),
+    FRAME_MALFORMED(703, Level.WARN, "a malformed frame closed a connection");
+
+    /** How much an event matters. */
+    public enum Level {
+        /** An ordinary change. */
+        INFO,
+        /** Something that operators may have to look at. */
+        WARN,
+        /** Something that operators must look at. */
+        ERROR
+    }
+
+    private final int mNumber;
+    private final Level mLevel;
+    private final String mText;
+
+    EventCode(int number, Level level, String text) {
+        mNumber = number;
+        mLevel = level;
+        mText = text;
+    }
+
+    /** Returns the number of the event. */
+    public int number() {
+        return mNumber;
+    }
+
+    /** Returns how much the event matters. */
+    public Level level() {
+        return mLevel;
+    }
+
+    /** Returns what happened, for people. */
+    public String text() {
+        return mText;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/HostId.java
@@ -0,0 +1,28 @@
+package org.coltsfootproxy.base;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Identifies one node of the system: an entry, an agent or a control host. */
+public record HostId(@JsonValue String value) implements Comparable<HostId> {
+    /** Checks the name. */
+    public HostId {
+        Names.check(value, "host id");
+    }
+
+    /** Returns the id with the given name. */
+    @JsonCreator
+    public static HostId of(String value) {
+        return new HostId(value);
+    }
+
+    @Override
+    public int compareTo(HostId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/KeyId.java
@@ -0,0 +1,28 @@
+package org.coltsfootproxy.base;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Identifies a key; it is public, unlike the key itself. */
+public record KeyId(@JsonValue String value) implements Comparable<KeyId> {
+    /** Checks the name. */
+    public KeyId {
+        Names.check(value, "key id");
+    }
+
+    /** Returns the id with the given name. */
+    @JsonCreator
+    public static KeyId of(String value) {
+        return new KeyId(value);
+    }
+
+    @Override
+    public int compareTo(KeyId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -0,0 +1,61 @@
+package org.coltsfootproxy.base;
+
+import java.util.Locale;
+
+/**
+ * The closed list of metrics.
+ *
+ * <p>Each has the labels {@code organisation} and {@code class}, which are empty where they don't
+ * apply. Times are in seconds.
+ */
+public enum Metric {
+    REQUEST_SECONDS(Shape.HISTOGRAM, "Time from a request's arrival to the end of its answer"),
+    FIRST_BYTE_SECONDS(Shape.HISTOGRAM, "Time from a request's arrival to its first answer byte"),
+    REFUSALS(Shape.COUNTER, "Requests refused; the class label carries the error kind"),
+    RETRIES(Shape.COUNTER, "Requests sent to a further agent"),
+    QUEUE_SECONDS(Shape.HISTOGRAM, "Time that a request waited at an agent"),
+    QUEUE_LENGTH(Shape.GAUGE, "Requests waiting at an agent"),
+    IN_FLIGHT(Shape.GAUGE, "Requests at the target"),
+    BATCH_STOPPED(Shape.COUNTER, "Batch items stopped for online requests"),
+    ITEMS_COMPLETED(Shape.COUNTER, "Batch items completed"),
+    ITEMS_WAITING(Shape.GAUGE, "Batch items that wait"),
+    OLDEST_ITEM_SECONDS(Shape.GAUGE, "Age of the oldest waiting batch item"),
+    JOBS_AT_RISK(Shape.GAUGE, "Jobs whose estimate is past their deadline"),
+    CONFIG_VERSION(Shape.GAUGE, "Version of the configuration in force"),
+    COMMIT_SECONDS(Shape.HISTOGRAM, "Time from a proposal to its commit"),
+    RING_FULL(Shape.COUNTER, "Inputs refused because a ring was full"),
+    FRAMES_MALFORMED(Shape.COUNTER, "Frames that closed their connection");
+
+    /** How a metric is kept. */
+    public enum Shape {
+        /** A sum that only grows. */
+        COUNTER,
+        /** A current value. */
+        GAUGE,
+        /** A distribution. */
+        HISTOGRAM
+    }
+
+    private final Shape mShape;
+    private final String mHelp;
+
+    Metric(Shape shape, String help) {
+        mShape = shape;
+        mHelp = help;
+    }
+
+    /** Returns how the metric is kept. */
+    public Shape shape() {
+        return mShape;
+    }
+
+    /** Returns what the metric tells, for people. */
+    public String help() {
+        return mHelp;
+    }
+
+    /** Returns the exported name. */
+    public String exportedName() {
+        return "coltsfootproxy_" + name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/OrganisationId.java
@@ -0,0 +1,28 @@
+package org.coltsfootproxy.base;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Identifies an organisation. */
+public record OrganisationId(@JsonValue String value) implements Comparable<OrganisationId> {
+    /** Checks the name. */
+    public OrganisationId {
+        Names.check(value, "organisation id");
+    }
+
+    /** Returns the id with the given name. */
+    @JsonCreator
+    public static OrganisationId of(String value) {
+        return new OrganisationId(value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/RecordCodec.java
@@ -0,0 +1,129 @@
+package org.coltsfootproxy.base;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Encodes the records below one sealed interface as a type code followed by a MessagePack array of
+ * their components.
+ *
+ * <p>A component may be added at the end of a record: an older encoding then yields null or zero
+ * for it. Instances are immutable and safe for use by several threads.
+ *
+ * @param <T> the sealed root
+ */
+public final class RecordCodec<T> {
+    private static final int CODE_BYTES = Short.BYTES;
+
+    private final Class<T> mRoot;
+    private final Map<Class<?>, Entry> mByClass = new HashMap<>();
+    private final Map<Integer, Entry> mByCode = new HashMap<>();
+
+    private record Entry(int code, ObjectWriter writer, ObjectReader reader) {}
+
+    private RecordCodec(Class<T> root) {
+        mRoot = root;
+        ObjectMapper mapper = createMapper();
+        records(root).forEach(type -> register(mapper, type));
+    }
+
+    /**
+     * Returns the codec of all records below {@code root}.
+     *
+     * @throws IllegalStateException if a record has no {@link WireCode} or two share one
+     */
+    public static <T> RecordCodec<T> of(Class<T> root) {
+        checkArgument(root.isSealed(), "%s is not sealed", root);
+        return new RecordCodec<>(root);
+    }
+
+    private static ObjectMapper createMapper() {
+        ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
+        mapper.setDefaultPropertyInclusion(
+                com.fasterxml.jackson.annotation.JsonInclude.Include.ALWAYS);
+        mapper.setAnnotationIntrospector(new ArrayShapeIntrospector());
+        mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+        return mapper;
+    }
+
+    private static Stream<Class<?>> records(Class<?> type) {
+        return type.isSealed()
+                ? Arrays.stream(type.getPermittedSubclasses()).flatMap(RecordCodec::records)
+                : Stream.of(type);
+    }
+
+    private void register(ObjectMapper mapper, Class<?> type) {
+        WireCode code = type.getAnnotation(WireCode.class);
+        checkState(code != null, "%s has no wire code", type);
+        Entry entry = new Entry(code.value(), mapper.writerFor(type), mapper.readerFor(type));
+        checkState(mByCode.put(code.value(), entry) == null, "wire code of %s is taken", type);
+        mByClass.put(type, entry);
+    }
+
+    /** Returns the encoding of {@code value}. */
+    public byte[] encode(T value) {
+        Entry entry = mByClass.get(value.getClass());
+        checkArgument(entry != null, "%s is not below %s", value.getClass(), mRoot);
+        try {
+            byte[] body = entry.writer().writeValueAsBytes(value);
+            return ByteBuffer.allocate(CODE_BYTES + body.length)
+                    .putShort((short) entry.code())
+                    .put(body)
+                    .array();
+        } catch (IOException e) {
+            throw new IllegalStateException("can't encode " + value, e);
+        }
+    }
+
+    /**
+     * Returns the record that {@code bytes} encode.
+     *
+     * @throws ProxyException of kind {@link ErrorKind#MALFORMED_REQUEST} if they encode none
+     */
+    public T decode(byte[] bytes) throws ProxyException {
+        if (bytes.length < CODE_BYTES) {
+            throw ProxyException.of(ErrorKind.MALFORMED_REQUEST, "record of no type");
+        }
+        int code = ByteBuffer.wrap(bytes).getShort();
+        Entry entry = mByCode.get(code);
+        if (entry == null) {
+            throw ProxyException.of(ErrorKind.MALFORMED_REQUEST, "unknown record type " + code);
+        }
+        try {
+            return mRoot.cast(
+                    entry.reader().readValue(bytes, CODE_BYTES, bytes.length - CODE_BYTES));
+        } catch (IOException | IllegalArgumentException e) {
+            String detail = "malformed record of type " + code;
+            throw ProxyException.of(ErrorKind.MALFORMED_REQUEST, detail, e);
+        }
+    }
+
+    /** Writes every record as an array, which is smaller than named fields. */
+    private static final class ArrayShapeIntrospector
+            extends com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public JsonFormat.Value findFormat(
+                com.fasterxml.jackson.databind.introspect.Annotated annotated) {
+            JsonFormat.Value format = super.findFormat(annotated);
+            boolean isRecord = annotated.getRawType() != null && annotated.getRawType().isRecord();
+            return format == null && isRecord
+                    ? JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY)
+                    : format;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/ServiceId.java
@@ -0,0 +1,28 @@
+package org.coltsfootproxy.base;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Identifies a service. */
+public record ServiceId(@JsonValue String value) implements Comparable<ServiceId> {
+    /** Checks the name. */
+    public ServiceId {
+        Names.check(value, "service id");
+    }
+
+    /** Returns the id with the given name. */
+    @JsonCreator
+    public static ServiceId of(String value) {
+        return new ServiceId(value);
+    }
+
+    @Override
+    public int compareTo(ServiceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Ids, error kinds, events, metrics, record codec and the state-chart interpreter that every other
+ * package builds on.
+ */
+package org.coltsfootproxy.base;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of operators. */
+package org.coltsfootproxy.cli;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -0,0 +1,12 @@
+package org.coltsfootproxy.config;
+
+import org.coltsfootproxy.base.OrganisationId;
+
+/**
+ * An organisation and its share.
+ *
+ * @param ratePerSecond online requests a second over the whole fleet, above 0
+ * @param burst requests that may come at once, at least 1
+ * @param weight share of capacity relative to other organisations, above 0
+ */
+public record Organisation(OrganisationId id, double ratePerSecond, double burst, double weight) {}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/consensus/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * A replicated log: elections, appends, snapshots and member changes as a deterministic decision
+ * class.
+ */
+package org.coltsfootproxy.consensus;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control role: replicated configuration, batch jobs and leases behind one decision class. */
+package org.coltsfootproxy.control;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/fake/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in targets for demonstrations and measurements. */
+package org.coltsfootproxy.fake;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Token buckets over the whole fleet and the grants that carry their tokens to entry hosts. */
+package org.coltsfootproxy.limit;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load and experiment tool with its own check of the promises. */
+package org.coltsfootproxy.load;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/membership/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's host list and the leases that hosts hold. */
+package org.coltsfootproxy.membership;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/message/Message.java
@@ -0,0 +1,14 @@
+package org.coltsfootproxy.message;
+
+/**
+ * A message between two processes of the fleet.
+ *
+ * <p>Messages are immutable records; each has a {@link org.coltsfootproxy.base.WireCode}: 100-199
+ * for {@link CallMessage}, 200-299 for {@link RaftMessage}, 300-399 for {@link ConfigMessage},
+ * 400-499 for {@link LimitMessage} and 600-699 for {@link JobMessage}.
+ */
+public sealed interface Message
+        permits CallMessage, RaftMessage, ConfigMessage, LimitMessage, JobMessage {
+    /** Returns the connection that the message takes. */
+    Lane lane();
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/package-info.java
@@ -0,0 +1,2 @@
+/** Sockets: HTTP towards callers and targets, framed messages between processes. */
+package org.coltsfootproxy.net;
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/node/Effects.java
@@ -0,0 +1,28 @@
+package org.coltsfootproxy.node;
+
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Metric;
+import org.coltsfootproxy.message.Message;
+
+/** Collects the effects of one step; the driver carries them out in order. */
+@FunctionalInterface
+public interface Effects {
+    /** Adds an effect. */
+    void add(Effect effect);
+
+    /** Adds {@link Effect.Send}. */
+    default void send(HostId to, Message message) {
+        add(new Effect.Send(to, message));
+    }
+
+    /** Adds {@link Effect.Log}. */
+    default void log(EventCode code, String detail) {
+        add(new Effect.Log(code, detail));
+    }
+
+    /** Adds {@link Effect.Measure}. */
+    default void measure(Metric metric, String organisation, String trafficClass, double value) {
+        add(new Effect.Measure(metric, organisation, trafficClass, value));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/node/package-info.java
@@ -0,0 +1,2 @@
+/** The one interface behind which every role makes its decisions, apart from input and output. */
+package org.coltsfootproxy.node;
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/base/RecordCodecTest.java
@@ -0,0 +1,37 @@
+package org.coltsfootproxy.base;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.util.List;
+import org.coltsfootproxy.message.CallMessage;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.message.Message;
+import org.testng.annotations.Test;
+
+/** Contract of {@link RecordCodec}. */
+public final class RecordCodecTest {
+    private final RecordCodec<Message> mCodec = RecordCodec.of(Message.class);
+
+    @Test
+    public void aRecordSurvivesEncodingAndDecoding() throws ProxyException {
+        var head =
+                new CallMessage.AnswerHead(
+                        RequestId.of(-5, 7), 200, List.of(Header.of("Content-Type", "text/plain")));
+
+        assertEquals(mCodec.decode(mCodec.encode(head)), head);
+    }
+
+    @Test
+    public void anUnknownTypeIsRefusedAsMalformed() {
+        assertThrows(ProxyException.class, () -> mCodec.decode(new byte[] {0x7f, 0x7f, 0}));
+    }
+
+    @Test
+    public void aCutRecordIsRefusedAsMalformed() {
+        byte[] whole = mCodec.encode(new CallMessage.Received(RequestId.of(1, 2)));
+        byte[] cut = java.util.Arrays.copyOf(whole, whole.length - 1);
+
+        assertThrows(ProxyException.class, () -> mCodec.decode(cut));
+    }
+}
