--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/runtime/SettingsTest.java
@@ -0,0 +1,69 @@
+package org.coltsfootproxy.runtime;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.ProxyException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Contract of {@link Settings}. */
+public final class SettingsTest {
+    private static final String VALID =
+            """
+            host: solway-entry-1
+            dataCentre: solway
+            fleetSecret: a-secret-of-the-fleet
+            peerAddress: 127.0.0.1:7101
+            adminAddress: 127.0.0.1:7201
+            control:
+              - {host: forth-control-1, dataCentre: forth, address: "127.0.0.1:7001"}
+            entry:
+              callerAddress: 127.0.0.1:8101
+              entries:
+                - {host: solway-entry-1, dataCentre: solway, address: "127.0.0.1:7101"}
+            """;
+
+    @Test
+    public void validSettingsAreRead() throws ProxyException {
+        Settings settings = Settings.parse("s.yaml", VALID);
+
+        assertEquals(settings.entry().orElseThrow().callerAddress(), "127.0.0.1:8101");
+        assertEquals(settings.control().get(0).host().value(), "forth-control-1");
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return new Object[][] {
+            {"host: solway-entry-1", "host: 'a b'", "host is \"a b\"; it must be a name"},
+            {"dataCentre: solway\n", "", "dataCentre is missing"},
+            {"a-secret-of-the-fleet", "short", "at least 16 characters"},
+            {"peerAddress: 127.0.0.1:7101", "peerAddress: example.org:1", "an IP number"},
+            {"callerAddress:", "callerAdress:", "entry.callerAdress is unknown"},
+            {"\"127.0.0.1:7001\"", "nowhere", "control[0].address is"},
+            {"entry:\n", "entry:\n  limits: none\n", "one of leased, ask, fixed"},
+            {"host: solway-entry-1\n", "host: [\n", "not valid YAML"},
+            {"host: solway-entry-1\n", "host: other\n", "entry.entries must name this host"},
+        };
+    }
+
+    @Test(dataProvider = "faults")
+    public void aFaultIsNamedWithItsPlaceAndWhatWouldBeRight(
+            String valid, String broken, String expected) {
+        String text = VALID.replaceFirst(java.util.regex.Pattern.quote(valid), broken);
+
+        var error = expectThrows(ProxyException.class, () -> Settings.parse("s.yaml", text));
+
+        assertEquals(error.kind(), ErrorKind.SETTINGS_INVALID);
+        assertTrue(error.getMessage().contains(expected), error.getMessage());
+    }
+
+    @Test
+    public void allFaultsComeOutAtOnce() {
+        var error = expectThrows(ProxyException.class, () -> Settings.parse("s.yaml", "a: 1"));
+
+        assertTrue(error.getMessage().lines().count() > 5, error.getMessage());
+    }
+}
