--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -0,0 +1,13 @@
+package org.coltsfootproxy.cli;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+/** The list of all commands. */
+final class Commands {
+    private Commands() {}
+
+    static List<Command> all() {
+        return Stream.of(KeyCommands.all(), ControlCommands.all()).flatMap(List::stream).toList();
+    }
+}
--- a/src/main/java/org/coltsfootproxy/message/CallMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/CallMessage.java
@@ -46,10 +46,6 @@
     @WireCode(101)
     record Received(RequestId request) implements CallMessage {}
 
-    /** Agent to entry: the request has been handed to the target. */
-    @WireCode(102)
-    record Started(RequestId request) implements CallMessage {}
-
     /** Agent to entry: status and headers of the answer. */
     @WireCode(103)
     record AnswerHead(RequestId request, int status, List<Header> headers) implements CallMessage {}
@@ -79,11 +75,14 @@
      * Entry to agent after silence: what became of this request?
      *
      * @param incarnation the agent's life that the request was sent to
+     * @param headSeen whether status and headers have arrived
+     * @param nextChunk number of the next piece that is missing
      */
     @WireCode(107)
-    record Ask(RequestId request, Incarnation incarnation) implements CallMessage {}
+    record Ask(RequestId request, Incarnation incarnation, boolean headSeen, int nextChunk)
+            implements CallMessage {}
 
-    /** Agent to entry: the request is known here; its answer goes on. */
+    /** Agent to entry: the request is known here; what is missing of its answer follows. */
     @WireCode(108)
     record Have(RequestId request) implements CallMessage {}
 
