Add the first policies: admission, at-most-once memory, routing, retries and limiter

API - admission.AdmissionQueue.fair(settings) / .firstCome(settings): offer(Work) -> shed, itemsToStop, poll, piece, finished, cancel, expire at nextExpiryNanos, drain for a planned stop, batchSlots. Work is named by the agent's call number. Order of use at each input: offer, itemsToStop (cancel those at the target, then finished), poll until empty. - admission.SeenRequests: arrived(id, incarnation meant, now), asked(id, incarnation meant, now), ended(id, now). Retention must be at least the longest time to live that an entry gives. - routing.AgentChooser.leastLoaded(...) / .roundRobin(): targets, subset, up, down, report, choose, sent, ended. routing.RetryPolicy.after(FailedTry) -> RETRY, ANSWER or CUT, with RetryBudget. - limit.Limiter: GrantLimiter.create(host, life, settings, rates, leases, listener) is owner and entry side in one; FixedShareLimiter and LimitSettings.withoutAhead() (ask each time) are the baselines. tryAcquire answers ADMITTED, REFUSED, UNAVAILABLE or WAIT; after WAIT the listener is told. LimitMessage carries Ask, Grant, Recall and Return on the control lane. - limit.OwnerLease is the seam to leases from control: 64 shards (limit.Shards), each with one named lease and a fencing number. Shards.preferredOwner ranks live entries by rendezvous hash. - base.RendezvousHash is shared by limit, routing and membership.

--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/admission/FairQueue.java
@@ -0,0 +1,206 @@
+package org.coltsfootproxy.admission;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.coltsfootproxy.base.ErrorKind;
+
+/** The admission queue that is fair between organisations and puts online first. */
+final class FairQueue implements AdmissionQueue {
+    private static final double SMOOTHING = 0.05;
+    private static final double FIRST_SERVICE_NANOS = 1e9;
+    private static final long MILLI_NANOS = 1_000_000;
+    private static final long MIN_RETRY_MILLIS = 100;
+    private static final long MAX_RETRY_MILLIS = 30_000;
+    private static final int FORGET_EVERY = 256;
+
+    private final ClassQueue mOnline = new ClassQueue();
+    private final ClassQueue mBatch = new ClassQueue();
+    private final Map<Long, Running> mRunning = new HashMap<>();
+    private final ConcurrencyLimit mLimit;
+    private AdmissionSettings mSettings;
+    private int mRunningBatch;
+    private double mUsualNanos = FIRST_SERVICE_NANOS;
+    private long mPullAfter = Long.MIN_VALUE;
+    private int mStarts;
+
+    private FairQueue(AdmissionSettings settings, ConcurrencyLimit limit) {
+        mSettings = checkNotNull(settings, "settings");
+        mLimit = checkNotNull(limit, "limit");
+    }
+
+    /** Returns an empty queue before a target with the given limit. */
+    static FairQueue create(AdmissionSettings settings, ConcurrencyLimit limit) {
+        return new FairQueue(settings, limit);
+    }
+
+    @Override
+    public List<Shed> offer(Work work, long nowNanos) {
+        long call = work.call();
+        checkArgument(!isKnown(call), "call %s is waiting or running already", call);
+        if (work.deadlineNanos() <= nowNanos) {
+            return List.of(new Shed(work, ErrorKind.DEADLINE_EXCEEDED, 0));
+        }
+        ClassQueue queue = queueOf(work);
+        queue.add(work);
+        long retry = retryAfterMillis(queue.size());
+        return queue.shed(mSettings.maxWaiting(), mSettings.maxWaitingBytes()).stream()
+                .map(shed -> new Shed(shed, ErrorKind.OVERLOADED, retry))
+                .collect(Collectors.toList());
+    }
+
+    private boolean isKnown(long call) {
+        return mRunning.containsKey(call) || mOnline.contains(call) || mBatch.contains(call);
+    }
+
+    private ClassQueue queueOf(Work work) {
+        return work.isOnline() ? mOnline : mBatch;
+    }
+
+    private long retryAfterMillis(int waiting) {
+        double nanos = mUsualNanos * waiting / mLimit.limit();
+        long millis = (long) (nanos / MILLI_NANOS);
+        return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, millis));
+    }
+
+    @Override
+    public Optional<Work> poll(long nowNanos) {
+        Optional<Work> next = pollClass();
+        next.ifPresent(work -> start(work, nowNanos));
+        return next;
+    }
+
+    private Optional<Work> pollClass() {
+        if (mOnline.size() > 0) {
+            return mRunning.size() < mLimit.limit() ? mOnline.poll(mUsualNanos) : Optional.empty();
+        }
+        return mRunning.size() < batchLimit() ? mBatch.poll(mUsualNanos) : Optional.empty();
+    }
+
+    /** Returns the most in flight with which a further batch item may start. */
+    private int batchLimit() {
+        int limit = mLimit.limit();
+        int headroom = (int) Math.ceil(limit * mSettings.headroomShare());
+        return Math.max(1, limit - headroom);
+    }
+
+    private void start(Work work, long now) {
+        mRunning.put(work.call(), new Running(work, now, mUsualNanos));
+        mRunningBatch += work.isOnline() ? 0 : 1;
+        if (++mStarts % FORGET_EVERY == 0) {
+            mOnline.forgetIdle();
+            mBatch.forgetIdle();
+        }
+    }
+
+    @Override
+    public List<Long> itemsToStop(long nowNanos) {
+        int stopping = (int) mRunning.values().stream().filter(Running::isStopping).count();
+        int missing = mOnline.size() + mRunning.size() - stopping - mLimit.limit();
+        if (missing <= 0 || mRunningBatch == 0 || !hasOnline()) {
+            return List.of();
+        }
+        List<Running> chosen = latestBatch().limit(missing).collect(Collectors.toList());
+        chosen.forEach(Running::stop);
+        if (!chosen.isEmpty()) {
+            mPullAfter = nowNanos + mSettings.pullPauseNanos();
+        }
+        return chosen.stream().map(run -> run.work().call()).collect(Collectors.toList());
+    }
+
+    private boolean hasOnline() {
+        return mOnline.size() > 0 || mRunning.size() > mRunningBatch;
+    }
+
+    /** Returns running batch items, those with the least work to lose first. */
+    private Stream<Running> latestBatch() {
+        return mRunning.values().stream()
+                .filter(run -> run.isBatch() && !run.isStopping())
+                .sorted(
+                        Comparator.comparingLong(Running::started)
+                                .thenComparingLong(run -> run.work().call())
+                                .reversed());
+    }
+
+    @Override
+    public int batchSlots(long nowNanos) {
+        if (mOnline.size() > 0 || nowNanos < mPullAfter) {
+            return 0;
+        }
+        return Math.max(0, batchLimit() - mRunning.size() - mBatch.size());
+    }
+
+    @Override
+    public void piece(long call, long nowNanos) {
+        Running running = mRunning.get(call);
+        if (running != null) {
+            running.piece(mLimit, mRunning.size(), nowNanos);
+        }
+    }
+
+    @Override
+    public void finished(long call, long nowNanos) {
+        Running running = mRunning.remove(call);
+        if (running == null) {
+            return;
+        }
+        mRunningBatch -= running.isBatch() ? 1 : 0;
+        double actual = nowNanos - running.started();
+        queueOf(running.work()).charge(running.work().organisation(), actual - running.charged());
+        if (!running.isStopping()) {
+            mUsualNanos += SMOOTHING * (actual - mUsualNanos);
+        }
+    }
+
+    @Override
+    public boolean cancel(long call) {
+        return mOnline.cancel(call).or(() -> mBatch.cancel(call)).isPresent();
+    }
+
+    @Override
+    public List<Shed> expire(long nowNanos) {
+        return Stream.concat(mOnline.expire(nowNanos).stream(), mBatch.expire(nowNanos).stream())
+                .map(work -> new Shed(work, ErrorKind.DEADLINE_EXCEEDED, 0))
+                .collect(Collectors.toList());
+    }
+
+    @Override
+    public List<Shed> drain() {
+        return Stream.concat(mOnline.clear().stream(), mBatch.clear().stream())
+                .map(work -> new Shed(work, ErrorKind.STOPPING, 0))
+                .collect(Collectors.toList());
+    }
+
+    @Override
+    public void configure(AdmissionSettings settings, long nowNanos) {
+        mSettings = checkNotNull(settings, "settings");
+        mLimit.configure(settings);
+    }
+
+    @Override
+    public long nextExpiryNanos() {
+        return Math.min(mOnline.nextDeadline(), mBatch.nextDeadline());
+    }
+
+    @Override
+    public int waiting() {
+        return mOnline.size() + mBatch.size();
+    }
+
+    @Override
+    public int inFlight() {
+        return mRunning.size();
+    }
+
+    @Override
+    public int limit() {
+        return mLimit.limit();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/limit/Bucket.java
@@ -0,0 +1,180 @@
+package org.coltsfootproxy.limit;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.config.Organisation;
+
+/**
+ * The token bucket of one organisation at its owner, with what was granted to each entry.
+ *
+ * <p>Invariant: the tokens here and those granted and not known to be used are never more than the
+ * burst together, so no interval sees more passes than rate times time plus burst, whenever and
+ * wherever the granted ones are used.
+ */
+final class Bucket {
+    private static final double SECOND_NANOS = 1e9;
+
+    /** Names one entry's life. */
+    record Holder(HostId host, long life) {}
+
+    private final long mFencing;
+    private final long mOwnedSince;
+    private final Map<Holder, Grantee> mGrantees = new HashMap<>();
+    private double mRate;
+    private double mBurst;
+    private double mLevel;
+    private long mFilledAt;
+    private long mFullSince;
+    private long mRecalledAt;
+
+    private Bucket(Organisation rates, OwnerLease.Held lease, long now, long recalledAt) {
+        mFencing = lease.fencing();
+        mOwnedSince = lease.sinceNanos();
+        mRate = rates.ratePerSecond();
+        mBurst = rates.burst();
+        mFilledAt = lease.sinceNanos();
+        mFullSince = now;
+        mRecalledAt = recalledAt;
+    }
+
+    /**
+     * Returns the bucket as of now of an organisation that was granted nothing under this lease.
+     *
+     * <p>Whatever earlier owners granted ended with their leases, so it was empty at worst when
+     * this lease began.
+     */
+    static Bucket create(Organisation rates, OwnerLease.Held lease, long now) {
+        Bucket bucket = new Bucket(rates, lease, now, Long.MIN_VALUE / 2);
+        bucket.fill(now);
+        return bucket;
+    }
+
+    long fencing() {
+        return mFencing;
+    }
+
+    /** Adds what the time brought and drops what expired, in the order of their times. */
+    void fill(long now) {
+        long expiry = nextExpiry();
+        while (expiry <= now) {
+            long at = expiry;
+            fillTo(Math.max(mFilledAt, at));
+            mGrantees.values().removeIf(grantee -> grantee.isOver(at));
+            expiry = nextExpiry();
+        }
+        fillTo(now);
+    }
+
+    private long nextExpiry() {
+        long next = Long.MAX_VALUE;
+        for (Grantee grantee : mGrantees.values()) {
+            next = Math.min(next, grantee.expiresAt());
+        }
+        return next;
+    }
+
+    private void fillTo(long now) {
+        double room = Math.max(0, mBurst - outstanding());
+        double level = mLevel + mRate * (now - mFilledAt) / SECOND_NANOS;
+        if (level < room) {
+            mFullSince = now;
+        }
+        mLevel = Math.min(level, room);
+        mFilledAt = now;
+    }
+
+    /** Takes other rates into force after {@link #fill}. */
+    void change(Organisation rates) {
+        mRate = rates.ratePerSecond();
+        mBurst = rates.burst();
+        mLevel = Math.max(0, Math.min(mLevel, mBurst - outstanding()));
+    }
+
+    /** Returns the account of an entry's epoch, or null if the epoch is over. */
+    Grantee account(Holder holder, long epoch) {
+        Grantee grantee = mGrantees.get(holder);
+        if (grantee == null || grantee.epoch() < epoch) {
+            grantee = new Grantee(epoch);
+            mGrantees.put(holder, grantee);
+        }
+        return grantee.epoch() == epoch ? grantee : null;
+    }
+
+    /**
+     * Takes the sums that an entry tells.
+     *
+     * <p>Tokens used some time ago had left room that was not filled as the owner didn't know; what
+     * was lost so is made good.
+     */
+    void settle(Grantee grantee, long used, long returned, long idleNanos, long now) {
+        long newlyUsed = grantee.used(used);
+        long newlyReturned = grantee.returned(returned);
+        long lost = Math.max(0, Math.min(idleNanos, now - mFullSince));
+        double credit = Math.min(newlyUsed, mRate * lost / SECOND_NANOS);
+        if (credit > 0) {
+            mFullSince = now;
+        }
+        mLevel = Math.min(mLevel + newlyReturned + credit, Math.max(0, mBurst - outstanding()));
+    }
+
+    /** Moves tokens to an entry: all it needs, and at most half of the rest for what is ahead. */
+    long grant(Grantee grantee, int need, int ahead, long expiresAt) {
+        long whole = (long) Math.floor(mLevel);
+        long given = Math.min(whole, need);
+        given += Math.min(ahead, (whole - given) / 2);
+        mLevel -= given;
+        grantee.grant(given, expiresAt);
+        return given;
+    }
+
+    /** Returns the whole tokens that are here. */
+    long whole() {
+        return (long) Math.floor(mLevel);
+    }
+
+    /** Returns the time until there is a whole token. */
+    long nanosToToken() {
+        double missing = Math.max(0, 1 - mLevel);
+        return Math.max(1, (long) Math.ceil(missing / mRate * SECOND_NANOS));
+    }
+
+    /** Tells whether the bucket could be fuller if its owner had not changed. */
+    boolean isRecovering(long now) {
+        return mRate * (now - mOwnedSince) / SECOND_NANOS < mBurst;
+    }
+
+    /** Tells whether entries other than one hold tokens. */
+    boolean isHeldElsewhere(Holder holder) {
+        return mGrantees.entrySet().stream()
+                .anyMatch(e -> !e.getKey().equals(holder) && e.getValue().outstanding() > 0);
+    }
+
+    /** Notes a recall unless the last was too short ago. */
+    boolean mayRecall(long now, long spacing) {
+        boolean may = now - mRecalledAt >= spacing;
+        if (may) {
+            mRecalledAt = now;
+        }
+        return may;
+    }
+
+    Collection<Map.Entry<Holder, Grantee>> grantees() {
+        return mGrantees.entrySet();
+    }
+
+    /** Tells whether a new bucket would be the same. */
+    boolean isForgettable(long now) {
+        fill(now);
+        return mGrantees.isEmpty() && mLevel >= mBurst;
+    }
+
+    private double outstanding() {
+        double sum = 0;
+        for (Grantee grantee : mGrantees.values()) {
+            sum += grantee.outstanding();
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/limit/Shards.java
@@ -0,0 +1,30 @@
+package org.coltsfootproxy.limit;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.RendezvousHash;
+
+/** Divides organisations into a fixed number of shards, each with one lease of its buckets. */
+public final class Shards {
+    /** Number of shards; the same in every process of a fleet. */
+    public static final int COUNT = 64;
+
+    private Shards() {}
+
+    /** Returns the shard of an organisation, from 0 to below {@link #COUNT}. */
+    public static int of(OrganisationId organisation) {
+        return RendezvousHash.bucket(organisation.value(), COUNT);
+    }
+
+    /** Returns the name of a shard's lease. */
+    public static String leaseName(int shard) {
+        return "limit-" + shard;
+    }
+
+    /** Returns which of the live entries is to hold a shard's lease. */
+    public static Optional<HostId> preferredOwner(int shard, Collection<HostId> entries) {
+        return RendezvousHash.rank(leaseName(shard), entries).stream().findFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/routing/Candidate.java
@@ -0,0 +1,124 @@
+package org.coltsfootproxy.routing;
+
+import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+
+/** What an entry knows about one agent. */
+final class Candidate {
+    private final HostId mAgent;
+    private DataCentre mDataCentre;
+    private Incarnation mIncarnation = Incarnation.UNKNOWN;
+    private boolean mUp;
+    private AgentReport mReport;
+    private long mReportTime;
+    private int mOwnInFlight;
+    private int mOwnAtReport;
+    private int mFailures;
+    private int mTimesSetAside;
+    private long mSetAsideUntil = Long.MIN_VALUE;
+    private boolean mProbing;
+
+    Candidate(HostId agent, DataCentre dataCentre) {
+        mAgent = agent;
+        mDataCentre = dataCentre;
+    }
+
+    HostId agent() {
+        return mAgent;
+    }
+
+    DataCentre dataCentre() {
+        return mDataCentre;
+    }
+
+    void move(DataCentre dataCentre) {
+        mDataCentre = dataCentre;
+    }
+
+    Incarnation incarnation() {
+        return mIncarnation;
+    }
+
+    boolean isUp() {
+        return mUp;
+    }
+
+    void up(Incarnation incarnation) {
+        if (!incarnation.equals(mIncarnation)) {
+            mReport = null;
+        }
+        mIncarnation = incarnation;
+        mUp = true;
+    }
+
+    void down() {
+        mUp = false;
+        mReport = null;
+    }
+
+    void report(AgentReport report, long now) {
+        mReport = report;
+        mReportTime = now;
+        mOwnAtReport = mOwnInFlight;
+        mIncarnation = report.incarnation();
+    }
+
+    boolean isDraining() {
+        return mReport != null && mReport.draining();
+    }
+
+    /**
+     * Returns the load as a share of what the target takes.
+     *
+     * <p>A fresh report counts in full together with what this entry sent since; as it ages, only
+     * this entry's own count is left.
+     */
+    double load(long now, long reportLife) {
+        if (mReport == null) {
+            return mOwnInFlight;
+        }
+        double age = (double) (now - mReportTime) / reportLife;
+        double trust = Math.max(0, 1 - age);
+        double reported = mReport.inFlight() + mReport.queued() - mOwnAtReport;
+        double others = Math.max(0, reported) * trust;
+        return (others + mOwnInFlight) / Math.max(1, mReport.limit());
+    }
+
+    void sent() {
+        mOwnInFlight++;
+    }
+
+    boolean isSetAside(long now) {
+        return now < mSetAsideUntil || mProbing;
+    }
+
+    /** Tells whether the time aside is over and one request may show how the agent does. */
+    boolean wantsProbe(long now) {
+        return mTimesSetAside > 0 && mFailures > 0 && !mProbing && now >= mSetAsideUntil;
+    }
+
+    void probe() {
+        mProbing = true;
+    }
+
+    /** Notes an end; returns whether the agent is to be set aside. */
+    boolean ended(Outcome outcome, int failuresToSetAside) {
+        mOwnInFlight = Math.max(0, mOwnInFlight - 1);
+        boolean wasProbe = mProbing;
+        mProbing = false;
+        if (outcome == Outcome.ANSWERED) {
+            mFailures = 0;
+            mTimesSetAside = 0;
+        } else if (outcome == Outcome.FAILED) {
+            mFailures++;
+        }
+        return outcome == Outcome.FAILED && (wasProbe || mFailures >= failuresToSetAside);
+    }
+
+    void setAside(long now, long first, long most) {
+        long time = first << Math.min(mTimesSetAside, Integer.SIZE / 2);
+        mTimesSetAside++;
+        mSetAsideUntil = now + Math.min(most, time);
+    }
+}
