Decide on online requests at entry and agent

Cause: a request must run at most once whatever is lost between entry and agent. Conclusion: the thin path can be wired.

--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/agent/AgentNode.java
@@ -0,0 +1,133 @@
+package org.coltsfootproxy.agent;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.coltsfootproxy.admission.AdmissionQueue;
+import org.coltsfootproxy.admission.AdmissionSettings;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.config.ConfigSubscriber;
+import org.coltsfootproxy.config.Service;
+import org.coltsfootproxy.message.CallMessage;
+import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.Node;
+
+/** The decisions of the agent beside one target. */
+public final class AgentNode implements Node {
+    private final AgentSettings mSettings;
+    private final ConfigSubscriber mConfig;
+    private final Dispatcher mDispatcher;
+    private final OnlineCalls mOnline;
+    private final Watchers mWatchers;
+    private boolean mStopping;
+
+    private AgentNode(AgentSettings settings, ConfigSubscriber config, AdmissionQueue queue) {
+        mSettings = checkNotNull(settings, "settings");
+        mConfig = checkNotNull(config, "config");
+        mDispatcher = Dispatcher.create(queue);
+        mOnline = OnlineCalls.create(mDispatcher, settings.incarnation());
+        mWatchers = Watchers.create(settings.incarnation(), settings.service());
+    }
+
+    /**
+     * Returns the node of an agent.
+     *
+     * @param config subscriber that was not started yet
+     * @param queue empty queue before the target
+     */
+    public static AgentNode create(
+            AgentSettings settings, ConfigSubscriber config, AdmissionQueue queue) {
+        return new AgentNode(settings, config, queue);
+    }
+
+    @Override
+    public void start(long nowNanos, Effects out) {
+        mConfig.start(nowNanos, out);
+    }
+
+    @Override
+    public void handle(Input input, long nowNanos, Effects out) {
+        if (input instanceof Input.FromPeer peer) {
+            fromPeer(peer.from(), peer.message(), nowNanos, out);
+        } else if (input instanceof Input.TargetHead head) {
+            mDispatcher.head(head, nowNanos, out);
+        } else if (input instanceof Input.TargetChunk chunk) {
+            mDispatcher.chunk(chunk, nowNanos, out);
+        } else if (input instanceof Input.TargetEnd end) {
+            mDispatcher.end(end, nowNanos, out);
+        } else if (input instanceof Input.TargetFailed failed) {
+            mDispatcher.failed(failed, nowNanos, out);
+        } else if (input instanceof Input.PeerUp up) {
+            mOnline.entryUp(up.host());
+        } else if (input instanceof Input.PeerLost lost) {
+            peerLost(lost.host(), nowNanos, out);
+        } else if (input instanceof Input.PlannedStop) {
+            stop(nowNanos, out);
+        }
+        tellState(nowNanos, out);
+    }
+
+    private void fromPeer(HostId from, Message message, long now, Effects out) {
+        if (message instanceof CallMessage.Forward forward) {
+            mOnline.forward(from, forward, now, out);
+        } else if (message instanceof CallMessage.Ask ask) {
+            mOnline.ask(from, ask, now, out);
+        } else if (message instanceof CallMessage.Cancel cancel) {
+            mOnline.cancel(cancel, now, out);
+        } else if (message instanceof CallMessage.Watch) {
+            mWatchers.watch(from, out);
+        } else if (message instanceof ConfigMessage config) {
+            if (mConfig.handle(from, config, now, out)) {
+                configure(now, out);
+            }
+        }
+    }
+
+    private void configure(long now, Effects out) {
+        mConfig.view()
+                .service(mSettings.service())
+                .map(Service::concurrency)
+                .map(AdmissionSettings::of)
+                .ifPresent(bounds -> mDispatcher.queue().configure(bounds, now));
+        mDispatcher.pump(now, out);
+    }
+
+    private void peerLost(HostId host, long now, Effects out) {
+        mConfig.peerLost(host, now, out);
+        mOnline.entryLost(host, now);
+        mWatchers.lost(host);
+    }
+
+    private void stop(long now, Effects out) {
+        mStopping = true;
+        tellState(now, out);
+        mOnline.drain(now, out);
+    }
+
+    private void tellState(long now, Effects out) {
+        AdmissionQueue queue = mDispatcher.queue();
+        mWatchers.update(
+                mStopping, queue.inFlight(), queue.waiting(), queue.limit(), now, out);
+    }
+
+    @Override
+    public void tick(long nowNanos, Effects out) {
+        mConfig.tick(nowNanos, out);
+        mDispatcher.tick(nowNanos, out);
+        mOnline.tick(nowNanos, out);
+        tellState(nowNanos, out);
+    }
+
+    @Override
+    public long nextTickNanos() {
+        long queue = Math.min(mDispatcher.nextTickNanos(), mOnline.nextTickNanos());
+        return Math.min(Math.min(mConfig.nextTickNanos(), queue), mWatchers.nextTickNanos());
+    }
+
+    @Override
+    public boolean isDrained() {
+        return mStopping && mDispatcher.isIdle();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/agent/AgentSettings.java
@@ -0,0 +1,22 @@
+package org.coltsfootproxy.agent;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.ServiceId;
+
+/**
+ * Settings of the agent role.
+ *
+ * @param incarnation this life of the agent, drawn at its start
+ * @param service the service that the target serves
+ */
+public record AgentSettings(HostId host, Incarnation incarnation, ServiceId service) {
+    /** Checks the settings. */
+    public AgentSettings {
+        checkNotNull(host, "host");
+        checkNotNull(incarnation, "incarnation");
+        checkNotNull(service, "service");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
@@ -0,0 +1,21 @@
+package org.coltsfootproxy.entry;
+
+import java.util.function.Supplier;
+import org.coltsfootproxy.limit.Limiter;
+import org.coltsfootproxy.limit.RateSource;
+import org.coltsfootproxy.routing.AgentChooser;
+
+/**
+ * The policies of an entry that settings select.
+ *
+ * @param choosers makes the chooser of a service
+ * @param limiters makes the limiter of organisations' rates
+ */
+public record EntryPolicies(Supplier<AgentChooser> choosers, LimiterFactory limiters) {
+    /** Makes the limiter of an entry. */
+    @FunctionalInterface
+    public interface LimiterFactory {
+        /** Returns a limiter that reads rates from {@code rates} and tells {@code listener}. */
+        Limiter create(RateSource rates, Limiter.Listener listener);
+    }
+}
