--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -22,6 +22,13 @@
     TICKET_REFUSED(301, Level.WARN, "a change ticket was refused"),
     CONFIG_APPLIED(302, Level.INFO, "a configuration version came into force"),
     CONFIG_LEASE_LOST(303, Level.WARN, "the configuration can't be confirmed as current"),
+    CONFIG_UPDATE_REFUSED(304, Level.ERROR, "an update of the configuration can't be read"),
+    LEASE_GRANTED(305, Level.INFO, "a lease was granted"),
+    LEASE_ENDED(306, Level.INFO, "a lease was released or expired"),
+    LEASE_LOST(307, Level.WARN, "a lease held here was lost"),
+    HOST_LEAVING(308, Level.INFO, "the platform lists a host as leaving"),
+    HOST_LIST_UNREADABLE(309, Level.WARN, "the platform's host list can't be read"),
+    MEMBERS_CHANGED(310, Level.INFO, "the members of a replicated log were changed"),
 
     // 400-499: entry, limits and routing
     TARGET_SET_ASIDE(400, Level.WARN, "a target was set aside"),
--- a/src/main/java/org/coltsfootproxy/base/RecordCodec.java
+++ b/src/main/java/org/coltsfootproxy/base/RecordCodec.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonValue;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
@@ -120,10 +121,17 @@
         public JsonFormat.Value findFormat(
                 com.fasterxml.jackson.databind.introspect.Annotated annotated) {
             JsonFormat.Value format = super.findFormat(annotated);
-            boolean isRecord = annotated.getRawType() != null && annotated.getRawType().isRecord();
-            return format == null && isRecord
+            return format == null && isWrittenAsArray(annotated.getRawType())
                     ? JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY)
                     : format;
         }
+
+        /** Ids are records too, but stand for their one value. */
+        private static boolean isWrittenAsArray(Class<?> type) {
+            return type != null
+                    && type.isRecord()
+                    && Arrays.stream(type.getDeclaredMethods())
+                            .noneMatch(method -> method.isAnnotationPresent(JsonValue.class));
+        }
     }
 }
--- a/src/main/java/org/coltsfootproxy/config/ConfigView.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigView.java
@@ -1,11 +1,17 @@
 package org.coltsfootproxy.config;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.coltsfootproxy.base.KeyId;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ServiceId;
 
@@ -13,23 +19,24 @@
 public final class ConfigView {
     private final long mVersion;
     private final Map<OrganisationId, Organisation> mOrganisations;
+    private final Map<KeyId, Key> mKeys;
     private final Map<String, Key> mKeysByDigest;
     private final Map<ServiceId, Service> mServices;
-    private final java.util.List<Route> mRoutes;
+    private final List<Route> mRoutes;
 
     private ConfigView(
             long version,
-            Stream<Organisation> organisations,
-            Stream<Key> keys,
-            Stream<Service> services,
-            Stream<Route> routes) {
+            Map<OrganisationId, Organisation> organisations,
+            Map<KeyId, Key> keys,
+            Map<String, Key> keysByDigest,
+            Map<ServiceId, Service> services,
+            List<Route> routes) {
         mVersion = version;
-        mOrganisations = index(organisations, Organisation::id);
-        mKeysByDigest = index(keys, Key::digest);
-        mServices = index(services, Service::id);
-        mRoutes =
-                routes.sorted(Comparator.comparingInt((Route r) -> -r.pathPrefix().length()))
-                        .collect(Collectors.toUnmodifiableList());
+        mOrganisations = organisations;
+        mKeys = keys;
+        mKeysByDigest = keysByDigest;
+        mServices = services;
+        mRoutes = routes;
     }
 
     /** Returns the view of the given objects. */
@@ -39,7 +46,14 @@
             Stream<Key> keys,
             Stream<Service> services,
             Stream<Route> routes) {
-        return new ConfigView(version, organisations, keys, services, routes);
+        Map<KeyId, Key> byId = index(keys, Key::id);
+        return new ConfigView(
+                version,
+                index(organisations, Organisation::id),
+                byId,
+                index(byId.values().stream(), Key::digest),
+                index(services, Service::id),
+                longestFirst(routes));
     }
 
     /** Returns the view without any object, of version 0. */
@@ -47,6 +61,64 @@
         return of(0, Stream.empty(), Stream.empty(), Stream.empty(), Stream.empty());
     }
 
+    /**
+     * Returns this view with changes applied in their order.
+     *
+     * <p>Only the tables that the changes touch are copied; the others are shared.
+     *
+     * @param version version of the result, not below this one's
+     */
+    public ConfigView with(long version, Collection<ConfigChange> changes) {
+        checkArgument(version >= mVersion, "version %s is below %s", version, mVersion);
+        var organisations = new Table<>(mOrganisations);
+        var keys = new Table<>(mKeys);
+        var digests = new Table<>(mKeysByDigest);
+        var services = new Table<>(mServices);
+        var routes = new Table<>(index(mRoutes.stream(), Route::objectName));
+        changes.forEach(
+                change -> {
+                    switch (change.objectName().kind()) {
+                        case ORGANISATION ->
+                                organisations.set(
+                                        OrganisationId.of(change.objectName().id()),
+                                        change,
+                                        Organisation.class);
+                        case SERVICE ->
+                                services.set(
+                                        ServiceId.of(change.objectName().id()),
+                                        change,
+                                        Service.class);
+                        case ROUTE -> routes.set(change.objectName(), change, Route.class);
+                        default -> setKey(keys, digests, change);
+                    }
+                });
+        return new ConfigView(
+                version,
+                organisations.result(),
+                keys.result(),
+                digests.result(),
+                services.result(),
+                routes.isTouched() ? longestFirst(routes.result().values().stream()) : mRoutes);
+    }
+
+    private static void setKey(
+            Table<KeyId, Key> keys, Table<String, Key> digests, ConfigChange change) {
+        KeyId id = KeyId.of(change.objectName().id());
+        Key old = keys.get(id);
+        if (old != null && old.equals(digests.get(old.digest()))) {
+            digests.remove(old.digest());
+        }
+        keys.set(id, change, Key.class);
+        if (change instanceof Key key) {
+            digests.set(key.digest(), key, Key.class);
+        }
+    }
+
+    private static List<Route> longestFirst(Stream<Route> routes) {
+        return routes.sorted(Comparator.comparingInt((Route r) -> -r.pathPrefix().length()))
+                .collect(Collectors.toUnmodifiableList());
+    }
+
     private static <K, V> Map<K, V> index(Stream<V> values, Function<V, K> key) {
         return values.collect(Collectors.toUnmodifiableMap(key, Function.identity()));
     }
@@ -61,11 +133,21 @@
         return Optional.ofNullable(mOrganisations.get(id));
     }
 
+    /** Returns all organisations. */
+    public Stream<Organisation> organisations() {
+        return mOrganisations.values().stream();
+    }
+
     /** Returns the key with the given digest, if it is in force. */
     public Optional<Key> keyByDigest(String digest) {
         return Optional.ofNullable(mKeysByDigest.get(digest));
     }
 
+    /** Returns all keys. */
+    public Stream<Key> keys() {
+        return mKeys.values().stream();
+    }
+
     /** Returns the service with the given id. */
     public Optional<Service> service(ServiceId id) {
         return Optional.ofNullable(mServices.get(id));
@@ -76,6 +158,11 @@
         return mServices.values().stream();
     }
 
+    /** Returns all routes, those with the longest prefix first. */
+    public Stream<Route> routes() {
+        return mRoutes.stream();
+    }
+
     /** Returns the route with the longest prefix that matches the path. */
     public Optional<Route> route(String path) {
         return mRoutes.stream().filter(route -> matches(route.pathPrefix(), path)).findFirst();
@@ -88,4 +175,45 @@
                         || path.charAt(prefix.length()) == '/'
                         || path.charAt(prefix.length()) == '?');
     }
+
+    /** A table that is copied at its first change. */
+    private static final class Table<K, V> {
+        private final Map<K, V> mOriginal;
+        private Map<K, V> mCopy;
+
+        Table(Map<K, V> original) {
+            mOriginal = original;
+        }
+
+        V get(K key) {
+            return result().get(key);
+        }
+
+        void set(K key, ConfigChange change, Class<V> type) {
+            if (change instanceof Removed) {
+                copy().remove(key);
+            } else {
+                copy().put(key, type.cast(change));
+            }
+        }
+
+        void remove(K key) {
+            copy().remove(key);
+        }
+
+        boolean isTouched() {
+            return mCopy != null;
+        }
+
+        Map<K, V> result() {
+            return mCopy != null ? mCopy : mOriginal;
+        }
+
+        private Map<K, V> copy() {
+            if (mCopy == null) {
+                mCopy = new HashMap<>(mOriginal);
+            }
+            return mCopy;
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/config/ObjectName.java
@@ -0,0 +1,36 @@
+package org.coltsfootproxy.config;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Comparator;
+
+/**
+ * The name of one object of the configuration.
+ *
+ * @param id the object's id, unique within its kind
+ */
+public record ObjectName(ObjectKind kind, String id) implements Comparable<ObjectName> {
+    private static final Comparator<ObjectName> ORDER =
+            Comparator.comparing(ObjectName::kind).thenComparing(ObjectName::id);
+
+    /** Checks that both parts are there. */
+    public ObjectName {
+        checkNotNull(kind, "kind is missing");
+        checkNotNull(id, "id is missing");
+    }
+
+    /** Returns the name with the given parts. */
+    public static ObjectName of(ObjectKind kind, String id) {
+        return new ObjectName(kind, id);
+    }
+
+    @Override
+    public int compareTo(ObjectName other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return kind.label() + " '" + id + "'";
+    }
+}
--- a/src/main/java/org/coltsfootproxy/config/Organisation.java
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.config;
 
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.WireCode;
 
 /**
  * An organisation and its share.
@@ -9,4 +10,11 @@
  * @param burst requests that may come at once, at least 1
  * @param weight share of capacity relative to other organisations, above 0
  */
-public record Organisation(OrganisationId id, double ratePerSecond, double burst, double weight) {}
+@WireCode(1)
+public record Organisation(OrganisationId id, double ratePerSecond, double burst, double weight)
+        implements ConfigObject {
+    @Override
+    public ObjectName objectName() {
+        return ObjectName.of(ObjectKind.ORGANISATION, id.value());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
@@ -0,0 +1,159 @@
+package org.coltsfootproxy.config;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.ProxyException;
+
+/**
+ * Checks a ticket against the configuration that it would lead to: no reference leads nowhere, no
+ * digest or path stands twice, no kind outgrows its bound.
+ */
+final class ReferenceCheck {
+    private static final Map<ObjectKind, Integer> MAX_OBJECTS =
+            Map.of(
+                    ObjectKind.ORGANISATION, 20_000,
+                    ObjectKind.KEY, 100_000,
+                    ObjectKind.SERVICE, 1_000,
+                    ObjectKind.ROUTE, 10_000);
+
+    private final ObjectTable mTable;
+    private final Map<ObjectName, ConfigChange> mTouched = new HashMap<>();
+
+    private ReferenceCheck(ObjectTable table, Ticket ticket) {
+        mTable = table;
+        ticket.changes().forEach(change -> mTouched.put(change.objectName(), change));
+    }
+
+    /**
+     * Checks a ticket.
+     *
+     * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET}, naming the object at fault
+     */
+    static void check(ObjectTable table, Ticket ticket) throws ProxyException {
+        var check = new ReferenceCheck(table, ticket);
+        for (ConfigChange change : ticket.changes().toList()) {
+            check.checkChange(change);
+        }
+        for (ObjectKind kind : ObjectKind.values()) {
+            check.checkCount(kind);
+        }
+    }
+
+    private void checkChange(ConfigChange change) throws ProxyException {
+        if (change instanceof Key key) {
+            checkKey(key);
+        } else if (change instanceof Route route) {
+            checkRoute(route);
+        } else if (change instanceof Removed removed) {
+            checkRemoved(removed.objectName());
+        }
+    }
+
+    private void checkKey(Key key) throws ProxyException {
+        mustExist(key, ObjectName.of(ObjectKind.ORGANISATION, key.organisation().value()));
+        Optional<ObjectName> other =
+                mTable.keyOfDigest(key.digest())
+                        .filter(name -> !name.equals(key.objectName()))
+                        .filter(name -> !mTouched.containsKey(name));
+        if (other.isPresent()) {
+            throw fault(key, "its digest is that of " + other.get());
+        }
+    }
+
+    private void checkRoute(Route route) throws ProxyException {
+        mustExist(route, ObjectName.of(ObjectKind.SERVICE, route.service().value()));
+        for (OrganisationId organisation : route.organisations()) {
+            mustExist(route, ObjectName.of(ObjectKind.ORGANISATION, organisation.value()));
+        }
+        Optional<Route> other =
+                after(ObjectKind.ROUTE, Route.class)
+                        .filter(r -> r.pathPrefix().equals(route.pathPrefix()))
+                        .filter(r -> !r.id().equals(route.id()))
+                        .findFirst();
+        if (other.isPresent()) {
+            throw fault(route, "its pathPrefix is that of " + other.get().objectName());
+        }
+    }
+
+    private void checkRemoved(ObjectName name) throws ProxyException {
+        if (mTable.stamp(name).isEmpty()) {
+            throw fault(new Removed(name), "can't be removed: it never existed");
+        }
+        Optional<ObjectName> user = users(name).findFirst();
+        if (user.isPresent()) {
+            throw fault(new Removed(name), "can't be removed: " + user.get() + " refers to it");
+        }
+    }
+
+    private Stream<ObjectName> users(ObjectName name) {
+        return switch (name.kind()) {
+            case ORGANISATION ->
+                    Stream.concat(
+                            after(ObjectKind.KEY, Key.class)
+                                    .filter(key -> key.organisation().value().equals(name.id()))
+                                    .map(Key::objectName),
+                            after(ObjectKind.ROUTE, Route.class)
+                                    .filter(route -> names(route, name))
+                                    .map(Route::objectName));
+            case SERVICE ->
+                    after(ObjectKind.ROUTE, Route.class)
+                            .filter(route -> route.service().value().equals(name.id()))
+                            .map(Route::objectName);
+            default -> Stream.empty();
+        };
+    }
+
+    private static boolean names(Route route, ObjectName organisation) {
+        return route.organisations().stream().anyMatch(o -> o.value().equals(organisation.id()));
+    }
+
+    /** Returns the objects of a kind as they would be after the ticket. */
+    private <T extends ConfigObject> Stream<T> after(ObjectKind kind, Class<T> type) {
+        Stream<T> untouched =
+                mTable.objects(kind, type).filter(o -> !mTouched.containsKey(o.objectName()));
+        Stream<T> touched =
+                mTouched.values().stream()
+                        .filter(type::isInstance)
+                        .map(type::cast)
+                        .sorted(java.util.Comparator.comparing(ConfigChange::objectName));
+        return Stream.concat(touched, untouched);
+    }
+
+    private void mustExist(ConfigObject user, ObjectName name) throws ProxyException {
+        ConfigChange touched = mTouched.get(name);
+        boolean exists =
+                touched != null
+                        ? touched instanceof ConfigObject
+                        : mTable.stamp(name).filter(stamp -> !stamp.isRemoved()).isPresent();
+        if (!exists) {
+            throw fault(user, "refers to " + name + ", which does not exist");
+        }
+    }
+
+    private void checkCount(ObjectKind kind) throws ProxyException {
+        long change =
+                mTouched.values().stream()
+                        .filter(c -> c.objectName().kind() == kind)
+                        .mapToInt(this::countChange)
+                        .sum();
+        int max = MAX_OBJECTS.get(kind);
+        if (change > 0 && mTable.count(kind) + change > max) {
+            String detail = "there would be more than " + max + " " + kind.plural();
+            throw ProxyException.of(ErrorKind.INVALID_TICKET, detail);
+        }
+    }
+
+    private int countChange(ConfigChange change) {
+        boolean existed = mTable.stamp(change.objectName()).filter(s -> !s.isRemoved()).isPresent();
+        boolean exists = change instanceof ConfigObject;
+        return Boolean.compare(exists, existed);
+    }
+
+    private static ProxyException fault(ConfigChange change, String detail) {
+        return ProxyException.of(ErrorKind.INVALID_TICKET, change.objectName() + ": " + detail);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/config/TicketParser.java
@@ -0,0 +1,161 @@
+package org.coltsfootproxy.config;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.KeyId;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.RouteId;
+import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.TargetId;
+
+/** Reads change tickets written in YAML. */
+public final class TicketParser {
+    /** Most bytes that a ticket may have. */
+    public static final int MAX_BYTES = 1024 * 1024;
+
+    /** The methods that HTTP calls idempotent, which routes repeat unless they say otherwise. */
+    private static final Set<String> IDEMPOTENT_METHODS =
+            Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE");
+
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+
+    private static final ObjectReader YAML =
+            new ObjectMapper(new YAMLFactory())
+                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .reader();
+
+    private TicketParser() {}
+
+    /**
+     * Returns the ticket that the YAML text in UTF-8 describes, valid by {@link TicketCheck}.
+     *
+     * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET}, naming the place
+     */
+    public static Ticket parse(byte[] yaml) throws ProxyException {
+        if (yaml.length > MAX_BYTES) {
+            String detail = "the ticket has " + yaml.length + " bytes, above " + MAX_BYTES;
+            throw ProxyException.of(ErrorKind.INVALID_TICKET, detail);
+        }
+        Ticket ticket = ticket(PlacedNode.root(readTree(yaml)));
+        TicketCheck.check(ticket);
+        return ticket;
+    }
+
+    private static JsonNode readTree(byte[] yaml) throws ProxyException {
+        try {
+            return YAML.readTree(yaml);
+        } catch (JsonProcessingException e) {
+            String detail = "not valid YAML: " + e.getOriginalMessage();
+            throw ProxyException.of(ErrorKind.INVALID_TICKET, detail, e);
+        } catch (IOException e) {
+            throw ProxyException.of(ErrorKind.INVALID_TICKET, "not valid YAML", e);
+        }
+    }
+
+    private static Ticket ticket(PlacedNode node) throws ProxyException {
+        long number = node.get("ticket").whole();
+        Ticket ticket =
+                new Ticket(
+                        number,
+                        node.list("organisations", TicketParser::organisation),
+                        node.list("keys", TicketParser::key),
+                        node.list("services", TicketParser::service),
+                        node.list("routes", TicketParser::route),
+                        node.get("remove", TicketParser::removals, List.of()));
+        node.end();
+        return ticket;
+    }
+
+    private static Organisation organisation(PlacedNode node) throws ProxyException {
+        var organisation =
+                new Organisation(
+                        node.get("id").id(OrganisationId::of),
+                        node.get("ratePerSecond").number(),
+                        node.get("burst").number(),
+                        node.get("weight", PlacedNode::number, 1.0));
+        node.end();
+        return organisation;
+    }
+
+    private static Key key(PlacedNode node) throws ProxyException {
+        var key =
+                new Key(
+                        node.get("id").id(KeyId::of),
+                        node.get("organisation").id(OrganisationId::of),
+                        node.get("digest").text().toLowerCase(java.util.Locale.ROOT));
+        node.end();
+        return key;
+    }
+
+    private static Service service(PlacedNode node) throws ProxyException {
+        var service =
+                new Service(
+                        node.get("id").id(ServiceId::of),
+                        node.get("streaming", PlacedNode::flag, false),
+                        node.get("concurrency").small(),
+                        node.list("targets", TicketParser::target),
+                        node.get("targetsFence", PlacedNode::flag, false),
+                        node.get("affinityBytes", PlacedNode::small, 0));
+        node.end();
+        return service;
+    }
+
+    private static Service.ServiceTarget target(PlacedNode node) throws ProxyException {
+        var target =
+                new Service.ServiceTarget(
+                        node.get("id").id(TargetId::of),
+                        node.get("dataCentre").id(DataCentre::of),
+                        node.get("agent").id(HostId::of),
+                        node.get("address").text());
+        node.end();
+        return target;
+    }
+
+    private static Route route(PlacedNode node) throws ProxyException {
+        var organisations = node.list("organisations", n -> n.id(OrganisationId::of));
+        var methods = node.get("repeatableMethods", n -> methods(node), IDEMPOTENT_METHODS);
+        var route =
+                new Route(
+                        node.get("id").id(RouteId::of),
+                        node.get("pathPrefix").text(),
+                        node.get("service").id(ServiceId::of),
+                        node.get("open", PlacedNode::flag, false),
+                        new HashSet<>(organisations),
+                        methods,
+                        node.get("timeoutMillis", PlacedNode::whole, DEFAULT_TIMEOUT_MILLIS));
+        node.end();
+        return route;
+    }
+
+    private static Set<String> methods(PlacedNode route) throws ProxyException {
+        return new HashSet<>(route.list("repeatableMethods", PlacedNode::text));
+    }
+
+    private static List<ObjectName> removals(PlacedNode node) throws ProxyException {
+        List<ObjectName> names = new ArrayList<>();
+        for (ObjectKind kind : ObjectKind.values()) {
+            names.addAll(node.list(kind.plural(), n -> n.id(id -> removal(kind, id))));
+        }
+        node.end();
+        return names;
+    }
+
+    private static ObjectName removal(ObjectKind kind, String id) {
+        return ObjectName.of(kind, org.coltsfootproxy.base.Names.check(id, kind.label() + " id"));
+    }
+}
--- a/src/test/java/org/coltsfootproxy/base/RecordCodecTest.java
+++ b/src/test/java/org/coltsfootproxy/base/RecordCodecTest.java
@@ -22,6 +22,21 @@
         assertEquals(mCodec.decode(mCodec.encode(head)), head);
     }
 
+    @Test
+    public void idsInRecordsSurviveToo() throws ProxyException {
+        var state =
+                new CallMessage.AgentState(
+                        RequestId.of(1, 2),
+                        Incarnation.of(Long.MIN_VALUE),
+                        ServiceId.of("rota"),
+                        true,
+                        3,
+                        4,
+                        5);
+
+        assertEquals(mCodec.decode(mCodec.encode(state)), state);
+    }
+
     @Test
     public void anUnknownTypeIsRefusedAsMalformed() {
         assertThrows(ProxyException.class, () -> mCodec.decode(new byte[] {0x7f, 0x7f, 0}));
