--- a/src/main/java/org/coltsfootproxy/agent/AgentNode.java
+++ b/src/main/java/org/coltsfootproxy/agent/AgentNode.java
@@ -108,8 +108,7 @@
 
     private void tellState(long now, Effects out) {
         AdmissionQueue queue = mDispatcher.queue();
-        mWatchers.update(
-                mStopping, queue.inFlight(), queue.waiting(), queue.limit(), now, out);
+        mWatchers.update(mStopping, queue.inFlight(), queue.waiting(), queue.limit(), now, out);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/agent/OnlineCalls.java
+++ b/src/main/java/org/coltsfootproxy/agent/OnlineCalls.java
@@ -48,8 +48,7 @@
 
     private OnlineCalls(Dispatcher dispatcher, Incarnation incarnation) {
         mDispatcher = dispatcher;
-        mSeen =
-                SeenRequests.create(incarnation, MAX_IDS, MAX_ORIGINS, MAX_TIME_TO_LIVE_NANOS);
+        mSeen = SeenRequests.create(incarnation, MAX_IDS, MAX_ORIGINS, MAX_TIME_TO_LIVE_NANOS);
     }
 
     static OnlineCalls create(Dispatcher dispatcher, Incarnation incarnation) {
--- a/src/main/java/org/coltsfootproxy/agent/OnlineRun.java
+++ b/src/main/java/org/coltsfootproxy/agent/OnlineRun.java
@@ -32,11 +32,7 @@
     }
 
     private OnlineRun(
-            CallMessage.Forward forward,
-            HostId entry,
-            long call,
-            long now,
-            EndListener listener) {
+            CallMessage.Forward forward, HostId entry, long call, long now, EndListener listener) {
         mForward = forward;
         mEntry = entry;
         mArrived = now;
@@ -53,11 +49,7 @@
 
     /** Returns the run of a request that arrived now. */
     static OnlineRun of(
-            CallMessage.Forward forward,
-            HostId entry,
-            long call,
-            long now,
-            EndListener listener) {
+            CallMessage.Forward forward, HostId entry, long call, long now, EndListener listener) {
         return new OnlineRun(forward, entry, call, now, listener);
     }
 
@@ -121,8 +113,7 @@
 
     @Override
     public void chunk(Input.TargetChunk chunk, long nowNanos, Effects out) {
-        var message =
-                new CallMessage.AnswerChunk(request(), mAnswer.nextChunk(), chunk.bytes());
+        var message = new CallMessage.AnswerChunk(request(), mAnswer.nextChunk(), chunk.bytes());
         mAnswer.chunk(message);
         out.send(mEntry, message);
     }
--- a/src/main/java/org/coltsfootproxy/agent/Watchers.java
+++ b/src/main/java/org/coltsfootproxy/agent/Watchers.java
@@ -39,13 +39,7 @@
 
     private CallMessage.AgentState state(boolean draining, int inFlight, int queued, int limit) {
         return new CallMessage.AgentState(
-                CallMessage.NO_REQUEST,
-                mIncarnation,
-                mService,
-                draining,
-                inFlight,
-                queued,
-                limit);
+                CallMessage.NO_REQUEST, mIncarnation, mService, draining, inFlight, queued, limit);
     }
 
     /** Adds an entry and tells it the state. */
@@ -59,8 +53,7 @@
     }
 
     /** Notes the state now and tells it if it is time. */
-    void update(
-            boolean draining, int inFlight, int queued, int limit, long now, Effects out) {
+    void update(boolean draining, int inFlight, int queued, int limit, long now, Effects out) {
         mCurrent = state(draining, inFlight, queued, limit);
         boolean isUrgent = draining != mTold.draining();
         if (isUrgent || now - nextTickNanos() >= 0 && !mCurrent.equals(mTold)) {
--- a/src/main/java/org/coltsfootproxy/entry/AgentPool.java
+++ b/src/main/java/org/coltsfootproxy/entry/AgentPool.java
@@ -34,8 +34,7 @@
 
     /** Takes a version of the configuration into use. */
     void configure(ConfigView view, Effects out) {
-        Set<ServiceId> services =
-                view.services().map(Service::id).collect(Collectors.toSet());
+        Set<ServiceId> services = view.services().map(Service::id).collect(Collectors.toSet());
         mChoosers.keySet().retainAll(services);
         view.services().forEach(service -> configure(service, out));
         Set<HostId> subset =
@@ -47,8 +46,7 @@
     }
 
     private void configure(Service service, Effects out) {
-        AgentChooser chooser =
-                mChoosers.computeIfAbsent(service.id(), id -> mNewChooser.get());
+        AgentChooser chooser = mChoosers.computeIfAbsent(service.id(), id -> mNewChooser.get());
         chooser.targets(service.targets());
         Set<HostId> subset = new HashSet<>(chooser.subset());
         service.targets().stream()
--- a/src/main/java/org/coltsfootproxy/entry/CallerCheck.java
+++ b/src/main/java/org/coltsfootproxy/entry/CallerCheck.java
@@ -52,8 +52,7 @@
             String detail = "keys can't be checked until a control host confirms the configuration";
             throw ProxyException.of(ErrorKind.CONFIG_STALE, detail);
         }
-        Optional<Key> key =
-                presentedKey(headers).map(KeyDigest::of).flatMap(view::keyByDigest);
+        Optional<Key> key = presentedKey(headers).map(KeyDigest::of).flatMap(view::keyByDigest);
         return key.flatMap(k -> view.organisation(k.organisation()))
                 .orElseThrow(
                         () ->
@@ -78,9 +77,7 @@
     }
 
     private static Optional<String> presentedKey(List<Header> headers) {
-        return headers.stream()
-                .flatMap(header -> keyIn(header).stream())
-                .findFirst();
+        return headers.stream().flatMap(header -> keyIn(header).stream()).findFirst();
     }
 
     private static Optional<String> keyIn(Header header) {
@@ -91,9 +88,7 @@
         }
         boolean isBearer =
                 name.equals(AUTHORIZATION) && value.toLowerCase(Locale.ROOT).startsWith(BEARER);
-        return isBearer
-                ? Optional.of(value.substring(BEARER.length()).strip())
-                : Optional.empty();
+        return isBearer ? Optional.of(value.substring(BEARER.length()).strip()) : Optional.empty();
     }
 
     /** Returns the headers without any that carry the caller's key. */
--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -53,12 +53,11 @@
         mAgents = AgentPool.create(policies.choosers());
         RetryPolicy retries =
                 RetryPolicy.of(
-                        MAX_TRIES,
-                        MIN_LEFT_NANOS,
-                        RetryBudget.of(RETRY_RATIO, MOST_RETRIES_SAVED));
+                        MAX_TRIES, MIN_LEFT_NANOS, RetryBudget.of(RETRY_RATIO, MOST_RETRIES_SAVED));
         mRequests = OnlineRequests.create(settings, random.nextLong(), mAgents, retries);
         mLimiter =
-                policies.limiters().create(id -> mConfig.view().organisation(id), mRequests::decided);
+                policies.limiters()
+                        .create(id -> mConfig.view().organisation(id), mRequests::decided);
         mRequests.limitedBy(mLimiter);
     }
 
--- a/src/main/java/org/coltsfootproxy/entry/OnlineRequests.java
+++ b/src/main/java/org/coltsfootproxy/entry/OnlineRequests.java
@@ -82,12 +82,7 @@
     }
 
     /** Begins a request whose route and organisation were checked. */
-    void begin(
-            Input.HttpCall call,
-            Route route,
-            Organisation organisation,
-            long now,
-            Effects out) {
+    void begin(Input.HttpCall call, Route route, Organisation organisation, long now, Effects out) {
         RequestId id = RequestId.of(mOrigin, ++mLastSequence);
         long deadline = now + TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis());
         Request request = Request.of(id, call, route, organisation, now, deadline);
@@ -171,8 +166,7 @@
     }
 
     private OptionalLong prefixHash(Request request) {
-        int bytes =
-                mView.service(request.route().service()).map(Service::affinityBytes).orElse(0);
+        int bytes = mView.service(request.route().service()).map(Service::affinityBytes).orElse(0);
         byte[] body = request.call().body();
         int length = Math.min(bytes, body.length);
         return length == 0
@@ -373,8 +367,7 @@
     /** What may not be repeated goes on to its end, as half a run helps nobody. */
     private void withdraw(Request request, Effects out) {
         if (request.isRepeatable()) {
-            request.agent()
-                    .ifPresent(a -> out.send(a, new CallMessage.Cancel(request.id())));
+            request.agent().ifPresent(a -> out.send(a, new CallMessage.Cancel(request.id())));
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -0,0 +1,275 @@
+package org.coltsfootproxy.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.coltsfootproxy.admission.AdmissionQueue;
+import org.coltsfootproxy.admission.AdmissionSettings;
+import org.coltsfootproxy.agent.AgentNode;
+import org.coltsfootproxy.agent.AgentSettings;
+import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.RequestId;
+import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.config.ConfigSubscriber;
+import org.coltsfootproxy.config.ConfigTiming;
+import org.coltsfootproxy.config.ControlHost;
+import org.coltsfootproxy.config.KeyDigest;
+import org.coltsfootproxy.control.ControlNode;
+import org.coltsfootproxy.control.ControlSettings;
+import org.coltsfootproxy.limit.FixedShareLimiter;
+import org.coltsfootproxy.message.CallMessage;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.VirtualFleet;
+import org.coltsfootproxy.routing.AgentChooser;
+import org.coltsfootproxy.routing.ChooserSettings;
+
+/** One entry, two agents with targets and a control host in virtual time. */
+final class OnlinePath {
+    static final HostId ENTRY = HostId.of("entry-1");
+    static final HostId CONTROL = HostId.of("control-1");
+    static final List<HostId> AGENTS = List.of(HostId.of("agent-1"), HostId.of("agent-2"));
+    static final String KEY = "key-of-solway";
+    static final int CHUNKS = 3;
+
+    private static final String OPERATOR_KEY = "operators-key";
+    private static final DataCentre SOLWAY = DataCentre.of("solway");
+    private static final long MILLI = 1_000_000;
+    private static final long STEP_NANOS = 5 * MILLI;
+    private static final long SETTLE_NANOS = 2_000 * MILLI;
+    private static final String TICKET =
+            """
+            ticket: 1
+            organisations:
+              - {id: solway, ratePerSecond: 1000, burst: 1000}
+            keys:
+              - {id: solway-1, organisation: solway, digest: %s}
+            services:
+              - id: rota
+                streaming: true
+                concurrency: 4
+                targets:
+                  - {id: t1, dataCentre: solway, agent: agent-1, address: '127.0.0.1:7001'}
+                  - {id: t2, dataCentre: solway, agent: agent-2, address: '127.0.0.1:7002'}
+            routes:
+              - {id: rota, pathPrefix: /rota, service: rota, repeatableMethods: [GET],
+                 timeoutMillis: 20000}
+              - {id: tides, pathPrefix: /tides, service: rota, open: true,
+                 repeatableMethods: [GET], timeoutMillis: 20000}
+            """
+                    .formatted(KeyDigest.of(KEY));
+
+    /** What a caller got. */
+    static final class Answer {
+        private int mStatus;
+        private int mHeads;
+        private int mEnds;
+        private int mCuts;
+        private final StringBuilder mBody = new StringBuilder();
+
+        int status() {
+            return mStatus;
+        }
+
+        boolean isWhole() {
+            return mEnds == 1 && mCuts == 0;
+        }
+
+        int finals() {
+            return mEnds + mCuts;
+        }
+
+        int heads() {
+            return mHeads;
+        }
+
+        String body() {
+            return mBody.toString();
+        }
+
+        boolean saysNotRun() {
+            return body().contains("\"ran\":\"no\"");
+        }
+    }
+
+    private final VirtualFleet mFleet;
+    private final Map<Long, Answer> mAnswers = new HashMap<>();
+    private final Map<String, Integer> mRuns = new HashMap<>();
+    private final List<Header> mTargetHeaders = new ArrayList<>();
+    private final Map<HostId, Integer> mLives = new HashMap<>();
+    private final Map<HostId, List<Long>> mCancelled = new HashMap<>();
+    private long mLastCall;
+
+    OnlinePath(long seed) {
+        mFleet = new VirtualFleet(seed, this::carryOut);
+        startControl();
+        AGENTS.forEach(this::startAgent);
+        startEntry();
+        mFleet.run(SETTLE_NANOS);
+        applyTicket(TICKET);
+        mFleet.run(SETTLE_NANOS);
+    }
+
+    VirtualFleet fleet() {
+        return mFleet;
+    }
+
+    private static List<ControlHost> controlHosts() {
+        return List.of(ControlHost.of(CONTROL, SOLWAY, "127.0.0.1:7000"));
+    }
+
+    private Incarnation newLife(HostId host) {
+        int life = mLives.merge(host, 1, Integer::sum);
+        return Incarnation.of(life);
+    }
+
+    private void startControl() {
+        ControlSettings settings =
+                new ControlSettings(
+                        CONTROL,
+                        SOLWAY,
+                        Incarnation.of(1),
+                        controlHosts(),
+                        ConfigTiming.DEFAULT,
+                        KeyDigest.of(OPERATOR_KEY));
+        mFleet.start(CONTROL, newLife(CONTROL), ControlNode.create(settings, new Random(1)));
+    }
+
+    private ConfigSubscriber subscriber() {
+        Random random = new Random(mFleet.random().nextLong());
+        return ConfigSubscriber.create(SOLWAY, controlHosts(), ConfigTiming.DEFAULT, random);
+    }
+
+    void startAgent(HostId host) {
+        Incarnation life = newLife(host);
+        AgentSettings settings = new AgentSettings(host, life, ServiceId.of("rota"));
+        AdmissionQueue queue = AdmissionQueue.fair(AdmissionSettings.of(4));
+        mFleet.start(host, life, AgentNode.create(settings, subscriber(), queue));
+    }
+
+    void startEntry() {
+        EntryPolicies policies =
+                new EntryPolicies(
+                        () ->
+                                AgentChooser.leastLoaded(
+                                        ENTRY,
+                                        SOLWAY,
+                                        ChooserSettings.defaults(),
+                                        new Random(mFleet.random().nextLong())),
+                        (rates, listener) -> FixedShareLimiter.create(rates, () -> 1));
+        EntryNode node =
+                EntryNode.create(
+                        EntrySettings.of(ENTRY, SOLWAY),
+                        subscriber(),
+                        policies,
+                        new Random(mFleet.random().nextLong()));
+        mFleet.start(ENTRY, newLife(ENTRY), node);
+    }
+
+    void applyTicket(String yaml) {
+        byte[] body = yaml.getBytes(StandardCharsets.UTF_8);
+        List<Header> headers = List.of(Header.of("Authorization", "Bearer " + OPERATOR_KEY));
+        long call = ++mLastCall;
+        mAnswers.put(call, new Answer());
+        mFleet.deliver(CONTROL, new Input.HttpCall(call, "POST", "/v1/tickets", headers, body));
+    }
+
+    /** Sends a request and returns the number under which its answer is kept. */
+    long call(String method, String path, String key) {
+        long call = ++mLastCall;
+        mAnswers.put(call, new Answer());
+        List<Header> headers = new ArrayList<>();
+        headers.add(Header.of("X-Test-Call", Long.toString(call)));
+        if (!key.isEmpty()) {
+            headers.add(Header.of("Authorization", "Bearer " + key));
+        }
+        mFleet.deliver(ENTRY, new Input.HttpCall(call, method, path, headers, new byte[0]));
+        return call;
+    }
+
+    Answer answer(long call) {
+        return mAnswers.get(call);
+    }
+
+    int runs(long call) {
+        return mRuns.getOrDefault(Long.toString(call), 0);
+    }
+
+    List<Header> targetHeaders() {
+        return mTargetHeaders;
+    }
+
+    /** Returns the body that the target gives to a call. */
+    static String expectedBody(long call) {
+        StringBuilder body = new StringBuilder();
+        for (int i = 0; i < CHUNKS; i++) {
+            body.append(call).append('/').append(i).append(';');
+        }
+        return body.toString();
+    }
+
+    /** Tells whether a message belongs to one request. */
+    static boolean isAboutRequest(Message message) {
+        return message instanceof CallMessage call
+                && !call.request().equals(CallMessage.NO_REQUEST);
+    }
+
+    static Optional<RequestId> request(Message message) {
+        return message instanceof CallMessage call ? Optional.of(call.request()) : Optional.empty();
+    }
+
+    private void carryOut(HostId host, Effect effect, long now) {
+        if (effect instanceof Effect.TargetCall call) {
+            callTarget(host, call);
+        } else if (effect instanceof Effect.TargetCancel cancel) {
+            mCancelled.computeIfAbsent(host, h -> new ArrayList<>()).add(cancel.call());
+        } else if (effect instanceof Effect.HttpHead head) {
+            mAnswers.get(head.call()).mStatus = head.status();
+            mAnswers.get(head.call()).mHeads++;
+        } else if (effect instanceof Effect.HttpChunk chunk) {
+            String text = new String(chunk.bytes(), StandardCharsets.UTF_8);
+            mAnswers.get(chunk.call()).mBody.append(text);
+        } else if (effect instanceof Effect.HttpEnd end) {
+            mAnswers.get(end.call()).mEnds++;
+        } else if (effect instanceof Effect.HttpCut cut) {
+            mAnswers.get(cut.call()).mCuts++;
+        }
+    }
+
+    private void callTarget(HostId agent, Effect.TargetCall call) {
+        mTargetHeaders.addAll(call.headers());
+        String id =
+                call.headers().stream()
+                        .filter(h -> h.name().equals("X-Test-Call"))
+                        .findFirst()
+                        .orElseThrow()
+                        .value();
+        mRuns.merge(id, 1, Integer::sum);
+        toAgent(agent, 1, new Input.TargetHead(call.call(), 200, List.of()), call.call());
+        for (int i = 0; i < CHUNKS; i++) {
+            byte[] bytes = (id + "/" + i + ";").getBytes(StandardCharsets.UTF_8);
+            toAgent(agent, i + 2, new Input.TargetChunk(call.call(), bytes), call.call());
+        }
+        toAgent(agent, CHUNKS + 2, new Input.TargetEnd(call.call()), call.call());
+    }
+
+    private void toAgent(HostId agent, int step, Input input, long call) {
+        int life = mLives.get(agent);
+        mFleet.after(
+                step * STEP_NANOS,
+                () -> {
+                    boolean isCancelled = mCancelled.getOrDefault(agent, List.of()).contains(call);
+                    if (mLives.get(agent) == life && !isCancelled) {
+                        mFleet.deliver(agent, input);
+                    }
+                });
+    }
+}
