--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/AdminSink.java
@@ -0,0 +1,106 @@
+package org.coltsfootproxy.runtime;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.net.HttpFront;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.Problem;
+
+/**
+ * Answers {@code /metrics}, {@code /healthz} and {@code /readyz} and leads other calls of operators
+ * to the node, if it takes any.
+ */
+final class AdminSink implements InputSink {
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final Metrics mMetrics;
+    private final BooleanSupplier mReady;
+    private final Supplier<HttpFront> mFront;
+    private final InputSink mNode;
+
+    private AdminSink(
+            Metrics metrics, BooleanSupplier ready, Supplier<HttpFront> front, InputSink node) {
+        mMetrics = metrics;
+        mReady = ready;
+        mFront = front;
+        mNode = node;
+    }
+
+    /**
+     * Returns a sink.
+     *
+     * @param front the server whose calls come here
+     * @param node null unless the node takes operators' calls
+     */
+    static AdminSink create(
+            Metrics metrics, BooleanSupplier ready, Supplier<HttpFront> front, InputSink node) {
+        return new AdminSink(metrics, ready, front, node);
+    }
+
+    @Override
+    public boolean offer(Input input) {
+        if (!(input instanceof Input.HttpCall call)) {
+            return mNode == null || mNode.offer(input);
+        }
+        switch (call.path()) {
+            case "/metrics" -> answer(call, OK, "text/plain; version=0.0.4", mMetrics.exposition());
+            case "/healthz" -> answer(call, OK, "text/plain", text("ok\n"));
+            case "/readyz" -> ready(call);
+            default -> {
+                return toNode(call);
+            }
+        }
+        return true;
+    }
+
+    private void ready(Input.HttpCall call) {
+        boolean isReady = mReady.getAsBoolean();
+        byte[] body = text(isReady ? "ready\n" : "not ready\n");
+        answer(call, isReady ? OK : UNAVAILABLE, "text/plain", body);
+    }
+
+    private boolean toNode(Input.HttpCall call) {
+        if (mNode != null) {
+            return mNode.offer(call);
+        }
+        String detail = "this host answers /metrics, /healthz and /readyz";
+        Problem.of(ErrorKind.NOT_FOUND, detail).answer(call.call(), effects());
+        return true;
+    }
+
+    private static byte[] text(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void answer(Input.HttpCall call, int status, String type, byte[] body) {
+        List<Header> headers =
+                List.of(
+                        Header.of("Content-Type", type),
+                        Header.of("Content-Length", Integer.toString(body.length)));
+        Effects out = effects();
+        out.add(new Effect.HttpHead(call.call(), status, headers));
+        out.add(new Effect.HttpChunk(call.call(), body));
+        out.add(new Effect.HttpEnd(call.call()));
+    }
+
+    private Effects effects() {
+        HttpFront front = mFront.get();
+        return effect -> {
+            if (effect instanceof Effect.HttpHead head) {
+                front.carryOut(head);
+            } else if (effect instanceof Effect.HttpChunk chunk) {
+                front.carryOut(chunk);
+            } else if (effect instanceof Effect.HttpEnd end) {
+                front.carryOut(end);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/AgentRoleParts.java
@@ -0,0 +1,78 @@
+package org.coltsfootproxy.runtime;
+
+import java.util.Optional;
+import java.util.Random;
+import org.coltsfootproxy.admission.AdmissionQueue;
+import org.coltsfootproxy.admission.AdmissionSettings;
+import org.coltsfootproxy.agent.AgentNode;
+import org.coltsfootproxy.agent.AgentSettings;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.net.NetEvents;
+import org.coltsfootproxy.net.TargetClient;
+import org.coltsfootproxy.net.TargetClientSettings;
+import org.coltsfootproxy.node.Node;
+
+/** The parts of an agent. */
+final class AgentRoleParts implements Role {
+    /** Requests at the target until the configuration tells the service's own number. */
+    private static final int FIRST_CONCURRENCY = 1;
+
+    private final Incarnation mIncarnation;
+    private final Node mNode;
+    private final TargetClient mTarget;
+
+    private AgentRoleParts(Incarnation incarnation, Node node, TargetClient target) {
+        mIncarnation = incarnation;
+        mNode = node;
+        mTarget = target;
+    }
+
+    static AgentRoleParts create(
+            Settings settings, InputSink toNode, NetEvents events, Random random) {
+        Settings.AgentRole role = settings.agent().orElseThrow();
+        Incarnation incarnation = Role.newIncarnation(random);
+        AgentNode node =
+                AgentNode.create(
+                        new AgentSettings(settings.host(), incarnation, role.service()),
+                        Role.subscriber(settings, random),
+                        queue(role));
+        TargetClientSettings target =
+                TargetClientSettings.defaults(Addresses.parse(role.target()));
+        return new AgentRoleParts(
+                incarnation, node, TargetClient.create(target, toNode, events));
+    }
+
+    private static AdmissionQueue queue(Settings.AgentRole role) {
+        AdmissionSettings bounds = AdmissionSettings.of(FIRST_CONCURRENCY);
+        return switch (role.queue()) {
+            case FAIR -> AdmissionQueue.fair(bounds);
+            case FIFO -> AdmissionQueue.firstCome(bounds);
+        };
+    }
+
+    @Override
+    public Node node() {
+        return mNode;
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        return mIncarnation;
+    }
+
+    @Override
+    public Optional<TargetClient> target() {
+        return Optional.of(mTarget);
+    }
+
+    @Override
+    public void start() {
+        // The client connects when there is a call.
+    }
+
+    @Override
+    public void close() {
+        mTarget.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/EffectRouter.java
@@ -0,0 +1,98 @@
+package org.coltsfootproxy.runtime;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkState;
+
+import org.coltsfootproxy.net.HttpFront;
+import org.coltsfootproxy.net.PeerTransport;
+import org.coltsfootproxy.net.TargetClient;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Effects;
+
+/**
+ * Hands the effects of a node to the duties that carry them out.
+ *
+ * <p>A duty that the node's role doesn't have is null; an effect for it is a fault of the node.
+ */
+final class EffectRouter implements Effects {
+    private final PeerTransport mPeers;
+    private final EventLog mLog;
+    private final Metrics mMetrics;
+    private final HttpFront mFront;
+    private final TargetClient mTarget;
+    private final DiskDuty mDisk;
+
+    private EffectRouter(
+            PeerTransport peers,
+            EventLog log,
+            Metrics metrics,
+            HttpFront front,
+            TargetClient target,
+            DiskDuty disk) {
+        mPeers = checkNotNull(peers, "peers");
+        mLog = checkNotNull(log, "log");
+        mMetrics = checkNotNull(metrics, "metrics");
+        mFront = front;
+        mTarget = target;
+        mDisk = disk;
+    }
+
+    /**
+     * Returns a router.
+     *
+     * @param front null unless the role answers HTTP calls
+     * @param target null unless the role calls a target
+     * @param disk null unless the role has durable state
+     */
+    static EffectRouter create(
+            PeerTransport peers,
+            EventLog log,
+            Metrics metrics,
+            HttpFront front,
+            TargetClient target,
+            DiskDuty disk) {
+        return new EffectRouter(peers, log, metrics, front, target, disk);
+    }
+
+    @Override
+    public void add(Effect effect) {
+        if (effect instanceof Effect.Send send) {
+            mPeers.carryOut(send);
+        } else if (effect instanceof Effect.PeerAddress address) {
+            mPeers.carryOut(address);
+        } else if (effect instanceof Effect.Log log) {
+            mLog.write(log.code(), log.detail());
+        } else if (effect instanceof Effect.Measure m) {
+            mMetrics.record(m.metric(), m.organisation(), m.trafficClass(), m.value());
+        } else if (effect instanceof Effect.Persist persist) {
+            checkState(mDisk != null, "no disk for %s", persist);
+            mDisk.write(persist);
+        } else if (effect instanceof Effect.TargetCall call) {
+            target().carryOut(call);
+        } else if (effect instanceof Effect.TargetCancel cancel) {
+            target().carryOut(cancel);
+        } else {
+            answer(effect);
+        }
+    }
+
+    private TargetClient target() {
+        checkState(mTarget != null, "this role has no target");
+        return mTarget;
+    }
+
+    private void answer(Effect effect) {
+        checkState(mFront != null, "this role answers no calls");
+        if (effect instanceof Effect.HttpHead head) {
+            mFront.carryOut(head);
+        } else if (effect instanceof Effect.HttpChunk chunk) {
+            mFront.carryOut(chunk);
+        } else if (effect instanceof Effect.HttpEnd end) {
+            mFront.carryOut(end);
+        } else if (effect instanceof Effect.HttpCut cut) {
+            mFront.carryOut(cut);
+        } else {
+            throw new IllegalArgumentException("unknown effect " + effect);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
@@ -0,0 +1,101 @@
+package org.coltsfootproxy.runtime;
+
+import java.util.Optional;
+import java.util.Random;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.entry.EntryNode;
+import org.coltsfootproxy.entry.EntryPolicies;
+import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.limit.FixedShareLimiter;
+import org.coltsfootproxy.limit.Limiter;
+import org.coltsfootproxy.limit.RateSource;
+import org.coltsfootproxy.net.HttpFront;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.net.NetEvents;
+import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.routing.AgentChooser;
+import org.coltsfootproxy.routing.ChooserSettings;
+
+/** The parts of an entry host. */
+final class EntryRoleParts implements Role {
+    private final Incarnation mIncarnation;
+    private final Node mNode;
+    private final HttpFront mFront;
+
+    private EntryRoleParts(Incarnation incarnation, Node node, HttpFront front) {
+        mIncarnation = incarnation;
+        mNode = node;
+        mFront = front;
+    }
+
+    static EntryRoleParts create(
+            Settings settings, InputSink toNode, NetEvents events, Random random) {
+        Settings.EntryRole role = settings.entry().orElseThrow();
+        Incarnation incarnation = Role.newIncarnation(random);
+        EntryNode node =
+                EntryNode.create(
+                        EntrySettings.of(settings.host(), settings.dataCentre()),
+                        Role.subscriber(settings, random),
+                        policies(settings, role, random),
+                        random);
+        HttpFront front =
+                HttpFront.create(
+                        HostProcess.frontSettings(role.callerAddress())
+                                .withMaxBodyBytes(role.maxBodyBytes()),
+                        toNode,
+                        events);
+        return new EntryRoleParts(incarnation, node, front);
+    }
+
+    private static EntryPolicies policies(
+            Settings settings, Settings.EntryRole role, Random random) {
+        return new EntryPolicies(
+                () -> chooser(settings, role, random),
+                (rates, listener) -> limiter(role, rates, listener));
+    }
+
+    private static AgentChooser chooser(
+            Settings settings, Settings.EntryRole role, Random random) {
+        return switch (role.routing()) {
+            case ROUND_ROBIN -> AgentChooser.roundRobin();
+            case ADAPTIVE ->
+                    AgentChooser.leastLoaded(
+                            settings.host(),
+                            settings.dataCentre(),
+                            ChooserSettings.defaults(),
+                            new Random(random.nextLong()));
+        };
+    }
+
+    private static Limiter limiter(
+            Settings.EntryRole role, RateSource rates, Limiter.Listener listener) {
+        int entries = role.entries().size();
+        return FixedShareLimiter.create(rates, () -> entries);
+    }
+
+    @Override
+    public Node node() {
+        return mNode;
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        return mIncarnation;
+    }
+
+    @Override
+    public Optional<HttpFront> front() {
+        return Optional.of(mFront);
+    }
+
+    @Override
+    public void start() throws ProxyException {
+        mFront.start();
+    }
+
+    @Override
+    public void close() {
+        mFront.close();
+    }
+}
--- a/src/main/java/org/coltsfootproxy/runtime/NodeDuty.java
+++ b/src/main/java/org/coltsfootproxy/runtime/NodeDuty.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
@@ -27,21 +28,27 @@
 
     private final Node mNode;
     private final Effects mEffects;
+    private final Consumer<Input> mObserver;
     private final Ring<Input> mRing = Ring.create(RING_CAPACITY);
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private final Thread mThread;
     private volatile boolean mRunning = true;
 
-    private NodeDuty(String name, Node node, Effects effects) {
+    private NodeDuty(String name, Node node, Effects effects, Consumer<Input> observer) {
         mNode = checkNotNull(node, "node");
         mEffects = checkNotNull(effects, "effects");
+        mObserver = checkNotNull(observer, "observer");
         mThread = new Thread(this::run, name);
         mRing.consumedBy(mThread);
     }
 
-    /** Returns the duty of {@code node}, not yet started. */
-    static NodeDuty create(String name, Node node, Effects effects) {
-        return new NodeDuty(name, node, effects);
+    /**
+     * Returns the duty of {@code node}, not yet started.
+     *
+     * @param observer shown each input on the duty's thread before the node handles it
+     */
+    static NodeDuty create(String name, Node node, Effects effects, Consumer<Input> observer) {
+        return new NodeDuty(name, node, effects, observer);
     }
 
     void start() {
@@ -85,7 +92,11 @@
     }
 
     private void handle(Input input) {
-        guard(() -> mNode.handle(input, System.nanoTime(), mEffects));
+        guard(
+                () -> {
+                    mObserver.accept(input);
+                    mNode.handle(input, System.nanoTime(), mEffects);
+                });
     }
 
     private void tickIfDue() {
