--- a/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
@@ -67,12 +67,12 @@
         Subscription known = mSubscriptions.get(from);
         Subscription subscription = known != null ? known : new Subscription(from);
         mSubscriptions.put(from, subscription);
-        subscription.seen(subscribe.version(), nowNanos);
+        boolean isLost = subscription.seen(subscribe.version(), nowNanos);
         boolean isAhead = subscribe.version() > subscription.sentVersion();
-        if (known == null || isAhead || subscription.isLost(nowNanos, mTiming.renewNanos() / 2)) {
+        if (known == null || isAhead || isLost) {
             subscription.beginAt(subscribe.version());
         }
-        serve(subscription, new HashMap<>(), nowNanos, out);
+        serve(subscription, new HashMap<>(), out);
         mConfirmations.add(new ConfirmationBatch.Renewal(from, subscribe.sequence()));
     }
 
@@ -88,7 +88,7 @@
     public void tick(long nowNanos, Effects out) {
         if (mPublished != mState.version()) {
             mPublished = mState.version();
-            publish(nowNanos, out);
+            publish(out);
         }
         mConfirmations.tick(nowNanos);
         mConfirmations.takeConfirmed().forEach(renewal -> confirm(renewal, out));
@@ -96,6 +96,11 @@
         sweep(nowNanos);
     }
 
+    /** Tells whether a tick would publish a version or confirm renewals now. */
+    public boolean mayHaveNews() {
+        return mPublished != mState.version() || mConfirmations.hasConfirmed();
+    }
+
     /** Returns the time of the next due tick. */
     public long nextTickNanos() {
         long next = mNextSweep;
@@ -124,9 +129,9 @@
                                         TimeUnit.NANOSECONDS.toMillis(nowNanos - s.seenAt())));
     }
 
-    private void publish(long nowNanos, Effects out) {
+    private void publish(Effects out) {
         Map<Long, List<ConfigMessage.Update>> updates = new HashMap<>();
-        mSubscriptions.values().forEach(s -> serve(s, updates, nowNanos, out));
+        mSubscriptions.values().forEach(s -> serve(s, updates, out));
     }
 
     /**
@@ -135,16 +140,13 @@
      * @param updates the updates made in this step by the version that they start from
      */
     private void serve(
-            Subscription subscription,
-            Map<Long, List<ConfigMessage.Update>> updates,
-            long nowNanos,
-            Effects out) {
+            Subscription subscription, Map<Long, List<ConfigMessage.Update>> updates, Effects out) {
         if (subscription.isBusy() || subscription.sentVersion() >= mState.version()) {
             return;
         }
         subscription.enqueue(updates.computeIfAbsent(subscription.sentVersion(), this::updateFrom));
         if (updates.get(subscription.sentVersion()).size() == 1) {
-            out.send(subscription.host(), subscription.next(nowNanos));
+            out.send(subscription.host(), subscription.next());
         } else {
             mPaced.add(subscription);
         }
@@ -169,18 +171,18 @@
         for (int sent = 0; sent < PACE_PARTS && !mPaced.isEmpty(); ) {
             Subscription subscription = mPaced.peek();
             if (subscription.isBusy()) {
-                out.send(subscription.host(), subscription.next(nowNanos));
+                out.send(subscription.host(), subscription.next());
                 sent++;
             } else {
                 mPaced.remove();
-                serveKnown(subscription, nowNanos, out);
+                serveKnown(subscription, out);
             }
         }
     }
 
-    private void serveKnown(Subscription subscription, long nowNanos, Effects out) {
+    private void serveKnown(Subscription subscription, Effects out) {
         if (mSubscriptions.get(subscription.host()) == subscription) {
-            serve(subscription, new HashMap<>(), nowNanos, out);
+            serve(subscription, new HashMap<>(), out);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/config/ConfirmationBatch.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfirmationBatch.java
@@ -61,6 +61,10 @@
         return !mWaiting.isEmpty();
     }
 
+    boolean hasConfirmed() {
+        return !mConfirmed.isEmpty();
+    }
+
     /** Takes the renewals that were confirmed since the last call. */
     List<Renewal> takeConfirmed() {
         List<Renewal> taken = List.copyOf(mConfirmed);
--- a/src/main/java/org/coltsfootproxy/config/Subscription.java
+++ b/src/main/java/org/coltsfootproxy/config/Subscription.java
@@ -12,8 +12,8 @@
     private final Deque<ConfigMessage.Update> mParts = new ArrayDeque<>();
     private long mVersion;
     private long mSentVersion;
-    private long mSentAt;
     private long mSeenAt;
+    private long mEarlierSentVersion;
 
     Subscription(HostId host) {
         mHost = host;
@@ -37,21 +37,25 @@
         return mSentVersion;
     }
 
-    /** Notes a renewal. */
-    void seen(long version, long nowNanos) {
+    /**
+     * Notes a renewal.
+     *
+     * @return whether what was sent must be taken for lost: the subscriber still names a version
+     *     below what had been sent when it renewed before
+     */
+    boolean seen(long version, long nowNanos) {
+        boolean isLost = version < mEarlierSentVersion && mParts.isEmpty();
         mVersion = version;
         mSeenAt = nowNanos;
+        mEarlierSentVersion = mSentVersion;
+        return isLost;
     }
 
-    /** Begins anew from the version that the subscriber named. */
+    /** Begins anew from a version that the subscriber named. */
     void beginAt(long version) {
         mParts.clear();
         mSentVersion = version;
-    }
-
-    /** Tells whether what was sent must be taken for lost. */
-    boolean isLost(long nowNanos, long patienceNanos) {
-        return mVersion < mSentVersion && mParts.isEmpty() && nowNanos - mSentAt >= patienceNanos;
+        mEarlierSentVersion = version;
     }
 
     /** Tells whether parts wait to be sent. */
@@ -64,9 +68,8 @@
     }
 
     /** Takes the next part to send; the last one counts its version as sent. */
-    ConfigMessage.Update next(long nowNanos) {
+    ConfigMessage.Update next() {
         ConfigMessage.Update part = mParts.remove();
-        mSentAt = nowNanos;
         if (mParts.isEmpty()) {
             mSentVersion = part.to();
         }
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/config/TicketOracle.java
@@ -0,0 +1,102 @@
+package org.coltsfootproxy.config;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.coltsfootproxy.config.Verdict.Outcome;
+
+/** The rules of tickets written down plainly, with unlimited memory. */
+final class TicketOracle {
+    private final Map<ObjectName, Long> mNumbers = new HashMap<>();
+    private final Map<Long, Ticket> mAccepted = new HashMap<>();
+    private final Set<Ticket> mInvalid = new HashSet<>();
+    private Map<ObjectName, ConfigObject> mObjects = new TreeMap<>();
+    private long mVersion;
+
+    Map<ObjectName, ConfigObject> objects() {
+        return mObjects;
+    }
+
+    long version() {
+        return mVersion;
+    }
+
+    long number(ObjectName name) {
+        return mNumbers.getOrDefault(name, 0L);
+    }
+
+    Outcome apply(Ticket ticket) {
+        if (isTwice(ticket.keys().stream().map(Key::digest).toList())
+                || isTwice(ticket.routes().stream().map(Route::pathPrefix).toList())) {
+            return Outcome.INVALID;
+        }
+        if (ticket.equals(mAccepted.get(ticket.number()))) {
+            return Outcome.ACCEPTED;
+        }
+        if (mInvalid.contains(ticket)) {
+            return Outcome.INVALID;
+        }
+        if (mAccepted.containsKey(ticket.number())) {
+            return Outcome.CONFLICT;
+        }
+        List<ConfigChange> changes = ticket.changes().toList();
+        if (changes.stream().anyMatch(c -> number(c.objectName()) >= ticket.number())) {
+            return Outcome.STALE;
+        }
+        Map<ObjectName, ConfigObject> after = new TreeMap<>(mObjects);
+        for (ConfigChange change : changes) {
+            if (change instanceof ConfigObject object) {
+                after.put(object.objectName(), object);
+            } else {
+                after.remove(change.objectName());
+            }
+        }
+        if (!isWhole(after) || !ticket.remove().stream().allMatch(mNumbers::containsKey)) {
+            mInvalid.add(ticket);
+            return Outcome.INVALID;
+        }
+        mObjects = after;
+        mVersion++;
+        mAccepted.put(ticket.number(), ticket);
+        changes.forEach(change -> mNumbers.put(change.objectName(), ticket.number()));
+        return Outcome.ACCEPTED;
+    }
+
+    private static boolean isTwice(List<String> values) {
+        return Set.copyOf(values).size() < values.size();
+    }
+
+    private static boolean isWhole(Map<ObjectName, ConfigObject> objects) {
+        Set<String> once = new HashSet<>();
+        return objects.values().stream()
+                .allMatch(
+                        object -> {
+                            if (object instanceof Key key) {
+                                return once.add(key.digest())
+                                        && objects.containsKey(
+                                                ObjectName.of(
+                                                        ObjectKind.ORGANISATION,
+                                                        key.organisation().value()));
+                            }
+                            if (object instanceof Route route) {
+                                return once.add(route.pathPrefix())
+                                        && objects.containsKey(
+                                                ObjectName.of(
+                                                        ObjectKind.SERVICE,
+                                                        route.service().value()))
+                                        && route.organisations().stream()
+                                                .allMatch(
+                                                        o ->
+                                                                objects.containsKey(
+                                                                        ObjectName.of(
+                                                                                ObjectKind
+                                                                                        .ORGANISATION,
+                                                                                o.value())));
+                            }
+                            return true;
+                        });
+    }
+}
