--- a/src/test/java/org/coltsfootproxy/config/ConfigStateTest.java
+++ b/src/test/java/org/coltsfootproxy/config/ConfigStateTest.java
@@ -83,7 +83,7 @@
 
     /** With next to no memory a resend may be told stale, but nothing is ever accepted twice. */
     @Test(dataProvider = "seeds")
-    public void forgettingNeverLetsATicketInTwice(long seed) {
+    public void forgettingLetsNoTicketInTwice(long seed) {
         var random = new Random(seed);
         var tickets = new RandomTickets(random);
         ConfigState state = ConfigState.create(4, 3);
--- a/src/test/java/org/coltsfootproxy/config/DisseminationTest.java
+++ b/src/test/java/org/coltsfootproxy/config/DisseminationTest.java
@@ -191,7 +191,7 @@
     }
 
     @Test
-    public void behindACutTheWithdrawnKeyIsRefusedAndOpenRoutesStayKnown() {
+    public void behindCutLinksTheWithdrawnKeyIsRefusedAndOpenRoutesStayKnown() {
         var fleet = new FakeFleet(REPLICAS, 1, new Random(7));
         Key key = RandomTickets.key("key", "solway", 1);
         fleet.commit(
--- a/src/test/java/org/coltsfootproxy/config/TicketOracle.java
+++ b/src/test/java/org/coltsfootproxy/config/TicketOracle.java
@@ -71,32 +71,26 @@
 
     private static boolean isWhole(Map<ObjectName, ConfigObject> objects) {
         Set<String> once = new HashSet<>();
-        return objects.values().stream()
-                .allMatch(
-                        object -> {
-                            if (object instanceof Key key) {
-                                return once.add(key.digest())
-                                        && objects.containsKey(
-                                                ObjectName.of(
-                                                        ObjectKind.ORGANISATION,
-                                                        key.organisation().value()));
-                            }
-                            if (object instanceof Route route) {
-                                return once.add(route.pathPrefix())
-                                        && objects.containsKey(
-                                                ObjectName.of(
-                                                        ObjectKind.SERVICE,
-                                                        route.service().value()))
-                                        && route.organisations().stream()
-                                                .allMatch(
-                                                        o ->
-                                                                objects.containsKey(
-                                                                        ObjectName.of(
-                                                                                ObjectKind
-                                                                                        .ORGANISATION,
-                                                                                o.value())));
-                            }
-                            return true;
-                        });
+        return objects.values().stream().allMatch(object -> isWhole(object, objects, once));
+    }
+
+    private static boolean isWhole(
+            ConfigObject object, Map<ObjectName, ConfigObject> objects, Set<String> once) {
+        if (object instanceof Key key) {
+            return once.add(key.digest())
+                    && objects.containsKey(organisation(key.organisation().value()));
+        }
+        if (object instanceof Route route) {
+            return once.add(route.pathPrefix())
+                    && objects.containsKey(
+                            ObjectName.of(ObjectKind.SERVICE, route.service().value()))
+                    && route.organisations().stream()
+                            .allMatch(o -> objects.containsKey(organisation(o.value())));
+        }
+        return true;
+    }
+
+    private static ObjectName organisation(String id) {
+        return ObjectName.of(ObjectKind.ORGANISATION, id);
     }
 }
