--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/base/Member.java
@@ -0,0 +1,32 @@
+package org.coltsfootproxy.base;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * One life of a host in a replicated log.
+ *
+ * <p>A host that comes back with an empty disk has a new incarnation and is another member.
+ */
+public record Member(HostId host, Incarnation incarnation) implements Comparable<Member> {
+    /** Checks that both parts are there. */
+    public Member {
+        checkNotNull(host, "host is missing");
+        checkNotNull(incarnation, "incarnation is missing");
+    }
+
+    /** Returns the member with the given parts. */
+    public static Member of(HostId host, Incarnation incarnation) {
+        return new Member(host, incarnation);
+    }
+
+    @Override
+    public int compareTo(Member other) {
+        int byHost = host.compareTo(other.host);
+        return byHost != 0 ? byHost : Long.compare(incarnation.value(), other.incarnation.value());
+    }
+
+    @Override
+    public String toString() {
+        return host + "#" + incarnation;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/consensus/Founding.java
@@ -0,0 +1,101 @@
+package org.coltsfootproxy.consensus;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.message.LogEntry;
+import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.node.StoreWrite;
+
+/**
+ * What a member without state does: it asks the others, and founds the group only if all hosts of
+ * the settings are there without state and it is the first of them.
+ *
+ * <p>Otherwise it waits until a leader of the existing group lets it in.
+ */
+final class Founding {
+    private static final long FIRST_INDEX = 1;
+    private static final long FIRST_TERM = 1;
+
+    private final Group mGroup;
+    private final Map<HostId, Incarnation> mBlank = new TreeMap<>();
+    private long mProbeNanos;
+
+    Founding(Group group, long nowNanos) {
+        mGroup = group;
+        mProbeNanos = nowNanos;
+    }
+
+    /** Returns when the next questions are due. */
+    long probeNanos() {
+        return mProbeNanos;
+    }
+
+    void tick(Step step) {
+        if (step.nowNanos() < mProbeNanos) {
+            return;
+        }
+        mProbeNanos = step.nowNanos() + mGroup.settings().electionTimeoutNanos();
+        mBlank.clear();
+        List<HostId> hosts = mGroup.settings().hosts();
+        RaftMessage probe =
+                new RaftMessage.Probe(mGroup.number(), mGroup.incarnation(), mGroup.term(), hosts);
+        hosts.stream()
+                .filter(host -> !host.equals(mGroup.self().host()))
+                .forEach(host -> step.send(host, probe));
+        foundIfAllBlank(step);
+    }
+
+    /** Takes another host's answer. */
+    void receive(HostId from, RaftMessage.ProbeAnswer answer, Step step) {
+        if (answer.blank() && answer.to().equals(mGroup.incarnation())) {
+            mBlank.put(from, answer.from());
+            foundIfAllBlank(step);
+        }
+    }
+
+    private void foundIfAllBlank(Step step) {
+        List<HostId> hosts = mGroup.settings().hosts();
+        HostId own = mGroup.self().host();
+        mBlank.put(own, mGroup.incarnation());
+        if (mGroup.is(MemberState.BLANK)
+                && hosts.get(0).equals(own)
+                && mBlank.keySet().containsAll(hosts)) {
+            found(step);
+        }
+    }
+
+    private void found(Step step) {
+        List<Member> voters =
+                mGroup.settings().hosts().stream()
+                        .map(host -> Member.of(host, mBlank.get(host)))
+                        .toList();
+        Members members = Members.ofVoters(voters);
+        LogEntry entry =
+                LogEntry.of(FIRST_INDEX, FIRST_TERM, LogEntry.Kind.MEMBERS, members.encode());
+        mGroup.enter(MemberState.FOLLOWER);
+        mGroup.setVote(FIRST_TERM, java.util.Optional.of(mGroup.self()));
+        mGroup.add(entry);
+        mGroup.journal()
+                .writeEntries(
+                        StoreWrite.of(mGroup.vote(), List.of(entry)),
+                        FIRST_TERM,
+                        FIRST_INDEX,
+                        step);
+        mGroup.log(step, EventCode.GROUP_FOUNDED, "members " + voters);
+    }
+
+    /** Answers another host without state. */
+    void answer(HostId from, RaftMessage.Probe probe, Step step) {
+        boolean blank =
+                mGroup.is(MemberState.BLANK) && probe.hosts().equals(mGroup.settings().hosts());
+        step.send(
+                from,
+                new RaftMessage.ProbeAnswer(
+                        mGroup.number(), mGroup.incarnation(), mGroup.term(), probe.from(), blank));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
@@ -0,0 +1,148 @@
+package org.coltsfootproxy.consensus;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.Member;
+
+/**
+ * Decides the next change of members, of which at most one is under way at any moment.
+ *
+ * <p>A joining member learns first. Once it has caught up, a former life of the same host leaves,
+ * and then it votes: each step changes at most one voter, so that the quorums before and after
+ * always share a member.
+ */
+final class MemberChanges {
+    /** A member list to put into the log, and who waits for it. */
+    record Next(Members members, Optional<Proposer.Completion> done) {}
+
+    private record Asked(MemberChange change, Proposer.Completion done) {}
+
+    private final Group mGroup;
+    private final Map<HostId, Incarnation> mJoining = new TreeMap<>();
+    private Optional<Asked> mAsked = Optional.empty();
+
+    MemberChanges(Group group) {
+        mGroup = group;
+    }
+
+    /** Notes that a host without state asks to join; tells whether that is new. */
+    boolean joining(Member member) {
+        Incarnation former = mJoining.put(member.host(), member.incarnation());
+        return !member.incarnation().equals(former);
+    }
+
+    /** Takes an operator's wish; one may wait at a time. */
+    void ask(MemberChange change, Proposer.Completion done) {
+        if (mAsked.isPresent()) {
+            done.failed(ErrorKind.OVERLOADED);
+        } else {
+            mAsked = Optional.of(new Asked(change, done));
+        }
+    }
+
+    /** Fails what waits because this host no longer leads. */
+    void steppedDown() {
+        Optional<Asked> asked = mAsked;
+        mAsked = Optional.empty();
+        asked.ifPresent(wish -> wish.done().failed(ErrorKind.NO_LEADER));
+    }
+
+    /** Returns the change to make now, if any. */
+    Optional<Next> next(Replication replication, long nowNanos) {
+        boolean pending = mGroup.history().currentIndex() > mGroup.commitIndex();
+        if (pending || !replication.isTermCommitted()) {
+            return Optional.empty();
+        }
+        return asked().or(() -> promotion(replication, nowNanos))
+                .or(() -> replacement(replication, nowNanos));
+    }
+
+    private Optional<Next> asked() {
+        Optional<Asked> asked = mAsked;
+        mAsked = Optional.empty();
+        return asked.flatMap(
+                wish ->
+                        wish.change() instanceof MemberChange.Add
+                                ? add(wish)
+                                : remove(wish.change().host(), wish.done()));
+    }
+
+    private Optional<Next> add(Asked wish) {
+        HostId host = wish.change().host();
+        Members members = mGroup.members();
+        Optional<Member> joining =
+                Optional.ofNullable(mJoining.get(host)).map(life -> Member.of(host, life));
+        if (joining.isEmpty() || members.contains(joining.get())) {
+            boolean known = members.all().anyMatch(member -> member.host().equals(host));
+            wish.done().failed(known ? ErrorKind.CONFLICT : ErrorKind.NOT_FOUND);
+            return Optional.empty();
+        }
+        return Optional.of(new Next(members.withLearner(joining.get()), Optional.of(wish.done())));
+    }
+
+    private Optional<Next> remove(HostId host, Proposer.Completion done) {
+        Members members = mGroup.members();
+        Optional<Member> leaving =
+                members.learners().stream()
+                        .filter(member -> member.host().equals(host))
+                        .findFirst()
+                        .or(() -> members.voter(host));
+        boolean last = leaving.isPresent() && members.without(leaving.get()).voters().isEmpty();
+        if (leaving.isEmpty() || last) {
+            done.failed(last ? ErrorKind.CONFLICT : ErrorKind.NOT_FOUND);
+            return Optional.empty();
+        }
+        return Optional.of(new Next(members.without(leaving.get()), Optional.of(done)));
+    }
+
+    /** Goes on with a learner that has caught up. */
+    private Optional<Next> promotion(Replication replication, long nowNanos) {
+        Members members = mGroup.members();
+        return members.learners().stream()
+                .filter(learner -> hasCaughtUp(learner, replication, nowNanos))
+                .findFirst()
+                .map(
+                        learner ->
+                                members.voter(learner.host())
+                                        .map(members::without)
+                                        .orElseGet(() -> members.withVoter(learner)))
+                .map(changed -> new Next(changed, Optional.empty()));
+    }
+
+    private boolean hasCaughtUp(Member learner, Replication replication, long nowNanos) {
+        long limit = mGroup.settings().electionTimeoutNanos();
+        return replication
+                .progress(learner)
+                .filter(progress -> nowNanos - progress.answeredNanos() < limit)
+                .filter(p -> p.hasCaughtUp(mGroup.log().lastIndex(), nowNanos, limit))
+                .isPresent();
+    }
+
+    /** Lets the new life of a silent member in. */
+    private Optional<Next> replacement(Replication replication, long nowNanos) {
+        Members members = mGroup.members();
+        return mJoining.entrySet().stream()
+                .map(entry -> Member.of(entry.getKey(), entry.getValue()))
+                .filter(joining -> !members.contains(joining))
+                .filter(joining -> hasSilentLife(joining.host(), replication, nowNanos))
+                .findFirst()
+                .map(members::withLearner)
+                .map(changed -> new Next(changed, Optional.empty()));
+    }
+
+    private boolean hasSilentLife(HostId host, Replication replication, long nowNanos) {
+        long limit = mGroup.settings().electionTimeoutNanos();
+        Members members = mGroup.members();
+        boolean learns = members.learners().stream().anyMatch(member -> member.host().equals(host));
+        boolean votes = members.voter(host).isPresent();
+        return (learns || votes && mGroup.settings().autoReplace())
+                && members.all()
+                        .filter(member -> member.host().equals(host))
+                        .flatMap(member -> replication.progress(member).stream())
+                        .allMatch(progress -> nowNanos - progress.answeredNanos() >= limit);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/consensus/MembersRecord.java
@@ -0,0 +1,4 @@
+package org.coltsfootproxy.consensus;
+
+/** Root of the records that member list entries encode. */
+sealed interface MembersRecord permits Members {}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/consensus/Step.java
@@ -0,0 +1,17 @@
+package org.coltsfootproxy.consensus;
+
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.node.Effects;
+
+/** One step of the decisions: its time and where its effects go. */
+record Step(long nowNanos, Effects out) {
+    void send(HostId to, RaftMessage message) {
+        out.send(to, message);
+    }
+
+    void log(EventCode code, String detail) {
+        out.log(code, detail);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/consensus/ChainMachine.java
@@ -0,0 +1,48 @@
+package org.coltsfootproxy.consensus;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.zip.CRC32C;
+
+/** A state machine whose state is the last index and a checksum over all commands in order. */
+final class ChainMachine implements StateMachine {
+    private static final int HEAD_BYTES = 2 * Long.BYTES;
+    private static final int STATE_BYTES = 300;
+
+    private final Oracle mOracle;
+    private long mIndex;
+    private long mChain;
+
+    ChainMachine(Oracle oracle) {
+        mOracle = oracle;
+    }
+
+    long index() {
+        return mIndex;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        CRC32C crc = new CRC32C();
+        crc.update(ByteBuffer.allocate(2 * Long.BYTES).putLong(index).putLong(mChain).flip());
+        crc.update(command);
+        mChain = mChain * 31 + crc.getValue();
+        mOracle.applied(mIndex, index, mChain, command);
+        mIndex = index;
+        return ByteBuffer.allocate(Long.BYTES).putLong(mChain).array();
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return ByteBuffer.allocate(STATE_BYTES).putLong(mIndex).putLong(mChain).array();
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        ByteBuffer buffer = ByteBuffer.wrap(snapshot);
+        mIndex = buffer.getLong();
+        mChain = buffer.getLong();
+        byte[] rest = Arrays.copyOfRange(snapshot, HEAD_BYTES, snapshot.length);
+        mOracle.restored(mIndex, mChain, rest.length == STATE_BYTES - HEAD_BYTES);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -0,0 +1,386 @@
+package org.coltsfootproxy.consensus;
+
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.RecordCodec;
+import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.node.Effect;
+
+/** Members of one group in virtual time, with a network and disks that fail on demand. */
+final class TestCluster {
+    private static final long NETWORK_NANOS = Duration.ofNanos(1_500_000).toNanos();
+    private static final long DISK_NANOS = Duration.ofMillis(2).toNanos();
+    private static final RecordCodec<Message> CODEC = RecordCodec.of(Message.class);
+
+    private record Event(long timeNanos, long order, Runnable action) {}
+
+    private record Link(HostId from, HostId to) {}
+
+    private final SplittableRandom mRandom;
+    private final RaftSettings mSettings;
+    private final Oracle mOracle = new Oracle();
+    private final List<TestHost> mHosts = new ArrayList<>();
+    private final Set<Link> mCut = new HashSet<>();
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::timeNanos).thenComparingLong(Event::order));
+    private Predicate<RaftMessage> mDropped = message -> false;
+    private Predicate<Effect> mObserver = effect -> false;
+    private double mLossRate;
+    private double mDoubleRate;
+    private long mJitterNanos = NETWORK_NANOS;
+    private long mTimeNanos = Duration.ofHours(1).toNanos();
+    private long mOrder;
+    private int mCommands;
+    private long mMessages;
+    private long mBytes;
+
+    TestCluster(long seed, int size, RaftSettings settings) {
+        mRandom = new SplittableRandom(seed);
+        mSettings = settings;
+        double drift = settings.maxClockDrift();
+        names(size).forEach(id -> mHosts.add(new TestHost(id, clockRate(drift))));
+        mHosts.forEach(this::start);
+    }
+
+    static List<HostId> names(int size) {
+        return IntStream.range(0, size).mapToObj(i -> HostId.of("control-" + i)).toList();
+    }
+
+    private double clockRate(double drift) {
+        return 1 + drift * (mRandom.nextInt(3) - 1);
+    }
+
+    SplittableRandom random() {
+        return mRandom;
+    }
+
+    Oracle oracle() {
+        return mOracle;
+    }
+
+    List<TestHost> hosts() {
+        return mHosts;
+    }
+
+    TestHost host(int number) {
+        return mHosts.get(number);
+    }
+
+    long timeNanos() {
+        return mTimeNanos;
+    }
+
+    long messages() {
+        return mMessages;
+    }
+
+    long bytes() {
+        return mBytes;
+    }
+
+    void setNetwork(double lossRate, double doubleRate, long jitterNanos) {
+        mLossRate = lossRate;
+        mDoubleRate = doubleRate;
+        mJitterNanos = jitterNanos;
+    }
+
+    /** Loses the messages that satisfy a predicate. */
+    void setDropped(Predicate<RaftMessage> dropped) {
+        mDropped = dropped;
+    }
+
+    /** Shows every effect to an observer; an effect for which it answers true is lost. */
+    void setObserver(Predicate<Effect> observer) {
+        mObserver = observer;
+    }
+
+    void cut(int from, int to) {
+        mCut.add(new Link(host(from).id(), host(to).id()));
+    }
+
+    void cutOff(int number) {
+        IntStream.range(0, mHosts.size())
+                .filter(other -> other != number)
+                .forEach(
+                        other -> {
+                            cut(number, other);
+                            cut(other, number);
+                        });
+    }
+
+    void heal() {
+        mCut.clear();
+    }
+
+    /** Adds a host that is not among those that founded the group. */
+    TestHost addHost(String name) {
+        TestHost host = new TestHost(HostId.of(name), 1);
+        mHosts.add(host);
+        start(host);
+        return host;
+    }
+
+    void start(TestHost host) {
+        try {
+            host.start(mSettings, mOracle, mRandom, mTimeNanos);
+        } catch (ProxyException e) {
+            throw new AssertionError("host " + host.id() + " does not start", e);
+        }
+        tickLater(host, mTimeNanos);
+    }
+
+    void crash(TestHost host) {
+        host.crash(mRandom);
+    }
+
+    /** Proposes a new command at a host; tells nothing, the oracle is told. */
+    void propose(TestHost host) {
+        propose(host, "command-" + mCommands++);
+    }
+
+    private void propose(TestHost host, String command) {
+        int life = host.life();
+        host.node()
+                .propose(
+                        command.getBytes(StandardCharsets.UTF_8),
+                        new Proposer.Completion() {
+                            @Override
+                            public void committed(long index, byte[] result) {
+                                assertTrue(life == host.life(), "acknowledged after a crash");
+                                mOracle.acknowledged(index, command);
+                            }
+
+                            @Override
+                            public void failed(ErrorKind kind) {
+                                if (kind != ErrorKind.COMMIT_UNKNOWN) {
+                                    mOracle.refused(command);
+                                }
+                            }
+                        });
+        tickLater(host, mTimeNanos);
+    }
+
+    /** Reads at a host; what it sees must not be older than what is acknowledged now. */
+    void read(TestHost host) {
+        long acknowledged = mOracle.lastAcknowledged();
+        host.node()
+                .confirmLeadership(
+                        new Proposer.Completion() {
+                            @Override
+                            public void committed(long index, byte[] result) {
+                                long seen = host.machine().index();
+                                assertTrue(seen >= acknowledged, "read " + seen);
+                            }
+
+                            @Override
+                            public void failed(ErrorKind kind) {
+                                // Not confirmed: nothing is claimed.
+                            }
+                        });
+        tickLater(host, mTimeNanos);
+    }
+
+    private void at(long timeNanos, Runnable action) {
+        mEvents.add(new Event(timeNanos, mOrder++, action));
+    }
+
+    private void tickLater(TestHost host, long timeNanos) {
+        int life = host.life();
+        at(
+                timeNanos,
+                () -> {
+                    if (host.isUp() && host.life() == life) {
+                        tickIfDue(host);
+                    }
+                });
+    }
+
+    private void tickIfDue(TestHost host) {
+        if (host.node().nextTickNanos() <= host.clock(mTimeNanos)) {
+            host.node().tick(host.clock(mTimeNanos), effect -> carryOut(host, effect));
+            afterStep(host);
+        }
+    }
+
+    private void afterStep(TestHost host) {
+        checkLeases();
+        long next = host.node().nextTickNanos();
+        if (next != Long.MAX_VALUE) {
+            long wait = Math.max(0, next - host.clock(mTimeNanos));
+            tickLater(host, mTimeNanos + host.duration(wait));
+        }
+    }
+
+    /** At most one leader is sure at any moment, and it knows all that was acknowledged. */
+    private void checkLeases() {
+        List<TestHost> sure =
+                mHosts.stream()
+                        .filter(TestHost::isUp)
+                        .filter(host -> host.node().isLeader(host.clock(mTimeNanos)))
+                        .toList();
+        assertTrue(sure.size() <= 1, sure.size() + " leases at " + mTimeNanos);
+        sure.forEach(
+                host ->
+                        assertTrue(
+                                host.machine().index() >= mOracle.lastAcknowledged(),
+                                "a sure leader is behind"));
+    }
+
+    /** Carries out an effect; public to tests that call a node themselves. */
+    void carryOut(TestHost host, Effect effect) {
+        if (mObserver.test(effect) || !host.isUp()) {
+            return;
+        }
+        if (effect instanceof Effect.Send send) {
+            transmit(host.id(), send);
+        } else if (effect instanceof Effect.Persist persist && host.write(persist)) {
+            flushLater(host);
+        }
+    }
+
+    private void flushLater(TestHost host) {
+        int life = host.life();
+        at(
+                mTimeNanos + 1 + mRandom.nextLong(2 * DISK_NANOS),
+                () -> {
+                    if (host.isUp() && host.life() == life) {
+                        host.flush(mTimeNanos, effect -> carryOut(host, effect));
+                        afterStep(host);
+                    }
+                });
+    }
+
+    private void transmit(HostId from, Effect.Send send) {
+        byte[] bytes = CODEC.encode(send.message());
+        mMessages++;
+        mBytes += bytes.length;
+        boolean lost =
+                mCut.contains(new Link(from, send.to()))
+                        || mDropped.test((RaftMessage) send.message())
+                        || mRandom.nextDouble() < mLossRate;
+        if (!lost) {
+            deliverLater(from, send.to(), bytes);
+        }
+        if (!lost && mRandom.nextDouble() < mDoubleRate) {
+            deliverLater(from, send.to(), bytes);
+        }
+    }
+
+    private void deliverLater(HostId from, HostId to, byte[] bytes) {
+        long delay = NETWORK_NANOS + mRandom.nextLong(mJitterNanos);
+        at(mTimeNanos + delay, () -> deliver(from, to, bytes));
+    }
+
+    private void deliver(HostId from, HostId to, byte[] bytes) {
+        Optional<TestHost> host = mHosts.stream().filter(h -> h.id().equals(to)).findFirst();
+        if (host.isEmpty() || !host.get().isUp() || mCut.contains(new Link(from, to))) {
+            return;
+        }
+        TestHost there = host.get();
+        try {
+            RaftMessage message = (RaftMessage) CODEC.decode(bytes);
+            there.node()
+                    .receive(
+                            from,
+                            message,
+                            there.clock(mTimeNanos),
+                            effect -> carryOut(there, effect));
+        } catch (ProxyException e) {
+            throw new AssertionError(e);
+        }
+        afterStep(there);
+    }
+
+    /** Lets time pass. */
+    void run(Duration duration) {
+        runUntil(duration, () -> false);
+    }
+
+    /** Lets time pass until something holds; tells whether it does. */
+    boolean runUntil(Duration limit, java.util.function.BooleanSupplier condition) {
+        long end = mTimeNanos + limit.toNanos();
+        while (!condition.getAsBoolean()) {
+            Event next = mEvents.peek();
+            if (next == null || next.timeNanos() > end) {
+                mTimeNanos = end;
+                return condition.getAsBoolean();
+            }
+            mEvents.poll();
+            mTimeNanos = Math.max(mTimeNanos, next.timeNanos());
+            next.action().run();
+        }
+        return true;
+    }
+
+    /** Returns the host that leads for sure. */
+    Optional<TestHost> leader() {
+        return mHosts.stream()
+                .filter(TestHost::isUp)
+                .filter(host -> host.node().isLeader(host.clock(mTimeNanos)))
+                .findFirst();
+    }
+
+    RaftStatus status(TestHost host) {
+        return host.node().status(host.clock(mTimeNanos));
+    }
+
+    /** Waits for a leader. */
+    TestHost awaitLeader() {
+        boolean found = runUntil(Duration.ofSeconds(30), () -> leader().isPresent());
+        assertTrue(found, "no leader: " + mHosts.stream().map(this::status).toList());
+        return leader().orElseThrow();
+    }
+
+    /** Proposes a command at whoever leads until one is acknowledged. */
+    void commitOne() {
+        int before = mOracle.acknowledgedCount();
+        for (int i = 0; i < 20 && mOracle.acknowledgedCount() == before; i++) {
+            propose(awaitLeader());
+            runUntil(Duration.ofSeconds(2), () -> mOracle.acknowledgedCount() > before);
+        }
+        assertTrue(mOracle.acknowledgedCount() > before, "nothing commits");
+    }
+
+    /** Ends all faults, waits until all members agree and checks what must hold. */
+    void finish() {
+        heal();
+        setNetwork(0, 0, NETWORK_NANOS);
+        setDropped(message -> false);
+        mHosts.forEach(host -> host.disk().setFreeBytes(Long.MAX_VALUE));
+        mHosts.stream().filter(host -> !host.isUp()).forEach(this::start);
+        commitOne();
+        boolean agreed = runUntil(Duration.ofSeconds(60), this::haveAllApplied);
+        assertTrue(agreed, mHosts.stream().map(this::status).toList().toString());
+        mOracle.finish(mHosts.stream().mapToLong(h -> h.machine().index()).min().orElseThrow());
+    }
+
+    private boolean haveAllApplied() {
+        Optional<TestHost> leader = leader();
+        return leader.isPresent()
+                && mHosts.stream()
+                        .allMatch(
+                                host ->
+                                        host.node().appliedIndex()
+                                                        >= leader.get().node().appliedIndex()
+                                                && status(leader.get())
+                                                        .members()
+                                                        .isVoter(host.member()));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/consensus/TestHost.java
@@ -0,0 +1,143 @@
+package org.coltsfootproxy.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.storage.DataFolder;
+import org.coltsfootproxy.storage.FakeDisk;
+import org.coltsfootproxy.storage.LogStore;
+
+/** One host of a test: its disk outlives its process. */
+final class TestHost {
+    private final HostId mId;
+    private final double mClockRate;
+    private FakeDisk mDisk = new FakeDisk();
+    private LogStore mStore;
+    private Member mMember;
+    private RaftNode mNode;
+    private ChainMachine mMachine;
+    private List<Effect.Persist> mWrites = new ArrayList<>();
+    private boolean mUp;
+    private int mLife;
+
+    TestHost(HostId id, double clockRate) {
+        mId = id;
+        mClockRate = clockRate;
+    }
+
+    HostId id() {
+        return mId;
+    }
+
+    FakeDisk disk() {
+        return mDisk;
+    }
+
+    RaftNode node() {
+        return mNode;
+    }
+
+    Member member() {
+        return mMember;
+    }
+
+    ChainMachine machine() {
+        return mMachine;
+    }
+
+    boolean isUp() {
+        return mUp;
+    }
+
+    /** Returns a number that changes with each crash; what was under way before is void. */
+    int life() {
+        return mLife;
+    }
+
+    /** Returns what the host's own clock shows at a time. */
+    long clock(long timeNanos) {
+        return (long) (timeNanos * mClockRate);
+    }
+
+    /** Returns how long the host takes to count down a time of its own clock. */
+    long duration(long ownNanos) {
+        return (long) Math.ceil(ownNanos / mClockRate);
+    }
+
+    void start(RaftSettings settings, Oracle oracle, SplittableRandom random, long timeNanos)
+            throws ProxyException {
+        DataFolder folder = DataFolder.open(mDisk, random);
+        mStore = folder.openGroup(0);
+        mMember = Member.of(mId, folder.incarnation());
+        mMachine = new ChainMachine(oracle);
+        mNode =
+                RaftNode.create(
+                        settings,
+                        mMember,
+                        0,
+                        mStore.recovered(),
+                        mMachine,
+                        random.split(),
+                        clock(timeNanos));
+        mUp = true;
+    }
+
+    void crash(SplittableRandom random) {
+        mUp = false;
+        mLife++;
+        mWrites = new ArrayList<>();
+        mDisk.crash(random);
+    }
+
+    void loseDisk() {
+        mDisk = new FakeDisk();
+    }
+
+    /** Queues a write; tells whether the disk was idle. */
+    boolean write(Effect.Persist write) {
+        mWrites.add(write);
+        return mWrites.size() == 1;
+    }
+
+    /** Writes and syncs what is queued, and tells the node. */
+    void flush(long timeNanos, org.coltsfootproxy.node.Effects out) {
+        List<Effect.Persist> writes = mWrites;
+        mWrites = new ArrayList<>();
+        long token = 0;
+        ProxyException failure = null;
+        for (Effect.Persist write : writes) {
+            try {
+                mStore.apply(write.write());
+                token = write.token();
+            } catch (ProxyException e) {
+                failure = e;
+                break;
+            }
+        }
+        report(token, failure, timeNanos, out);
+    }
+
+    private void report(
+            long token,
+            ProxyException failure,
+            long timeNanos,
+            org.coltsfootproxy.node.Effects out) {
+        long now = clock(timeNanos);
+        try {
+            mStore.sync();
+        } catch (ProxyException e) {
+            mNode.persistFailed(0, e.kind(), e.getMessage(), now, out);
+            return;
+        }
+        if (token > 0) {
+            mNode.persisted(token, now, out);
+        }
+        if (failure != null) {
+            mNode.persistFailed(token + 1, failure.kind(), failure.getMessage(), now, out);
+        }
+    }
+}
