--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -17,7 +17,7 @@
     LEADER_ELECTED(200, Level.INFO, "this host became leader"),
     LEADER_STEPPED_DOWN(201, Level.INFO, "this host stepped down as leader"),
     GROUP_FOUNDED(202, Level.INFO, "a replicated log was founded"),
-    MEMBERS_CHANGED(203, Level.INFO, "the members of a replicated log were changed"),
+    LOG_MEMBERS_CHANGED(203, Level.INFO, "the members of a replicated log were changed"),
     SNAPSHOT_INSTALLED(204, Level.INFO, "a snapshot from the leader replaced the log"),
     STORAGE_WRITE_REFUSED(205, Level.WARN, "the disk is full; the write will be tried again"),
     STORAGE_FAILED(206, Level.ERROR, "the disk failed; this member takes no part any more"),
--- a/src/main/java/org/coltsfootproxy/consensus/Leadership.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Leadership.java
@@ -107,7 +107,7 @@
         byte[] encoded = change.members().encode();
         Proposer.Completion done = change.done().orElse(null);
         append(List.of(new Proposals.Proposal(LogEntry.Kind.MEMBERS, encoded, done)), step);
-        mGroup.log(step, EventCode.MEMBERS_CHANGED, change.members().toString());
+        mGroup.log(step, EventCode.LOG_MEMBERS_CHANGED, change.members().toString());
     }
 
     private void append(List<Proposals.Proposal> proposals, Step step) {
--- a/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -201,22 +201,25 @@
         mEvents.add(new Event(timeNanos, mOrder++, action));
     }
 
+    /** Has the host ticked at a time, unless it is ticked earlier. */
     private void tickLater(TestHost host, long timeNanos) {
         int life = host.life();
-        at(
-                timeNanos,
-                () -> {
-                    if (host.isUp() && host.life() == life) {
-                        tickIfDue(host);
-                    }
-                });
+        if (host.planTick(timeNanos)) {
+            at(
+                    timeNanos,
+                    () -> {
+                        if (host.life() == life && host.isPlanned(timeNanos)) {
+                            tick(host);
+                        }
+                    });
+        }
     }
 
-    private void tickIfDue(TestHost host) {
+    private void tick(TestHost host) {
         if (host.node().nextTickNanos() <= host.clock(mTimeNanos)) {
             host.node().tick(host.clock(mTimeNanos), effect -> carryOut(host, effect));
-            afterStep(host);
         }
+        afterStep(host);
     }
 
     private void afterStep(TestHost host) {
--- a/src/test/java/org/coltsfootproxy/consensus/TestHost.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestHost.java
@@ -23,6 +23,7 @@
     private List<Effect.Persist> mWrites = new ArrayList<>();
     private boolean mUp;
     private int mLife;
+    private long mTickNanos = Long.MAX_VALUE;
 
     TestHost(HostId id, double clockRate) {
         mId = id;
@@ -58,6 +59,20 @@
         return mLife;
     }
 
+    /** Plans a tick; tells whether it is earlier than any that is planned. */
+    boolean planTick(long timeNanos) {
+        boolean earlier = timeNanos < mTickNanos;
+        mTickNanos = Math.min(mTickNanos, timeNanos);
+        return earlier;
+    }
+
+    /** Tells whether the tick at this time is the one that is planned, which is then done. */
+    boolean isPlanned(long timeNanos) {
+        boolean planned = mUp && mTickNanos == timeNanos;
+        mTickNanos = planned ? Long.MAX_VALUE : mTickNanos;
+        return planned;
+    }
+
     /** Returns what the host's own clock shows at a time. */
     long clock(long timeNanos) {
         return (long) (timeNanos * mClockRate);
@@ -89,6 +104,7 @@
     void crash(SplittableRandom random) {
         mUp = false;
         mLife++;
+        mTickNanos = Long.MAX_VALUE;
         mWrites = new ArrayList<>();
         mDisk.crash(random);
     }
