--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
@@ -0,0 +1,125 @@
+package org.coltsfootproxy.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.runtime.HostProcess;
+import org.coltsfootproxy.runtime.Settings;
+
+/** Commands that run hosts and check their settings. */
+final class ServeCommands {
+    private ServeCommands() {}
+
+    static List<Command> all() {
+        return List.of(
+                new SimpleCommand(
+                        "serve",
+                        "",
+                        "run the hosts that settings files describe until stopped",
+                        settingsOption(),
+                        ServeCommands::serve),
+                new SimpleCommand(
+                        "check-settings",
+                        "",
+                        "check settings files without starting anything",
+                        settingsOption(),
+                        ServeCommands::check));
+    }
+
+    private static Options settingsOption() {
+        return new Options()
+                .addOption(
+                        Option.builder("s")
+                                .longOpt("settings")
+                                .hasArgs()
+                                .argName("FILE")
+                                .required()
+                                .desc("settings of a host; may be given several times")
+                                .get());
+    }
+
+    private static List<Settings> load(CommandLine line) throws ProxyException {
+        List<Settings> all = new ArrayList<>();
+        List<String> faults = new ArrayList<>();
+        for (String file : line.getOptionValues("settings")) {
+            try {
+                all.add(Settings.load(Path.of(file)));
+            } catch (ProxyException e) {
+                faults.add(e.getMessage());
+            }
+        }
+        if (!faults.isEmpty()) {
+            throw ProxyException.of(ErrorKind.SETTINGS_INVALID, String.join("\n", faults));
+        }
+        return all;
+    }
+
+    private static void check(CommandLine line, Output out) throws ProxyException {
+        List<Settings> all = load(line);
+        ObjectNode answer = Output.object();
+        answer.put("valid", all.size());
+        out.value(answer);
+    }
+
+    private static void serve(CommandLine line, Output out) throws ProxyException {
+        List<Settings> settings = load(line);
+        Hosts hosts = Hosts.start(settings);
+        CountDownLatch stopped = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(hosts, stopped), "stop"));
+        out.line("serving " + String.join(" ", Arrays.asList(line.getOptionValues("settings"))));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void stop(Hosts hosts, CountDownLatch stopped) {
+        hosts.stop();
+        stopped.countDown();
+    }
+
+    /** Hosts that run in this process. */
+    static final class Hosts {
+        private final List<HostProcess> mRunning = new ArrayList<>();
+
+        private Hosts() {}
+
+        /** Starts hosts in the given order; if one can't start, those before it are stopped. */
+        static Hosts start(List<Settings> settings) throws ProxyException {
+            Hosts hosts = new Hosts();
+            for (Settings each : settings) {
+                try {
+                    hosts.mRunning.add(HostProcess.start(each));
+                } catch (ProxyException e) {
+                    hosts.stop();
+                    throw e;
+                }
+            }
+            return hosts;
+        }
+
+        /** Stops the hosts as planned, the last started first. */
+        void stop() {
+            Collections.reverse(mRunning);
+            for (HostProcess host : mRunning) {
+                try {
+                    host.stop();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+            mRunning.clear();
+        }
+    }
+}
