--- a/src/main/java/org/coltsfootproxy/agent/AgentNode.java
+++ b/src/main/java/org/coltsfootproxy/agent/AgentNode.java
@@ -2,13 +2,18 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.List;
+import java.util.stream.LongStream;
 import org.coltsfootproxy.admission.AdmissionQueue;
 import org.coltsfootproxy.admission.AdmissionSettings;
 import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.config.ConfigSubscriber;
+import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.Service;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.Message;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
@@ -16,18 +21,26 @@
 
 /** The decisions of the agent beside one target. */
 public final class AgentNode implements Node {
+    private static final double DEFAULT_WEIGHT = 1;
+
     private final AgentSettings mSettings;
     private final ConfigSubscriber mConfig;
     private final Dispatcher mDispatcher;
     private final OnlineCalls mOnline;
+    private final BatchItems mBatch;
     private final Watchers mWatchers;
     private boolean mStopping;
 
-    private AgentNode(AgentSettings settings, ConfigSubscriber config, AdmissionQueue queue) {
+    private AgentNode(
+            AgentSettings settings,
+            ConfigSubscriber config,
+            AdmissionQueue queue,
+            List<HostId> controls) {
         mSettings = checkNotNull(settings, "settings");
         mConfig = checkNotNull(config, "config");
         mDispatcher = Dispatcher.create(queue);
         mOnline = OnlineCalls.create(mDispatcher, settings.incarnation());
+        mBatch = BatchItems.create(mDispatcher, this::weight, settings, controls);
         mWatchers = Watchers.create(settings.incarnation(), settings.service());
     }
 
@@ -36,10 +49,21 @@
      *
      * @param config subscriber that was not started yet
      * @param queue empty queue before the target
+     * @param controls the control hosts, which batch items are pulled from
      */
     public static AgentNode create(
-            AgentSettings settings, ConfigSubscriber config, AdmissionQueue queue) {
-        return new AgentNode(settings, config, queue);
+            AgentSettings settings,
+            ConfigSubscriber config,
+            AdmissionQueue queue,
+            List<HostId> controls) {
+        return new AgentNode(settings, config, queue, controls);
+    }
+
+    private double weight(OrganisationId organisation) {
+        return mConfig.view()
+                .organisation(organisation)
+                .map(Organisation::weight)
+                .orElse(DEFAULT_WEIGHT);
     }
 
     @Override
@@ -66,7 +90,7 @@
         } else if (input instanceof Input.PlannedStop) {
             stop(nowNanos, out);
         }
-        tellState(nowNanos, out);
+        settle(nowNanos, out);
     }
 
     private void fromPeer(HostId from, Message message, long now, Effects out) {
@@ -78,6 +102,8 @@
             mOnline.cancel(cancel, now, out);
         } else if (message instanceof CallMessage.Watch) {
             mWatchers.watch(from, out);
+        } else if (message instanceof JobMessage job) {
+            mBatch.handle(from, job, now, out);
         } else if (message instanceof ConfigMessage config) {
             if (mConfig.handle(from, config, now, out)) {
                 configure(now, out);
@@ -90,10 +116,15 @@
                 .service(mSettings.service())
                 .map(Service::concurrency)
                 .map(AdmissionSettings::of)
-                .ifPresent(bounds -> mDispatcher.queue().configure(bounds, now));
+                .ifPresent(bounds -> configure(bounds, now));
         mDispatcher.pump(now, out);
     }
 
+    private void configure(AdmissionSettings bounds, long now) {
+        mDispatcher.queue().configure(bounds, now);
+        mBatch.setCapacity(bounds.maxInFlight());
+    }
+
     private void peerLost(HostId host, long now, Effects out) {
         mConfig.peerLost(host, now, out);
         mOnline.entryLost(host, now);
@@ -103,9 +134,18 @@
     private void stop(long now, Effects out) {
         mStopping = true;
         tellState(now, out);
+        mBatch.stop(now, out);
         mOnline.drain(now, out);
     }
 
+    /** Brings idle slots and the told state up to date after a step. */
+    private void settle(long now, Effects out) {
+        if (!mStopping) {
+            mBatch.offerSlots(now, out);
+        }
+        tellState(now, out);
+    }
+
     private void tellState(long now, Effects out) {
         AdmissionQueue queue = mDispatcher.queue();
         mWatchers.update(mStopping, queue.inFlight(), queue.waiting(), queue.limit(), now, out);
@@ -116,17 +156,24 @@
         mConfig.tick(nowNanos, out);
         mDispatcher.tick(nowNanos, out);
         mOnline.tick(nowNanos, out);
-        tellState(nowNanos, out);
+        mBatch.tick(nowNanos, out);
+        settle(nowNanos, out);
     }
 
     @Override
     public long nextTickNanos() {
-        long queue = Math.min(mDispatcher.nextTickNanos(), mOnline.nextTickNanos());
-        return Math.min(Math.min(mConfig.nextTickNanos(), queue), mWatchers.nextTickNanos());
+        return LongStream.of(
+                        mDispatcher.nextTickNanos(),
+                        mOnline.nextTickNanos(),
+                        mBatch.nextTickNanos(),
+                        mConfig.nextTickNanos(),
+                        mWatchers.nextTickNanos())
+                .min()
+                .getAsLong();
     }
 
     @Override
     public boolean isDrained() {
-        return mStopping && mDispatcher.isIdle();
+        return mStopping && mDispatcher.isIdle() && mBatch.isDrained();
     }
 }
--- a/src/main/java/org/coltsfootproxy/agent/AgentSettings.java
+++ b/src/main/java/org/coltsfootproxy/agent/AgentSettings.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.agent;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.coltsfootproxy.base.HostId;
@@ -11,12 +12,15 @@
  *
  * @param incarnation this life of the agent, drawn at its start
  * @param service the service that the target serves
+ * @param jobGroups number of groups of the replicated log that keep batch jobs, at least 1
  */
-public record AgentSettings(HostId host, Incarnation incarnation, ServiceId service) {
+public record AgentSettings(
+        HostId host, Incarnation incarnation, ServiceId service, int jobGroups) {
     /** Checks the settings. */
     public AgentSettings {
         checkNotNull(host, "host");
         checkNotNull(incarnation, "incarnation");
         checkNotNull(service, "service");
+        checkArgument(jobGroups > 0, "jobGroups %s must be above 0", jobGroups);
     }
 }
--- a/src/main/java/org/coltsfootproxy/agent/Dispatcher.java
+++ b/src/main/java/org/coltsfootproxy/agent/Dispatcher.java
@@ -59,7 +59,11 @@
         }
     }
 
+    /** A run that may not be stopped goes on; the queue counts its slot as leaving. */
     private void stop(long call, long now, Effects out) {
+        if (find(call).filter(Run::isStoppable).isEmpty()) {
+            return;
+        }
         out.add(new Effect.TargetCancel(call));
         out.measure(Metric.BATCH_STOPPED, "", "", 1);
         remove(call, now).ifPresent(run -> run.stopped(now, out));
--- a/src/main/java/org/coltsfootproxy/agent/OnlineRun.java
+++ b/src/main/java/org/coltsfootproxy/agent/OnlineRun.java
@@ -137,6 +137,11 @@
         end(failure(shed.kind(), Ran.NO, detail, shed.retryAfterMillis()), nowNanos, out);
     }
 
+    @Override
+    public boolean isStoppable() {
+        return false;
+    }
+
     @Override
     public void stopped(long nowNanos, Effects out) {
         throw new IllegalStateException("online request " + request() + " can't be stopped");
--- a/src/main/java/org/coltsfootproxy/agent/Run.java
+++ b/src/main/java/org/coltsfootproxy/agent/Run.java
@@ -29,6 +29,9 @@
     /** It left the queue and has not run. */
     void shed(Shed shed, long nowNanos, Effects out);
 
+    /** Tells whether it may be stopped at the target and run again later without harm. */
+    boolean isStoppable();
+
     /** It was stopped at the target so that online requests can run. */
     void stopped(long nowNanos, Effects out);
 }
--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ProxyException;
@@ -11,9 +12,11 @@
 import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.Route;
+import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.Limiter;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LimitMessage;
 import org.coltsfootproxy.message.Message;
 import org.coltsfootproxy.node.Effects;
@@ -38,6 +41,7 @@
     private final AgentPool mAgents;
     private final OnlineRequests mRequests;
     private final Limiter mLimiter;
+    private final JobGateway mJobs;
     private long mNextWatch;
     private boolean mStopping;
     private long mRefuseFrom;
@@ -47,9 +51,11 @@
             EntrySettings settings,
             ConfigSubscriber config,
             EntryPolicies policies,
+            JobGateway jobs,
             RandomGenerator random) {
         mSettings = checkNotNull(settings, "settings");
         mConfig = checkNotNull(config, "config");
+        mJobs = checkNotNull(jobs, "jobs");
         mAgents = AgentPool.create(policies.choosers());
         RetryPolicy retries =
                 RetryPolicy.of(
@@ -65,14 +71,16 @@
      * Returns the node of an entry host.
      *
      * @param config subscriber that was not started yet
+     * @param jobs gateway without open calls
      * @param random source of the request ids' random part, which no two lives may share
      */
     public static EntryNode create(
             EntrySettings settings,
             ConfigSubscriber config,
             EntryPolicies policies,
+            JobGateway jobs,
             RandomGenerator random) {
-        return new EntryNode(settings, config, policies, random);
+        return new EntryNode(settings, config, policies, jobs, random);
     }
 
     /** Returns the configuration in force here. */
@@ -92,6 +100,7 @@
             httpCall(call, nowNanos, out);
         } else if (input instanceof Input.HttpGone gone) {
             mRequests.gone(gone.call(), nowNanos, out);
+            mJobs.gone(gone.call());
         } else if (input instanceof Input.FromPeer peer) {
             fromPeer(peer.from(), peer.message(), nowNanos, out);
         } else if (input instanceof Input.PeerUp up) {
@@ -117,6 +126,13 @@
 
     private void accept(Input.HttpCall call, long now, Effects out) throws ProxyException {
         ConfigView view = mConfig.view();
+        String path = call.path().split("\\?", 2)[0];
+        if (JobGateway.serves(path)) {
+            Organisation owner =
+                    CallerCheck.organisation(view, mConfig.isFresh(now), call.headers());
+            mJobs.call(call, owner.id(), view, now, out);
+            return;
+        }
         Route route = CallerCheck.route(view, call.path());
         if (route.open()) {
             mRequests.begin(call, route, OpenCallers.ORGANISATION, now, out);
@@ -137,6 +153,8 @@
             mAgents.report(from, state, now);
         } else if (message instanceof CallMessage call) {
             mRequests.handle(from, call, now, out);
+        } else if (message instanceof JobMessage job) {
+            mJobs.handle(from, job, now, out);
         } else if (message instanceof LimitMessage limit) {
             mLimiter.handle(from, limit, now, out);
         }
@@ -168,6 +186,7 @@
         mConfig.tick(nowNanos, out);
         mLimiter.tick(nowNanos, out);
         mRequests.tick(nowNanos, out);
+        mJobs.tick(nowNanos, out);
         if (nowNanos - mNextWatch >= 0) {
             mNextWatch = nowNanos + WATCH_NANOS;
             mAgents.watchSilent(out);
@@ -180,13 +199,20 @@
 
     @Override
     public long nextTickNanos() {
-        long soonest = Math.min(mConfig.nextTickNanos(), mLimiter.nextTickNanos());
-        long next = Math.min(soonest, Math.min(mRequests.nextTickNanos(), mNextWatch));
+        long next =
+                LongStream.of(
+                                mConfig.nextTickNanos(),
+                                mLimiter.nextTickNanos(),
+                                mRequests.nextTickNanos(),
+                                mJobs.nextTickNanos(),
+                                mNextWatch)
+                        .min()
+                        .getAsLong();
         return mStopping && !mRefusing ? Math.min(next, mRefuseFrom) : next;
     }
 
     @Override
     public boolean isDrained() {
-        return mRefusing && mRequests.isEmpty();
+        return mRefusing && mRequests.isEmpty() && mJobs.isDrained();
     }
 }
--- a/src/main/java/org/coltsfootproxy/runtime/AgentRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/AgentRoleParts.java
@@ -34,9 +34,11 @@
         Incarnation incarnation = Role.newIncarnation(random);
         AgentNode node =
                 AgentNode.create(
-                        new AgentSettings(settings.host(), incarnation, role.service()),
+                        new AgentSettings(
+                                settings.host(), incarnation, role.service(), settings.jobGroups()),
                         Role.subscriber(settings, random),
-                        queue(role));
+                        queue(role),
+                        settings.control().stream().map(Settings.Peer::host).toList());
         TargetClientSettings target =
                 TargetClientSettings.defaults(Addresses.parse(role.target()));
         return new AgentRoleParts(
--- a/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
@@ -7,6 +7,8 @@
 import org.coltsfootproxy.entry.EntryNode;
 import org.coltsfootproxy.entry.EntryPolicies;
 import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.FixedShareLimiter;
 import org.coltsfootproxy.limit.Limiter;
 import org.coltsfootproxy.limit.RateSource;
@@ -38,6 +40,7 @@
                         EntrySettings.of(settings.host(), settings.dataCentre()),
                         Role.subscriber(settings, random),
                         policies(settings, role, random),
+                        jobs(settings, random),
                         random);
         HttpFront front =
                 HttpFront.create(
@@ -48,6 +51,14 @@
         return new EntryRoleParts(incarnation, node, front);
     }
 
+    private static JobGateway jobs(Settings settings, Random random) {
+        return JobGateway.create(
+                settings.control().stream().map(Settings.Peer::host).toList(),
+                settings.jobGroups(),
+                random.nextLong(),
+                EpochClock.of(System.nanoTime(), System.currentTimeMillis()));
+    }
+
     private static EntryPolicies policies(
             Settings settings, Settings.EntryRole role, Random random) {
         return new EntryPolicies(
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -28,6 +28,7 @@
  * @param adminAddress where operators connect: metrics, health, and on control hosts the tickets
  * @param control the control hosts
  * @param hostList file of the platform's list of hosts, if there is one
+ * @param jobGroups number of groups that batch jobs are spread over; the same on all hosts
  * @param stopSeconds longest time that a planned stop waits for what runs
  * @param entry settings of the entry role, if the host has it
  * @param agent settings of the agent role, if the host has it
@@ -41,6 +42,7 @@
         String adminAddress,
         List<Peer> control,
         Optional<Path> hostList,
+        int jobGroups,
         long stopSeconds,
         Optional<EntryRole> entry,
         Optional<AgentRole> agent,
@@ -48,6 +50,7 @@
     private static final int MIN_SECRET_LENGTH = 16;
     private static final long MAX_STOP_SECONDS = 3_600;
     private static final long DEFAULT_STOP_SECONDS = 60;
+    private static final int MAX_JOB_GROUPS = 64;
     private static final long MEBIBYTE = 1 << 20;
 
     /** Another host. */
@@ -106,11 +109,10 @@
      *
      * @param dataFolder the one folder of durable state
      * @param operatorKeyDigest SHA-256 of the operators' key in lower-case hexadecimal
-     * @param jobGroups number of groups that batch jobs are spread over
      * @param replaceEmpty whether a host that comes back with an empty disk is taken in by itself
      */
     public record ControlRole(
-            Path dataFolder, String operatorKeyDigest, int jobGroups, boolean replaceEmpty) {}
+            Path dataFolder, String operatorKeyDigest, boolean replaceEmpty) {}
 
     /** Copies the lists. */
     public Settings {
@@ -167,6 +169,7 @@
                         in.address("adminAddress"),
                         in.children("control", Settings::readPeer),
                         in.optionalText("hostList").map(Path::of),
+                        (int) in.number("jobGroups", 1, 1, MAX_JOB_GROUPS),
                         in.number("stopSeconds", DEFAULT_STOP_SECONDS, 1, MAX_STOP_SECONDS),
                         in.optionalChild("entry", Settings::readEntry),
                         in.optionalChild("agent", Settings::readAgent),
@@ -223,7 +226,6 @@
         return new ControlRole(
                 Path.of(in.text("dataFolder", 1)),
                 in.text("operatorKeyDigest", 64),
-                (int) in.number("jobGroups", 1, 1, 64),
                 in.flag("replaceEmpty", true));
     }
 }
--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -22,6 +22,8 @@
 import org.coltsfootproxy.config.KeyDigest;
 import org.coltsfootproxy.control.ControlNode;
 import org.coltsfootproxy.control.ControlSettings;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.FixedShareLimiter;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.Header;
@@ -150,9 +152,9 @@
 
     void startAgent(HostId host) {
         Incarnation life = newLife(host);
-        AgentSettings settings = new AgentSettings(host, life, ServiceId.of("rota"));
+        AgentSettings settings = new AgentSettings(host, life, ServiceId.of("rota"), 1);
         AdmissionQueue queue = AdmissionQueue.fair(AdmissionSettings.of(4));
-        mFleet.start(host, life, AgentNode.create(settings, subscriber(), queue));
+        mFleet.start(host, life, AgentNode.create(settings, subscriber(), queue, List.of(CONTROL)));
     }
 
     void startEntry() {
@@ -170,6 +172,8 @@
                         EntrySettings.of(ENTRY, SOLWAY),
                         subscriber(),
                         policies,
+                        JobGateway.create(
+                                List.of(CONTROL), 1, 1, EpochClock.of(0, 1_700_000_000_000L)),
                         new Random(mFleet.random().nextLong()));
         mFleet.start(ENTRY, newLife(ENTRY), node);
     }
