Carry callers, targets and peers over Netty

Cause: the roles need sockets; their decisions open none. Change: HttpFront turns callers' requests into inputs and refuses every shape that two readers could take in two ways; TargetClient checks that each answer is whole and never uses a connection again that timed out, was cancelled or brought bytes that nobody asked for; PeerTransport sends framed messages with a connection and an event loop for each lane after both sides proved the fleet's secret, and finds silent connections by pings. Problem.headers becomes public, because the front refuses what never becomes a call.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -43,13 +43,19 @@
     // 500-599: agent and admission
 
     // 600-699: jobs
-    ITEMS_IN_DOUBT(600, Level.WARN, "items that may have run wait for an operator"),
 
     // 700-799: network
     PEER_CONNECTED(700, Level.INFO, "a peer connected"),
     PEER_LOST(701, Level.WARN, "a peer's connection was lost"),
     PEER_REFUSED(702, Level.WARN, "a peer's connection was refused"),
-    FRAME_MALFORMED(703, Level.WARN, "a malformed frame closed a connection");
+    FRAME_MALFORMED(703, Level.WARN, "a malformed frame closed a connection"),
+    PEER_SILENT(704, Level.WARN, "a peer's connection went silent and was closed"),
+    PEER_OVERFLOW(705, Level.WARN, "messages to a peer were dropped: too many unsent bytes"),
+    CONNECTIONS_FULL(706, Level.WARN, "a connection was refused: too many are open"),
+    CALLER_CUT(707, Level.WARN, "a caller that did not read its answer was cut off"),
+    REQUEST_REFUSED(708, Level.INFO, "a request was refused before it was routed"),
+    TARGET_UNSOLICITED(709, Level.WARN, "a target sent bytes that nobody had asked for"),
+    HANDLER_FAILED(710, Level.ERROR, "a connection was closed after a failure in its handler");
 
     /** How much an event matters. */
     public enum Level {
--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -24,7 +24,12 @@
     CONFIG_VERSION(Shape.GAUGE, "Version of the configuration in force"),
     COMMIT_SECONDS(Shape.HISTOGRAM, "Time from a proposal to its commit"),
     RING_FULL(Shape.COUNTER, "Inputs refused because a ring was full"),
-    FRAMES_MALFORMED(Shape.COUNTER, "Frames that closed their connection");
+    FRAMES_MALFORMED(Shape.COUNTER, "Frames that closed their connection"),
+    PEERS_REFUSED(Shape.COUNTER, "Peer connections refused at the handshake"),
+    PEERS_SILENT(Shape.COUNTER, "Peer connections closed because they went silent"),
+    PEER_MESSAGES_DROPPED(Shape.COUNTER, "Messages to peers dropped before they were sent"),
+    CONNECTIONS_REFUSED(Shape.COUNTER, "Connections refused because too many were open"),
+    CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers");
 
     /** How a metric is kept. */
     public enum Shape {
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/HttpFrontSettings.java
@@ -0,0 +1,119 @@
+package org.coltsfootproxy.net;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
+/**
+ * Settings of an {@link HttpFront}.
+ *
+ * @param address where to listen; port 0 lets the system choose
+ * @param maxBodyBytes largest body of a request
+ * @param maxHeaderBytes most bytes of request line and header fields together
+ * @param maxHeaders most header fields of a request
+ * @param maxConnections most open connections
+ * @param headTimeout longest time from a request's first byte to the end of its head
+ * @param bodyTimeout longest time from the end of a request's head to the end of its body
+ * @param idleTimeout longest time between an answer and the next request
+ * @param maxUnsentBytes most bytes of an answer that wait for a slow caller
+ * @param stallTimeout longest time in which a caller takes nothing of an answer that waits
+ * @param threads event loops that carry the connections
+ */
+public record HttpFrontSettings(
+        InetSocketAddress address,
+        int maxBodyBytes,
+        int maxHeaderBytes,
+        int maxHeaders,
+        int maxConnections,
+        Duration headTimeout,
+        Duration bodyTimeout,
+        Duration idleTimeout,
+        long maxUnsentBytes,
+        Duration stallTimeout,
+        int threads) {
+    /** The default of {@link #maxBodyBytes}. */
+    public static final int DEFAULT_MAX_BODY_BYTES = 1 << 20;
+
+    private static final int DEFAULT_MAX_HEADER_BYTES = 16 << 10;
+    private static final int DEFAULT_MAX_HEADERS = 100;
+    private static final int DEFAULT_MAX_CONNECTIONS = 10_000;
+    private static final long DEFAULT_MAX_UNSENT_BYTES = 4L << 20;
+    private static final int DEFAULT_THREADS = 2;
+
+    /** Checks the components. */
+    public HttpFrontSettings {
+        checkNotNull(address, "address");
+        checkArgument(maxBodyBytes >= 0, "maxBodyBytes %s is negative", maxBodyBytes);
+        checkArgument(maxHeaderBytes > 0, "maxHeaderBytes %s is not positive", maxHeaderBytes);
+        checkArgument(maxHeaders > 0, "maxHeaders %s is not positive", maxHeaders);
+        checkArgument(maxConnections > 0, "maxConnections %s is not positive", maxConnections);
+        checkArgument(maxUnsentBytes > 0, "maxUnsentBytes %s is not positive", maxUnsentBytes);
+        checkArgument(threads > 0, "threads %s is not positive", threads);
+    }
+
+    /** Returns the default settings for an address. */
+    public static HttpFrontSettings defaults(InetSocketAddress address) {
+        return new HttpFrontSettings(
+                address,
+                DEFAULT_MAX_BODY_BYTES,
+                DEFAULT_MAX_HEADER_BYTES,
+                DEFAULT_MAX_HEADERS,
+                DEFAULT_MAX_CONNECTIONS,
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(60),
+                DEFAULT_MAX_UNSENT_BYTES,
+                Duration.ofSeconds(20),
+                DEFAULT_THREADS);
+    }
+
+    /** Returns these settings with another largest body. */
+    public HttpFrontSettings withMaxBodyBytes(int bytes) {
+        return new HttpFrontSettings(
+                address,
+                bytes,
+                maxHeaderBytes,
+                maxHeaders,
+                maxConnections,
+                headTimeout,
+                bodyTimeout,
+                idleTimeout,
+                maxUnsentBytes,
+                stallTimeout,
+                threads);
+    }
+
+    /** Returns these settings with another time for heads, bodies and idle connections. */
+    public HttpFrontSettings withTimeouts(Duration head, Duration body, Duration idle) {
+        return new HttpFrontSettings(
+                address,
+                maxBodyBytes,
+                maxHeaderBytes,
+                maxHeaders,
+                maxConnections,
+                head,
+                body,
+                idle,
+                maxUnsentBytes,
+                stallTimeout,
+                threads);
+    }
+
+    /** Returns these settings with other bounds on what a caller may leave open or unread. */
+    public HttpFrontSettings withBounds(int connections, long unsentBytes, Duration stall) {
+        return new HttpFrontSettings(
+                address,
+                maxBodyBytes,
+                maxHeaderBytes,
+                maxHeaders,
+                connections,
+                headTimeout,
+                bodyTimeout,
+                idleTimeout,
+                unsentBytes,
+                stall,
+                threads);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/PeerTransport.java
@@ -0,0 +1,190 @@
+package org.coltsfootproxy.net;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Metric;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.RecordCodec;
+import org.coltsfootproxy.message.Lane;
+import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.node.Effect;
+
+/**
+ * Messages between the processes of one fleet.
+ *
+ * <p>Each lane has a connection of its own to each peer, on an event loop of its own. Both sides of
+ * a connection prove that they know the fleet's secret before the first message. A message may be
+ * lost or, after a reconnection, overtake another; it is never altered or doubled here. A
+ * connection whose pings go unanswered is closed. The methods may be called by any thread.
+ */
+public final class PeerTransport implements AutoCloseable {
+    private static final int MAX_CONNECTIONS = 8192;
+    private static final int BACKLOG = 1024;
+
+    private final PeerSettings mSettings;
+    private final NetEvents mEvents;
+    private final Map<Lane, EventLoopGroup> mGroups = new EnumMap<>(Lane.class);
+    private final Map<Lane, EventLoop> mLoops = new EnumMap<>(Lane.class);
+    private final Map<LinkKey, PeerLink> mLinks = new ConcurrentHashMap<>();
+    private final ChannelGroup mAccepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final PeerContext mContext;
+    private Channel mServer;
+
+    private record LinkKey(HostId host, Lane lane) {}
+
+    private PeerTransport(PeerSettings settings, InputSink sink, NetEvents events) {
+        mSettings = checkNotNull(settings, "settings");
+        mEvents = checkNotNull(events, "events");
+        for (Lane lane : Lane.values()) {
+            EventLoopGroup group = Loops.create("peer-" + lane.name().toLowerCase(Locale.ROOT), 1);
+            mGroups.put(lane, group);
+            mLoops.put(lane, group.next());
+        }
+        mContext =
+                new PeerContext(
+                        settings,
+                        FleetSecret.of(settings.secret()),
+                        RecordCodec.of(Message.class),
+                        RecordCodec.of(Handshake.class),
+                        checkNotNull(sink, "sink"),
+                        events,
+                        PeerPresence.create(sink, mLoops.get(Lane.CONTROL)),
+                        new LinkTable());
+    }
+
+    /** Returns a transport that neither listens nor dials yet. */
+    public static PeerTransport create(PeerSettings settings, InputSink sink, NetEvents events) {
+        return new PeerTransport(settings, sink, events);
+    }
+
+    private final class LinkTable implements PeerContext.Links {
+        @Override
+        public PeerLink link(HostId host, Lane lane) {
+            return PeerTransport.this.link(host, lane);
+        }
+
+        @Override
+        public EventLoop loop(Lane lane) {
+            return mLoops.get(lane);
+        }
+    }
+
+    private PeerLink link(HostId host, Lane lane) {
+        return mLinks.computeIfAbsent(
+                new LinkKey(host, lane),
+                k -> PeerLink.create(mContext, host, lane, mLoops.get(lane)));
+    }
+
+    /**
+     * Listens.
+     *
+     * @return the address with the port that is listened on
+     * @throws ProxyException of kind {@link org.coltsfootproxy.base.ErrorKind#SETTINGS_INVALID} if
+     *     the address can't be used
+     */
+    public InetSocketAddress start() throws ProxyException {
+        checkState(mServer == null, "already started");
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(mGroups.get(Lane.CONTROL))
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Initializer());
+        mServer = Binding.bind(bootstrap, mSettings.address());
+        return (InetSocketAddress) mServer.localAddress();
+    }
+
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            if (mAccepted.size() >= MAX_CONNECTIONS) {
+                mEvents.log(EventCode.CONNECTIONS_FULL, "peers");
+                mEvents.count(Metric.CONNECTIONS_REFUSED, "peers");
+                channel.close();
+                return;
+            }
+            mAccepted.add(channel);
+            channel.pipeline()
+                    .addLast(
+                            PeerConnection.DECODER,
+                            new FrameDecoder(Frame.MAX_HANDSHAKE_BYTES, n -> {}))
+                    .addLast(new PeerAcceptor(mContext));
+        }
+    }
+
+    /** Sends a message to a peer, or drops and counts it. */
+    public void send(HostId to, Message message) {
+        byte[] encoded = mContext.messages().encode(message);
+        if (encoded.length > mSettings.maxFrameBytes()) {
+            mEvents.log(
+                    EventCode.PEER_OVERFLOW,
+                    message.getClass().getSimpleName() + " of " + encoded.length + " bytes");
+            mEvents.count(Metric.PEER_MESSAGES_DROPPED, message.lane().name());
+            return;
+        }
+        link(to, message.lane()).send(encoded);
+    }
+
+    /**
+     * Sets where a peer listens; it is dialled when there is a message for it and no connection.
+     *
+     * @param address IP number and port
+     * @throws IllegalArgumentException if the address is another
+     */
+    public void address(HostId host, String address) {
+        HostAndPort parts = HostAndPort.fromString(address);
+        checkArgument(InetAddresses.isInetAddress(parts.getHost()), "'%s' is no IP", address);
+        InetSocketAddress socket =
+                new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort());
+        Arrays.stream(Lane.values()).forEach(l -> link(host, l).address(socket));
+    }
+
+    /** Sends a message. */
+    public void carryOut(Effect.Send send) {
+        send(send.to(), send.message());
+    }
+
+    /** Sets where a peer listens. */
+    public void carryOut(Effect.PeerAddress address) {
+        address(address.host(), address.address());
+    }
+
+    /** Returns the bytes that wait for a peer in a lane. */
+    public long unsentBytes(HostId host, Lane lane) {
+        return link(host, lane).unsentBytes();
+    }
+
+    /** Stops to listen and closes all connections. */
+    @Override
+    public void close() {
+        if (mServer != null) {
+            mServer.close().awaitUninterruptibly();
+        }
+        mGroups.values().forEach(Loops::stop);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/RequestCheck.java
@@ -0,0 +1,140 @@
+package org.coltsfootproxy.net;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.List;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.node.Problem;
+
+/**
+ * Decides whether the head of a request is accepted.
+ *
+ * <p>Whatever two readers of the same bytes could take in two ways is refused, so that nobody can
+ * hide one request in another (RFC 9112 sections 5 and 6).
+ */
+final class RequestCheck {
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern HOST =
+            Pattern.compile("([A-Za-z0-9._~%!$&'()*+,;=-]*|\\[[0-9A-Fa-f:.]+])(:[0-9]{1,5})?");
+    private static final Pattern PATH = Pattern.compile("/[\\x21\\x22\\x24-\\x7e]*");
+
+    private final int mMaxHeaders;
+    private final int mMaxBodyBytes;
+
+    private RequestCheck(int maxHeaders, int maxBodyBytes) {
+        mMaxHeaders = maxHeaders;
+        mMaxBodyBytes = maxBodyBytes;
+    }
+
+    /** Returns a check with the given bounds. */
+    static RequestCheck of(int maxHeaders, int maxBodyBytes) {
+        return new RequestCheck(maxHeaders, maxBodyBytes);
+    }
+
+    /** Returns why the request is refused, or empty if it isn't. */
+    Optional<Problem> refuse(HttpRequest request) {
+        if (request.decoderResult().isFailure()) {
+            return Optional.of(undecodable(request.decoderResult().cause()));
+        }
+        if (request.headers().size() > mMaxHeaders) {
+            return refusal(ErrorKind.HEADERS_TOO_LARGE, "more than " + mMaxHeaders + " fields");
+        }
+        return refuseLine(request)
+                .or(() -> refuseHost(request))
+                .or(() -> refuseFraming(request))
+                .or(() -> refuseExpectation(request.headers()));
+    }
+
+    /** Returns the problem of a request that could not be decoded. */
+    static Problem undecodable(Throwable cause) {
+        boolean large =
+                cause instanceof TooLongHttpHeaderException
+                        || cause instanceof TooLongHttpLineException;
+        return large
+                ? Problem.of(ErrorKind.HEADERS_TOO_LARGE, "request line or header fields")
+                : malformed("the request can't be decoded: " + cause.getMessage());
+    }
+
+    private static Optional<Problem> refuseLine(HttpRequest request) {
+        boolean known =
+                request.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                        || request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+        if (!known) {
+            return refusal(ErrorKind.MALFORMED_REQUEST, "only HTTP/1.1 and HTTP/1.0 are spoken");
+        }
+        return PATH.matcher(request.uri()).matches()
+                ? Optional.empty()
+                : refusal(ErrorKind.MALFORMED_REQUEST, "the target must be a path from /");
+    }
+
+    private static Optional<Problem> refuseHost(HttpRequest request) {
+        List<String> hosts = request.headers().getAll(HttpHeaderNames.HOST);
+        boolean required = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        if (hosts.size() > 1 || (required && hosts.isEmpty())) {
+            return refusal(ErrorKind.MALFORMED_REQUEST, hosts.size() + " Host fields");
+        }
+        return hosts.stream().allMatch(h -> HOST.matcher(h).matches())
+                ? Optional.empty()
+                : refusal(ErrorKind.MALFORMED_REQUEST, "bad Host field");
+    }
+
+    private Optional<Problem> refuseFraming(HttpRequest request) {
+        List<String> lengths = request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
+        List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (!codings.isEmpty()) {
+            return refuseCodings(request, codings, lengths);
+        }
+        if (lengths.size() > 1) {
+            return refusal(ErrorKind.MALFORMED_REQUEST, "several Content-Length fields");
+        }
+        return lengths.stream().findFirst().flatMap(this::refuseLength);
+    }
+
+    private static Optional<Problem> refuseCodings(
+            HttpRequest request, List<String> codings, List<String> lengths) {
+        if (!lengths.isEmpty()) {
+            return refusal(
+                    ErrorKind.MALFORMED_REQUEST, "both Content-Length and Transfer-Encoding");
+        }
+        boolean chunked = codings.size() == 1 && codings.get(0).equalsIgnoreCase("chunked");
+        boolean allowed = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        return chunked && allowed
+                ? Optional.empty()
+                : refusal(ErrorKind.MALFORMED_REQUEST, "Transfer-Encoding other than chunked");
+    }
+
+    private Optional<Problem> refuseLength(String length) {
+        if (!LENGTH.matcher(length).matches()) {
+            return refusal(ErrorKind.MALFORMED_REQUEST, "bad Content-Length field");
+        }
+        return Long.parseLong(length) <= mMaxBodyBytes
+                ? Optional.empty()
+                : Optional.of(bodyTooLarge());
+    }
+
+    /** Returns the problem of a body over the bound. */
+    Problem bodyTooLarge() {
+        return Problem.of(ErrorKind.BODY_TOO_LARGE, "at most " + mMaxBodyBytes + " bytes");
+    }
+
+    private static Optional<Problem> refuseExpectation(HttpHeaders headers) {
+        return headers.getAll(HttpHeaderNames.EXPECT).stream()
+                        .allMatch(e -> e.equalsIgnoreCase("100-continue"))
+                ? Optional.empty()
+                : refusal(ErrorKind.MALFORMED_REQUEST, "unknown expectation");
+    }
+
+    private static Problem malformed(String detail) {
+        return Problem.of(ErrorKind.MALFORMED_REQUEST, detail);
+    }
+
+    private static Optional<Problem> refusal(ErrorKind kind, String detail) {
+        return Optional.of(Problem.of(kind, detail));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/TargetClient.java
@@ -0,0 +1,51 @@
+package org.coltsfootproxy.net;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.node.Effect;
+
+/**
+ * The HTTP/1.1 client towards one target.
+ *
+ * <p>Each call ends in exactly one {@link org.coltsfootproxy.node.Input.TargetEnd} or {@link
+ * org.coltsfootproxy.node.Input.TargetFailed}, unless it is cancelled; inputs of a cancelled call
+ * that were handed over before may still arrive. A call is never sent twice. The classes have
+ * connections and event loops of their own. The methods may be called by any thread.
+ */
+public final class TargetClient implements AutoCloseable {
+    private final Map<TrafficClass, TargetPool> mPools = new EnumMap<>(TrafficClass.class);
+
+    private TargetClient(TargetClientSettings settings, InputSink sink, NetEvents events) {
+        checkNotNull(settings, "settings");
+        checkNotNull(sink, "sink");
+        checkNotNull(events, "events");
+        for (TrafficClass trafficClass : TrafficClass.values()) {
+            mPools.put(trafficClass, TargetPool.create(trafficClass, settings, sink, events));
+        }
+    }
+
+    /** Returns a client without connections. */
+    public static TargetClient create(
+            TargetClientSettings settings, InputSink sink, NetEvents events) {
+        return new TargetClient(settings, sink, events);
+    }
+
+    /** Sends a call to the target. */
+    public void carryOut(Effect.TargetCall call) {
+        mPools.get(call.trafficClass()).call(call);
+    }
+
+    /** Gives up a call and closes the connection that carries it. */
+    public void carryOut(Effect.TargetCancel cancel) {
+        mPools.values().forEach(p -> p.cancel(cancel.call()));
+    }
+
+    /** Closes all connections; calls that have not ended get no further input. */
+    @Override
+    public void close() {
+        mPools.values().forEach(TargetPool::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/TargetRequests.java
@@ -0,0 +1,40 @@
+package org.coltsfootproxy.net;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Set;
+import org.coltsfootproxy.node.Effect;
+
+/** Makes HTTP requests to targets. */
+final class TargetRequests {
+    private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
+
+    private TargetRequests() {}
+
+    /**
+     * Returns the request for a call.
+     *
+     * @throws IllegalArgumentException if a field can't be sent
+     */
+    static FullHttpRequest encode(Effect.TargetCall call, String host) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(call.method()),
+                        call.path(),
+                        Unpooled.wrappedBuffer(call.body()));
+        HttpHeaders headers = request.headers();
+        HopByHop.endToEnd(call.headers()).forEach(h -> headers.add(h.name(), h.value()));
+        headers.set(HttpHeaderNames.HOST, host);
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+        if (call.body().length > 0 || METHODS_WITH_BODY.contains(call.method())) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+        }
+        return request;
+    }
+}
--- a/src/main/java/org/coltsfootproxy/node/Problem.java
+++ b/src/main/java/org/coltsfootproxy/node/Problem.java
@@ -68,7 +68,8 @@
         }
     }
 
-    private List<Header> headers(int length) {
+    /** Returns the header fields of an answer whose body has {@code length} bytes. */
+    public List<Header> headers(int length) {
         List<Header> headers = new ArrayList<>();
         headers.add(Header.of("Content-Type", MEDIA_TYPE));
         headers.add(Header.of("Content-Length", Integer.toString(length)));
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/net/HttpFrontTest.java
@@ -0,0 +1,368 @@
+package org.coltsfootproxy.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Input;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Contract of {@link HttpFront}. */
+public final class HttpFrontTest {
+    private static final String GET = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n";
+
+    private static final String POST = "POST / HTTP/1.1\r\nHost: h\r\n";
+
+    private RecordingSink mSink;
+    private RecordingEvents mEvents;
+    private HttpFront mFront;
+    private InetSocketAddress mAddress;
+
+    @BeforeMethod
+    public void start() throws ProxyException {
+        start(defaults());
+    }
+
+    private static HttpFrontSettings defaults() {
+        return HttpFrontSettings.defaults(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .withMaxBodyBytes(1000);
+    }
+
+    private void start(HttpFrontSettings settings) throws ProxyException {
+        mSink = new RecordingSink();
+        mEvents = new RecordingEvents();
+        mFront = HttpFront.create(settings, mSink, mEvents);
+        mAddress = mFront.start();
+    }
+
+    private void restart(HttpFrontSettings settings) throws ProxyException {
+        stop();
+        start(settings);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mFront.close();
+    }
+
+    private Input.HttpCall call(RawHttp caller, String request)
+            throws IOException, InterruptedException {
+        caller.send(request);
+        return mSink.next(Input.HttpCall.class);
+    }
+
+    private void answer(long call, String body) {
+        Header length = Header.of("Content-Length", "" + body.length());
+        mFront.carryOut(new Effect.HttpHead(call, 200, List.of(length)));
+        mFront.carryOut(new Effect.HttpChunk(call, body.getBytes(StandardCharsets.US_ASCII)));
+        mFront.carryOut(new Effect.HttpEnd(call));
+    }
+
+    @Test
+    public void aRequestArrivesWholeAndWithoutHopByHopFields() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            Input.HttpCall call =
+                    call(
+                            caller,
+                            "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nX-Hop: 1\r\n"
+                                    + "Connection: x-hop\r\nTE: trailers\r\nX-End: 2\r\n\r\nhello");
+
+            assertEquals(call.method(), "POST");
+            assertEquals(call.path(), "/a?b=c");
+            assertEquals(new String(call.body(), StandardCharsets.US_ASCII), "hello");
+            assertEquals(call.headers(), List.of(Header.of("Host", "h"), Header.of("X-End", "2")));
+        }
+    }
+
+    @Test
+    public void chunksOfARequestAreJoined() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            String head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+            Input.HttpCall call = call(caller, head + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+
+            assertEquals(new String(call.body(), StandardCharsets.US_ASCII), "abcde");
+        }
+    }
+
+    @Test
+    public void aConnectionIsUsedAgainAndPipelinedRequestsAreAnsweredInOrder() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            caller.send(GET + "\r\n" + GET + "\r\n" + GET + "\r\n");
+            for (String body : List.of("one", "two", "three")) {
+                answer(mSink.next(Input.HttpCall.class).call(), body);
+                assertTrue(caller.readUntil("\r\n\r\n" + body).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    public void aPieceOfAStreamIsSentAtOnce() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n").call();
+            mFront.carryOut(new Effect.HttpHead(call, 200, List.of()));
+            assertTrue(caller.readUntil("\r\n\r\n").contains("chunked"));
+            mFront.carryOut(new Effect.HttpChunk(call, "data: 1\n\n".getBytes()));
+            assertEquals(caller.readUntil("\n\n\r\n"), "9\r\ndata: 1\n\n\r\n");
+            mFront.carryOut(new Effect.HttpEnd(call));
+            assertEquals(caller.readUntil("0\r\n\r\n"), "0\r\n\r\n");
+        }
+    }
+
+    @Test
+    public void aCutAnswerEndsWithoutALastChunk() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n").call();
+            mFront.carryOut(new Effect.HttpHead(call, 200, List.of()));
+            mFront.carryOut(new Effect.HttpChunk(call, "part".getBytes()));
+            mFront.carryOut(new Effect.HttpCut(call));
+
+            assertTrue(caller.readAll().endsWith("4\r\npart\r\n"));
+            assertEquals(mFront.openCalls(), 0);
+        }
+    }
+
+    @Test
+    public void anAnswerShorterThanAnnouncedIsCut() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n").call();
+            mFront.carryOut(
+                    new Effect.HttpHead(call, 200, List.of(Header.of("Content-Length", "9"))));
+            mFront.carryOut(new Effect.HttpChunk(call, "part".getBytes()));
+            mFront.carryOut(new Effect.HttpEnd(call));
+
+            assertTrue(caller.readAll().endsWith("\r\n\r\npart"));
+        }
+    }
+
+    @Test
+    public void aCallerThatGoesAwayIsReportedOnce() throws Exception {
+        long call;
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            call = call(caller, GET + "\r\n").call();
+        }
+        assertEquals(mSink.next(), new Input.HttpGone(call));
+        mFront.carryOut(new Effect.HttpHead(call, 200, List.of()));
+        mFront.carryOut(new Effect.HttpEnd(call));
+        mFront.close();
+        assertTrue(mSink.isEmpty());
+    }
+
+    @Test
+    public void aCallerWhoIsGoneWhileTheSinkIsFullIsReportedLater() throws Exception {
+        long call;
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            call = call(caller, GET + "\r\n").call();
+            mSink.setFull(true);
+        }
+        while (mFront.openCalls() > 0) {
+            Thread.onSpinWait();
+        }
+        mSink.setFull(false);
+        assertEquals(mSink.next(), new Input.HttpGone(call));
+    }
+
+    @Test
+    public void aFullSinkIsAnsweredAsOverloadedAndNotRun() throws Exception {
+        mSink.setFull(true);
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            String answer = caller.send(GET + "\r\n").readUntil("}");
+
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            assertTrue(answer.contains("\"kind\":\"overloaded\""), answer);
+            assertTrue(answer.contains("\"ran\":\"no\""), answer);
+            mSink.setFull(false);
+            call(caller, GET + "\r\n");
+        }
+    }
+
+    @Test
+    public void aCallerThatAsksFirstIsToldToGoOn() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            caller.send(
+                    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                            + "Expect: 100-continue\r\n\r\n");
+            assertEquals(caller.readUntil("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+            assertEquals(call(caller, "ok").body().length, 2);
+        }
+    }
+
+    @Test
+    public void aCallerThatDoesNotReadIsCutOff() throws Exception {
+        restart(defaults().withBounds(10, 1 << 16, Duration.ofSeconds(20)));
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n").call();
+            mFront.carryOut(new Effect.HttpHead(call, 200, List.of()));
+            byte[] piece = new byte[1 << 14];
+            while (mFront.openCalls() > 0) {
+                mFront.carryOut(new Effect.HttpChunk(call, piece));
+            }
+            mEvents.await(EventCode.CALLER_CUT);
+            assertEquals(mSink.next(), new Input.HttpGone(call));
+        }
+    }
+
+    @Test
+    public void aCallerThatStopsReadingALargeAnswerIsCutOffInTheEnd() throws Exception {
+        restart(defaults().withBounds(10, 1 << 30, Duration.ofMillis(200)));
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n").call();
+            mFront.carryOut(new Effect.HttpHead(call, 200, List.of()));
+            mFront.carryOut(new Effect.HttpChunk(call, new byte[32 << 20]));
+
+            mEvents.await(EventCode.CALLER_CUT);
+            assertEquals(mSink.next(), new Input.HttpGone(call));
+        }
+    }
+
+    @Test
+    public void aLameDuckAnswersWholeAndTellsThatTheConnectionEnds() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n").call();
+            mFront.lameDuck();
+            answer(call, "whole");
+
+            String answer = caller.readAll();
+            assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+            assertTrue(answer.endsWith("whole"), answer);
+        }
+    }
+
+    @Test
+    public void aConnectionOverTheBoundIsClosed() throws Exception {
+        restart(defaults().withBounds(1, 1 << 16, Duration.ofSeconds(20)));
+        try (RawHttp first = new RawHttp(mAddress)) {
+            call(first, GET + "\r\n");
+            try (RawHttp second = new RawHttp(mAddress)) {
+                assertEquals(second.readAll(), "");
+            }
+            mEvents.await(EventCode.CONNECTIONS_FULL);
+        }
+    }
+
+    @Test
+    public void aHeadRequestIsAnsweredWithoutABody() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call =
+                    call(caller, "HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").call();
+            answer(call, "unsent");
+
+            assertFalse(caller.readAll().contains("unsent"));
+        }
+    }
+
+    @Test
+    public void aSlowRequestIsRefused() throws Exception {
+        Duration brief = Duration.ofMillis(100);
+        restart(defaults().withTimeouts(brief, brief, Duration.ofSeconds(60)));
+        try (RawHttp slowHead = new RawHttp(mAddress).send("GET / HT");
+                RawHttp slowBody =
+                        new RawHttp(mAddress).send(POST + "Content-Length: 5\r\n\r\nhe")) {
+            assertTrue(slowHead.readAll().contains("request-timeout"));
+            assertTrue(slowBody.readAll().contains("request-timeout"));
+        }
+        assertTrue(mSink.isEmpty());
+    }
+
+    @DataProvider
+    public Object[][] refused() {
+        String post = "POST / HTTP/1.1\r\nHost: h\r\n";
+        String chunked = post + "Transfer-Encoding: chunked\r\n";
+        return new Object[][] {
+            {"both lengths", chunked + "Content-Length: 5\r\n\r\n0\r\n\r\n", 400},
+            {
+                "both, other order",
+                post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + "0\r\n\r\n",
+                400
+            },
+            {"several lengths", post + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", 400},
+            {"equal lengths", post + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 400},
+            {"list of lengths", post + "Content-Length: 5, 5\r\n\r\nhello", 400},
+            {"signed length", post + "Content-Length: +5\r\n\r\nhello", 400},
+            {"negative length", post + "Content-Length: -5\r\n\r\nhello", 400},
+            {"no length", post + "Content-Length: \r\n\r\n", 400},
+            {"hex length", post + "Content-Length: 0x5\r\n\r\nhello", 400},
+            {"huge length", post + "Content-Length: 99999999999999999999\r\n\r\n", 400},
+            {"other coding", post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+            {"identity coding", post + "Transfer-Encoding: identity\r\n\r\n", 400},
+            {"twice chunked", chunked + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+            {"odd chunked", post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 400},
+            {"old chunked", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+            {"bad chunk size", chunked + "\r\nxyz\r\nabc\r\n0\r\n\r\n", 400},
+            {"negative chunk", chunked + "\r\n-1\r\nabc\r\n0\r\n\r\n", 400},
+            {"chunk too long", chunked + "\r\n3\r\nabcdef\r\n0\r\n\r\n", 400},
+            {"folded line", GET + "X: a\r\n b\r\n\r\n", 400},
+            {"folded with tab", GET + "X: a\r\n\tb\r\n\r\n", 400},
+            {"folded coding", post + "Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n", 400},
+            {"space before colon", GET + "X : a\r\n\r\n", 400},
+            {"no colon", GET + "novalue\r\n\r\n", 400},
+            {"bad name", GET + "X@(: a\r\n\r\n", 400},
+            {"nul in value", GET + "X: a\0b\r\n\r\n", 400},
+            {"bare line feed", "GET / HTTP/1.1\nHost: h\n\n", 400},
+            {"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+            {"two hosts", GET + "Host: i\r\n\r\n", 400},
+            {"bad host", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n", 400},
+            {"host with path", "GET / HTTP/1.1\r\nHost: a/b\r\n\r\n", 400},
+            {"absolute target", "GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+            {"tunnel", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+            {"fragment", "GET /a#b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+            {"other protocol", "GET / HTTP/3.7\r\nHost: h\r\n\r\n", 400},
+            {"no protocol", "GET /\r\n\r\n", 400},
+            {"not HTTP", "\u0016\u0003\u0001\u0002\u0000\u0001\u0000\r\n\r\n", 400},
+            {"HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400},
+            {"expectation", GET + "Expect: cake\r\n\r\n", 400},
+            {"large body", post + "Content-Length: 1001\r\n\r\n", 413},
+            {"large chunks", chunked + "\r\n3e8\r\n" + "x".repeat(1000) + "\r\n1\r\nx\r\n", 413},
+            {"long line", "GET /" + "x".repeat(20_000) + " HTTP/1.1\r\n\r\n", 431},
+            {"long field", GET + "X: " + "x".repeat(20_000) + "\r\n\r\n", 431},
+            {"many fields", GET + "X: y\r\n".repeat(200) + "\r\n", 431},
+        };
+    }
+
+    @Test(dataProvider = "refused")
+    public void aRequestThatCouldBeReadInTwoWaysOrIsTooLargeIsRefused(
+            String shape, String request, int status) throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            String answer = caller.send(request).readAll();
+
+            assertTrue(answer.startsWith("HTTP/1.1 " + status), shape + ": " + answer);
+            assertTrue(answer.contains("application/problem+json"), answer);
+            assertTrue(answer.contains("\"ran\":\"no\""), answer);
+            assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+        }
+        assertTrue(mSink.isEmpty(), shape);
+    }
+
+    @Test
+    public void aRefusedRequestIsAnsweredAfterTheOnesBeforeIt() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long call = call(caller, GET + "\r\n" + GET + "Host: again\r\n\r\n").call();
+            answer(call, "first");
+
+            String answers = caller.readAll();
+            assertTrue(answers.indexOf("first") < answers.indexOf("malformed-request"), answers);
+        }
+    }
+
+    @Test
+    public void anAddressInUseIsAnErrorOfTheSettings() {
+        HttpFront second =
+                HttpFront.create(HttpFrontSettings.defaults(mAddress), mSink, NetEvents.none());
+        assertThrows(ProxyException.class, second::start);
+        second.close();
+    }
+}
