--- a/src/main/java/org/coltsfootproxy/agent/BatchItems.java
+++ b/src/main/java/org/coltsfootproxy/agent/BatchItems.java
@@ -60,12 +60,7 @@
             mNumber = number;
             mPuller =
                     ItemPuller.create(
-                            number,
-                            settings.incarnation(),
-                            settings.service(),
-                            1,
-                            controls,
-                            this);
+                            number, settings.incarnation(), settings.service(), 1, controls, this);
         }
 
         @Override
--- a/src/main/java/org/coltsfootproxy/cli/Commands.java
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -8,6 +8,12 @@
     private Commands() {}
 
     static List<Command> all() {
-        return Stream.of(ServeCommands.all(), KeyCommands.all(), ControlCommands.all(), JobCommands.all()).flatMap(List::stream).toList();
+        return Stream.of(
+                        ServeCommands.all(),
+                        KeyCommands.all(),
+                        ControlCommands.all(),
+                        JobCommands.all())
+                .flatMap(List::stream)
+                .toList();
     }
 }
--- a/src/main/java/org/coltsfootproxy/cli/JobCommands.java
+++ b/src/main/java/org/coltsfootproxy/cli/JobCommands.java
@@ -59,9 +59,7 @@
         return OperatorClient.options()
                 .addOption(required("i", "id", "JOB", "id of the job, chosen by you"))
                 .addOption(required("p", "path", "PATH", "path that each item is posted to"))
-                .addOption(
-                        required(
-                                "d", "deadline", "TIME", "ISO 8601 time, or seconds from now"));
+                .addOption(required("d", "deadline", "TIME", "ISO 8601 time, or seconds from now"));
     }
 
     private static Option required(String name, String longName, String value, String text) {
--- a/src/main/java/org/coltsfootproxy/runtime/AgentRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/AgentRoleParts.java
@@ -39,10 +39,8 @@
                         Role.subscriber(settings, random),
                         queue(role),
                         settings.control().stream().map(Settings.Peer::host).toList());
-        TargetClientSettings target =
-                TargetClientSettings.defaults(Addresses.parse(role.target()));
-        return new AgentRoleParts(
-                incarnation, node, TargetClient.create(target, toNode, events));
+        TargetClientSettings target = TargetClientSettings.defaults(Addresses.parse(role.target()));
+        return new AgentRoleParts(incarnation, node, TargetClient.create(target, toNode, events));
     }
 
     private static AdmissionQueue queue(Settings.AgentRole role) {
--- a/src/main/java/org/coltsfootproxy/runtime/ControlRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/ControlRoleParts.java
@@ -20,8 +20,8 @@
         mNode = node;
     }
 
-    static ControlRoleParts create(
-            Settings settings, Consumer<Input> toNode, Random random) throws ProxyException {
+    static ControlRoleParts create(Settings settings, Consumer<Input> toNode, Random random)
+            throws ProxyException {
         Settings.ControlRole role = settings.controlRole().orElseThrow();
         Incarnation incarnation = Role.newIncarnation(random);
         ControlSettings control =
--- a/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
@@ -66,8 +66,7 @@
                 (rates, listener) -> limiter(role, rates, listener));
     }
 
-    private static AgentChooser chooser(
-            Settings settings, Settings.EntryRole role, Random random) {
+    private static AgentChooser chooser(Settings settings, Settings.EntryRole role, Random random) {
         return switch (role.routing()) {
             case ROUND_ROBIN -> AgentChooser.roundRobin();
             case ADAPTIVE ->
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -111,8 +111,7 @@
      * @param operatorKeyDigest SHA-256 of the operators' key in lower-case hexadecimal
      * @param replaceEmpty whether a host that comes back with an empty disk is taken in by itself
      */
-    public record ControlRole(
-            Path dataFolder, String operatorKeyDigest, boolean replaceEmpty) {}
+    public record ControlRole(Path dataFolder, String operatorKeyDigest, boolean replaceEmpty) {}
 
     /** Copies the lists. */
     public Settings {
