Tell how to bring the catalogues up to date

Cause: a new event makes the catalogue test fail without saying what to do. Conclusion: one command keeps docs and code alike.

--- a/src/test/java/org/coltsfootproxy/docs/CatalogueTest.java
+++ b/src/test/java/org/coltsfootproxy/docs/CatalogueTest.java
@@ -15,7 +15,7 @@
 /**
  * Holds the catalogues in docs to the closed lists in the code.
  *
- * <p>Run with {@code -Dcatalogue.write=true} to bring the tables up to date.
+ * <p>Run with {@code -Dtest.options=-Dcatalogue.write=true} to bring the tables up to date.
  */
 public final class CatalogueTest {
     private static final String BEGIN = "<!-- table begins -->\n";
@@ -84,6 +84,10 @@
             Files.writeString(file, text.substring(0, begin) + table + text.substring(end));
             return;
         }
-        assertEquals(text.substring(begin, end), table, page + " is not up to date");
+        assertEquals(
+                text.substring(begin, end),
+                table,
+                page
+                        + " is not up to date; run mvn test -Dtest=CatalogueTest -Dtest.options=-Dcatalogue.write=true");
     }
 }
