--- a/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
@@ -31,7 +31,7 @@
 
     private final ConfigState mState;
     private final ConfigTiming mTiming;
-    private final ConfirmationBatch mConfirmations;
+    private final QuorumBatch<Renewal> mConfirmations;
     private final Map<HostId, Subscription> mSubscriptions = new TreeMap<>();
     private final Deque<Subscription> mPaced = new ArrayDeque<>();
     private List<ConfigMessage.Update> mWhole = List.of();
@@ -40,10 +40,13 @@
     private long mPublished = -1;
     private boolean mIsStopped;
 
+    /** A renewal that waits for its confirmation. */
+    private record Renewal(HostId host, long sequence) {}
+
     private ConfigPublisher(ConfigState state, QuorumRead quorum, ConfigTiming timing) {
         mState = state;
         mTiming = timing;
-        mConfirmations = new ConfirmationBatch(quorum, timing);
+        mConfirmations = QuorumBatch.create(quorum, timing);
     }
 
     /** Returns a publisher without subscribers. */
@@ -73,7 +76,7 @@
             subscription.beginAt(subscribe.version());
         }
         serve(subscription, new HashMap<>(), out);
-        mConfirmations.add(new ConfirmationBatch.Renewal(from, subscribe.sequence()));
+        mConfirmations.add(new Renewal(from, subscribe.sequence()));
     }
 
     /** Forgets a subscriber whose connection was lost. */
@@ -103,10 +106,7 @@
 
     /** Returns the time of the next due tick. */
     public long nextTickNanos() {
-        long next = mNextSweep;
-        if (mConfirmations.isWaiting()) {
-            next = Math.min(next, mConfirmations.nextTickNanos());
-        }
+        long next = Math.min(mNextSweep, mConfirmations.nextTickNanos());
         return mPaced.isEmpty() ? next : Math.min(next, mNextPaced);
     }
 
@@ -186,7 +186,7 @@
         }
     }
 
-    private void confirm(ConfirmationBatch.Renewal renewal, Effects out) {
+    private void confirm(Renewal renewal, Effects out) {
         Subscription subscription = mSubscriptions.get(renewal.host());
         if (subscription != null && subscription.version() <= mState.version()) {
             out.send(
--- a/src/main/java/org/coltsfootproxy/config/ConfigTiming.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigTiming.java
@@ -14,7 +14,7 @@
  */
 public record ConfigTiming(long renewNanos, long freshNanos, long silenceNanos, long confirmNanos) {
     /** Greatest difference of a clock's speed from true time, as a share of it. */
-    public static final double MAX_CLOCK_DRIFT = 0.01;
+    public static final double MAX_CLOCK_DRIFT = 0.02;
 
     /** The intervals used unless settings say otherwise. */
     public static final ConfigTiming DEFAULT =
--- a/src/main/java/org/coltsfootproxy/config/PlacedNode.java
+++ b/src/main/java/org/coltsfootproxy/config/PlacedNode.java
@@ -1,6 +1,13 @@
 package org.coltsfootproxy.config;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -15,33 +22,59 @@
  *
  * <p>Each value that is read is struck off; {@link #end} refuses names that nobody read.
  */
-final class PlacedNode {
-    /** Reads one element of a list. */
-    interface Reader<T> {
+public final class PlacedNode {
+    /** Reads a value. */
+    public interface Reader<T> {
+        /** Returns what the node holds, or refuses it by {@link PlacedNode#fault}. */
         T read(PlacedNode node) throws ProxyException;
     }
 
+    private static final ObjectReader YAML =
+            new ObjectMapper(new YAMLFactory())
+                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .reader();
+
+    private final Document mDocument;
     private final String mPlace;
     private final JsonNode mNode;
     private final Set<String> mRead = new LinkedHashSet<>();
 
-    private PlacedNode(String place, JsonNode node) {
+    /** What is read, and the kind of its faults. */
+    private record Document(String what, ErrorKind kind) {}
+
+    private PlacedNode(Document document, String place, JsonNode node) {
+        mDocument = document;
         mPlace = place;
         mNode = node;
     }
 
-    /** Returns the root of a ticket. */
-    static PlacedNode root(JsonNode node) {
-        return new PlacedNode("", node);
+    /**
+     * Returns the root of a YAML or JSON text in UTF-8.
+     *
+     * @param what what is read, for error messages
+     * @param kind kind of all errors
+     * @throws ProxyException of that kind if the text is not valid YAML
+     */
+    public static PlacedNode parse(byte[] yaml, String what, ErrorKind kind) throws ProxyException {
+        try {
+            return new PlacedNode(new Document(what, kind), "", YAML.readTree(yaml));
+        } catch (JsonProcessingException e) {
+            String detail = what + ": not valid YAML: " + e.getOriginalMessage();
+            throw ProxyException.of(kind, detail, e);
+        } catch (IOException e) {
+            throw ProxyException.of(kind, what + ": not valid YAML", e);
+        }
     }
 
-    ProxyException fault(String message) {
-        String place = mPlace.isEmpty() ? "ticket" : mPlace;
-        return ProxyException.of(ErrorKind.INVALID_TICKET, place + ": " + message);
+    /** Returns an error that names the place. */
+    public ProxyException fault(String message) {
+        String place = mPlace.isEmpty() ? mDocument.what() : mPlace;
+        return ProxyException.of(mDocument.kind(), place + ": " + message);
     }
 
     /** Returns the value of a name, which must be there. */
-    PlacedNode get(String name) throws ProxyException {
+    public PlacedNode get(String name) throws ProxyException {
         mustBeMapping();
         PlacedNode child = child(name);
         if (child.isMissing()) {
@@ -53,18 +86,18 @@
     private PlacedNode child(String name) {
         mRead.add(name);
         String place = mPlace.isEmpty() ? name : mPlace + "." + name;
-        return new PlacedNode(place, mNode.path(name));
+        return new PlacedNode(mDocument, place, mNode.path(name));
     }
 
     /** Returns the value of a name, or {@code otherwise} if the name is not there. */
-    <T> T get(String name, Reader<T> reader, T otherwise) throws ProxyException {
+    public <T> T get(String name, Reader<T> reader, T otherwise) throws ProxyException {
         mustBeMapping();
         PlacedNode child = child(name);
         return child.isMissing() ? otherwise : reader.read(child);
     }
 
     /** Returns the elements of a list; empty if the name is not there. */
-    <T> List<T> list(String name, Reader<T> reader) throws ProxyException {
+    public <T> List<T> list(String name, Reader<T> reader) throws ProxyException {
         mustBeMapping();
         PlacedNode child = child(name);
         List<T> values = new ArrayList<>();
@@ -76,13 +109,13 @@
         }
         for (JsonNode element : child.mNode) {
             String place = child.mPlace + "[" + values.size() + "]";
-            values.add(reader.read(new PlacedNode(place, element)));
+            values.add(reader.read(new PlacedNode(mDocument, place, element)));
         }
         return values;
     }
 
     /** Refuses names that were not read. */
-    void end() throws ProxyException {
+    public void end() throws ProxyException {
         Set<String> unknown = new TreeSet<>();
         mNode.fieldNames().forEachRemaining(unknown::add);
         unknown.removeAll(mRead);
@@ -91,28 +124,32 @@
         }
     }
 
-    String text() throws ProxyException {
+    /** Returns the text. */
+    public String text() throws ProxyException {
         if (!mNode.isTextual()) {
             throw fault("must be text" + (mNode.isValueNode() ? "; put it in quotes" : ""));
         }
         return mNode.textValue();
     }
 
-    boolean flag() throws ProxyException {
+    /** Returns true or false. */
+    public boolean flag() throws ProxyException {
         if (!mNode.isBoolean()) {
             throw fault("must be true or false");
         }
         return mNode.booleanValue();
     }
 
-    long whole() throws ProxyException {
+    /** Returns the whole number. */
+    public long whole() throws ProxyException {
         if (!mNode.isIntegralNumber() || !mNode.canConvertToLong()) {
             throw fault("must be a whole number");
         }
         return mNode.longValue();
     }
 
-    int small() throws ProxyException {
+    /** Returns the whole number, which must fit 32 bits. */
+    public int small() throws ProxyException {
         long value = whole();
         if (value != (int) value) {
             throw fault(value + " is out of range");
@@ -120,7 +157,8 @@
         return (int) value;
     }
 
-    double number() throws ProxyException {
+    /** Returns the number. */
+    public double number() throws ProxyException {
         if (!mNode.isNumber()) {
             throw fault("must be a number");
         }
@@ -128,7 +166,7 @@
     }
 
     /** Returns the id that the text names. */
-    <T> T id(Function<String, T> of) throws ProxyException {
+    public <T> T id(Function<String, T> of) throws ProxyException {
         String text = text();
         try {
             return of.apply(text);
--- a/src/main/java/org/coltsfootproxy/config/ConfirmationBatch.java
+++ b/src/main/java/org/coltsfootproxy/config/QuorumBatch.java
@@ -2,44 +2,49 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.node.Node;
 
 /**
- * Gathers renewals, so that one quorum confirmation serves all subscribers of a control host.
+ * Gathers renewals, so that one quorum confirmation in an interval serves all of them.
  *
  * <p>A renewal counts only for a confirmation that begins after it arrived.
+ *
+ * @param <T> what describes a renewal
  */
-final class ConfirmationBatch {
+public final class QuorumBatch<T> {
     /** Most renewals that wait; further ones get no answer, and their senders come again. */
     private static final int MAX_WAITING = 20_000;
 
     private final QuorumRead mQuorum;
     private final long mIntervalNanos;
     private final long mPatienceNanos;
-    private List<Renewal> mWaiting = new ArrayList<>();
-    private final List<Renewal> mConfirmed = new ArrayList<>();
+    private List<T> mWaiting = new ArrayList<>();
+    private final List<T> mConfirmed = new ArrayList<>();
     private long mRunning;
     private boolean mIsRunning;
     private long mStartedAt;
     private boolean mHasStarted;
 
-    /** A renewal to confirm. */
-    record Renewal(HostId host, long sequence) {}
-
-    ConfirmationBatch(QuorumRead quorum, ConfigTiming timing) {
+    private QuorumBatch(QuorumRead quorum, ConfigTiming timing) {
         mQuorum = quorum;
         mIntervalNanos = timing.confirmNanos();
         mPatienceNanos = timing.silenceNanos();
     }
 
-    void add(Renewal renewal) {
+    /** Returns a batch of nothing. */
+    public static <T> QuorumBatch<T> create(QuorumRead quorum, ConfigTiming timing) {
+        return new QuorumBatch<>(quorum, timing);
+    }
+
+    /** Adds a renewal; if too many wait, it is dropped. */
+    public void add(T renewal) {
         if (mWaiting.size() < MAX_WAITING) {
             mWaiting.add(renewal);
         }
     }
 
     /** Begins a confirmation if one is due. */
-    void tick(long nowNanos) {
+    public void tick(long nowNanos) {
         if (mWaiting.isEmpty() || mHasStarted && nowNanos - nextTickNanos() < 0) {
             return;
         }
@@ -47,36 +52,36 @@
         mStartedAt = nowNanos;
         mIsRunning = true;
         mRunning++;
-        List<Renewal> batch = mWaiting;
+        List<T> batch = mWaiting;
         mWaiting = new ArrayList<>();
         mQuorum.read(new Completion(mRunning, batch));
     }
 
-    /** Returns when the next confirmation may begin; meant for when a renewal waits. */
-    long nextTickNanos() {
+    /** Returns when the next confirmation may begin, or {@link Node#NEVER} if nothing waits. */
+    public long nextTickNanos() {
+        if (mWaiting.isEmpty()) {
+            return Node.NEVER;
+        }
         return mStartedAt + (mIsRunning ? mPatienceNanos : mIntervalNanos);
     }
 
-    boolean isWaiting() {
-        return !mWaiting.isEmpty();
-    }
-
-    boolean hasConfirmed() {
+    /** Tells whether renewals were confirmed and not taken yet. */
+    public boolean hasConfirmed() {
         return !mConfirmed.isEmpty();
     }
 
     /** Takes the renewals that were confirmed since the last call. */
-    List<Renewal> takeConfirmed() {
-        List<Renewal> taken = List.copyOf(mConfirmed);
+    public List<T> takeConfirmed() {
+        List<T> taken = List.copyOf(mConfirmed);
         mConfirmed.clear();
         return taken;
     }
 
     private final class Completion implements QuorumRead.Done {
         private final long mNumber;
-        private final List<Renewal> mBatch;
+        private final List<T> mBatch;
 
-        Completion(long number, List<Renewal> batch) {
+        Completion(long number, List<T> batch) {
             mNumber = number;
             mBatch = batch;
         }
--- a/src/main/java/org/coltsfootproxy/config/TicketParser.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketParser.java
@@ -1,13 +1,5 @@
 package org.coltsfootproxy.config;
 
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.ObjectReader;
-import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -33,12 +25,6 @@
 
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
 
-    private static final ObjectReader YAML =
-            new ObjectMapper(new YAMLFactory())
-                    .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
-                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-                    .reader();
-
     private TicketParser() {}
 
     /**
@@ -51,22 +37,11 @@
             String detail = "the ticket has " + yaml.length + " bytes, above " + MAX_BYTES;
             throw ProxyException.of(ErrorKind.INVALID_TICKET, detail);
         }
-        Ticket ticket = ticket(PlacedNode.root(readTree(yaml)));
+        Ticket ticket = ticket(PlacedNode.parse(yaml, "ticket", ErrorKind.INVALID_TICKET));
         TicketCheck.check(ticket);
         return ticket;
     }
 
-    private static JsonNode readTree(byte[] yaml) throws ProxyException {
-        try {
-            return YAML.readTree(yaml);
-        } catch (JsonProcessingException e) {
-            String detail = "not valid YAML: " + e.getOriginalMessage();
-            throw ProxyException.of(ErrorKind.INVALID_TICKET, detail, e);
-        } catch (IOException e) {
-            throw ProxyException.of(ErrorKind.INVALID_TICKET, "not valid YAML", e);
-        }
-    }
-
     private static Ticket ticket(PlacedNode node) throws ProxyException {
         long number = node.get("ticket").whole();
         Ticket ticket =
--- a/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
@@ -52,11 +52,17 @@
      * Holder to control: grant or renew a lease.
      *
      * @param fencing fencing number to renew, or 0 to ask for the lease
+     * @param released fencing number up to which the holder has given its grants up
      * @param sequence number that the answer repeats
      */
     @WireCode(310)
     record LeaseRequest(
-            String name, Incarnation holder, long fencing, long durationMillis, long sequence)
+            String name,
+            Incarnation holder,
+            long fencing,
+            long released,
+            long durationMillis,
+            long sequence)
             implements ConfigMessage {}
 
     /**
