--- a/src/test/java/org/coltsfootproxy/docs/CatalogueTest.java
+++ b/src/test/java/org/coltsfootproxy/docs/CatalogueTest.java
@@ -18,6 +18,9 @@
  * <p>Run with {@code -Dtest.options=-Dcatalogue.write=true} to bring the tables up to date.
  */
 public final class CatalogueTest {
+    private static final String OUT_OF_DATE =
+            " is not up to date; run"
+                    + " mvn test -Dtest=CatalogueTest -Dtest.options=-Dcatalogue.write=true";
     private static final String BEGIN = "<!-- table begins -->\n";
     private static final String END = "<!-- table ends -->\n";
 
