--- a/src/main/java/org/coltsfootproxy/config/ConfigView.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigView.java
@@ -61,6 +61,11 @@
         return Optional.ofNullable(mOrganisations.get(id));
     }
 
+    /** Returns all organisations. */
+    public Stream<Organisation> organisations() {
+        return mOrganisations.values().stream();
+    }
+
     /** Returns the key with the given digest, if it is in force. */
     public Optional<Key> keyByDigest(String digest) {
         return Optional.ofNullable(mKeysByDigest.get(digest));
--- a/src/main/java/org/coltsfootproxy/limit/Bucket.java
+++ b/src/main/java/org/coltsfootproxy/limit/Bucket.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.config.Organisation;
 
 /**
@@ -15,10 +16,12 @@
  */
 final class Bucket {
     private static final double SECOND_NANOS = 1e9;
+    private static final long BACKLOG_NANOS = 4_000_000_000L;
 
     /** Names one entry's life. */
     record Holder(HostId host, long life) {}
 
+    private final OrganisationId mOrganisation;
     private final long mFencing;
     private final long mOwnedSince;
     private final Map<Holder, Grantee> mGrantees = new HashMap<>();
@@ -27,9 +30,11 @@
     private double mLevel;
     private long mFilledAt;
     private long mFullSince;
+    private boolean mWasFull;
     private long mRecalledAt;
 
     private Bucket(Organisation rates, OwnerLease.Held lease, long now, long recalledAt) {
+        mOrganisation = rates.id();
         mFencing = lease.fencing();
         mOwnedSince = lease.sinceNanos();
         mRate = rates.ratePerSecond();
@@ -51,6 +56,10 @@
         return bucket;
     }
 
+    OrganisationId organisation() {
+        return mOrganisation;
+    }
+
     long fencing() {
         return mFencing;
     }
@@ -77,11 +86,16 @@
 
     private void fillTo(long now) {
         double room = Math.max(0, mBurst - outstanding());
-        double level = mLevel + mRate * (now - mFilledAt) / SECOND_NANOS;
-        if (level < room) {
+        double missing = Math.max(0, room - mLevel);
+        double added = mRate * (now - mFilledAt) / SECOND_NANOS;
+        if (added < missing) {
             mFullSince = now;
+        } else {
+            long fullAt = mFilledAt + (long) Math.ceil(missing / mRate * SECOND_NANOS);
+            mFullSince = missing > 0 ? Math.min(now, fullAt) : mFullSince;
+            mWasFull = true;
         }
-        mLevel = Math.min(level, room);
+        mLevel = Math.min(mLevel + added, room);
         mFilledAt = now;
     }
 
@@ -140,9 +154,14 @@
         return Math.max(1, (long) Math.ceil(missing / mRate * SECOND_NANOS));
     }
 
-    /** Tells whether the bucket could be fuller if its owner had not changed. */
+    /**
+     * Tells whether the bucket may lack tokens only because its owner changed.
+     *
+     * <p>So until it was full once, or the backlog of the change has had time to pass.
+     */
     boolean isRecovering(long now) {
-        return mRate * (now - mOwnedSince) / SECOND_NANOS < mBurst;
+        double fillNanos = mBurst / mRate * SECOND_NANOS;
+        return !mWasFull && now - mOwnedSince < fillNanos + BACKLOG_NANOS;
     }
 
     /** Tells whether entries other than one hold tokens. */
--- a/src/main/java/org/coltsfootproxy/limit/FixedShareLimiter.java
+++ b/src/main/java/org/coltsfootproxy/limit/FixedShareLimiter.java
@@ -8,6 +8,7 @@
 import java.util.function.IntSupplier;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.message.LimitMessage;
 import org.coltsfootproxy.node.Effects;
@@ -21,12 +22,11 @@
         private long mFilledAt;
     }
 
-    private final RateSource mRates;
     private final IntSupplier mEntries;
     private final Map<OrganisationId, Share> mShares = new HashMap<>();
+    private ConfigView mView = ConfigView.empty();
 
-    private FixedShareLimiter(RateSource rates, IntSupplier entries) {
-        mRates = checkNotNull(rates, "rates");
+    private FixedShareLimiter(IntSupplier entries) {
         mEntries = checkNotNull(entries, "entries");
     }
 
@@ -35,13 +35,13 @@
      *
      * @param entries number of entries that share the rates
      */
-    public static FixedShareLimiter create(RateSource rates, IntSupplier entries) {
-        return new FixedShareLimiter(rates, entries);
+    public static FixedShareLimiter create(IntSupplier entries) {
+        return new FixedShareLimiter(entries);
     }
 
     @Override
     public Decision tryAcquire(OrganisationId organisation, long call, long nowNanos, Effects out) {
-        Optional<Organisation> rates = mRates.find(organisation);
+        Optional<Organisation> rates = mView.organisation(organisation);
         if (rates.isEmpty()) {
             return Decision.unavailable(1);
         }
@@ -86,8 +86,8 @@
     }
 
     @Override
-    public void ratesChanged(long nowNanos) {
-        // looked up at each request
+    public void configure(ConfigView view, long nowNanos) {
+        mView = checkNotNull(view, "view");
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/limit/GrantLimiter.java
+++ b/src/main/java/org/coltsfootproxy/limit/GrantLimiter.java
@@ -8,6 +8,7 @@
 import java.util.function.BiConsumer;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.message.LimitMessage;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
@@ -38,16 +39,11 @@
      * @param life random number drawn at the entry's start
      */
     public static GrantLimiter create(
-            HostId self,
-            long life,
-            LimitSettings settings,
-            RateSource rates,
-            OwnerLease leases,
-            Listener listener) {
+            HostId self, long life, LimitSettings settings, OwnerLease leases, Listener listener) {
         return new GrantLimiter(
                 self,
                 new LimitClient(self, life, settings, leases),
-                new LimitOwner(settings, rates, leases),
+                new LimitOwner(settings, leases),
                 listener);
     }
 
@@ -94,8 +90,8 @@
     }
 
     @Override
-    public void ratesChanged(long nowNanos) {
-        mOwner.ratesChanged(nowNanos);
+    public void configure(ConfigView view, long nowNanos) {
+        mOwner.configure(view, nowNanos);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/limit/LimitOwner.java
+++ b/src/main/java/org/coltsfootproxy/limit/LimitOwner.java
@@ -4,10 +4,13 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.message.LimitMessage.Account;
 import org.coltsfootproxy.message.LimitMessage.Ask;
@@ -26,16 +29,15 @@
     private static final long SWEEP_NANOS = 10_000_000_000L;
 
     private final LimitSettings mSettings;
-    private final RateSource mRates;
     private final OwnerLease mLeases;
     private final Map<OrganisationId, Bucket> mBuckets = new HashMap<>();
     private final Map<OrganisationId, Map<Bucket.Holder, Ask>> mParked = new HashMap<>();
     private final DueQueue<OrganisationId> mDue = new DueQueue<>();
+    private ConfigView mView = ConfigView.empty();
     private long mNextSweep = Long.MIN_VALUE;
 
-    LimitOwner(LimitSettings settings, RateSource rates, OwnerLease leases) {
+    LimitOwner(LimitSettings settings, OwnerLease leases) {
         mSettings = checkNotNull(settings, "settings");
-        mRates = checkNotNull(rates, "rates");
         mLeases = checkNotNull(leases, "leases");
     }
 
@@ -145,8 +147,7 @@
         Optional<OrganisationId> due = mDue.poll(now);
         while (due.isPresent()) {
             OrganisationId organisation = due.get();
-            Optional<Bucket> bucket =
-                    lease(organisation, now).flatMap(h -> bucket(organisation, h.fencing(), now));
+            Optional<Bucket> bucket = owned(organisation, now);
             bucket.ifPresentOrElse(
                     b -> serveParked(organisation, b, true, now, out),
                     () -> mParked.remove(organisation));
@@ -170,19 +171,31 @@
         return mDue.nextNanos();
     }
 
-    void ratesChanged(long now) {
-        mBuckets.forEach(
-                (organisation, bucket) -> {
-                    bucket.fill(now);
-                    mRates.find(organisation).ifPresent(bucket::change);
-                });
+    /** Fills the buckets whose rates change, at the old rates up to now, and changes them. */
+    void configure(ConfigView view, long now) {
+        ConfigView before = mView;
+        List<Organisation> changed =
+                before.organisations()
+                        .filter(old -> !view.organisation(old.id()).equals(Optional.of(old)))
+                        .collect(Collectors.toList());
+        List<Bucket> buckets =
+                changed.stream()
+                        .flatMap(old -> owned(old.id(), now).stream())
+                        .collect(Collectors.toList());
+        mView = view;
+        buckets.forEach(
+                bucket -> view.organisation(bucket.organisation()).ifPresent(bucket::change));
+    }
+
+    private Optional<Bucket> owned(OrganisationId organisation, long now) {
+        return lease(organisation, now).flatMap(held -> bucket(organisation, held.fencing(), now));
     }
 
     /** Returns the filled bucket if this host owns it under the given fencing number. */
     private Optional<Bucket> bucket(OrganisationId organisation, long fencing, long now) {
         Optional<OwnerLease.Held> lease =
                 lease(organisation, now).filter(held -> held.fencing() == fencing);
-        Optional<Organisation> rates = mRates.find(organisation);
+        Optional<Organisation> rates = mView.organisation(organisation);
         if (lease.isEmpty() || rates.isEmpty()) {
             return Optional.empty();
         }
--- a/src/main/java/org/coltsfootproxy/limit/Limiter.java
+++ b/src/main/java/org/coltsfootproxy/limit/Limiter.java
@@ -2,6 +2,7 @@
 
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.message.LimitMessage;
 import org.coltsfootproxy.node.Effects;
 
@@ -38,8 +39,13 @@
     /** Returns the time of the next due {@link #tick}, or {@link Long#MAX_VALUE}. */
     long nextTickNanos();
 
-    /** Settles the buckets that are kept here as the rates have changed. */
-    void ratesChanged(long nowNanos);
+    /**
+     * Takes a configuration into force.
+     *
+     * <p>Buckets kept here fill at their old rates up to now. Until the first call no organisation
+     * is known and its requests wait.
+     */
+    void configure(ConfigView view, long nowNanos);
 
     /** Gives back all tokens, as this entry takes no new requests. */
     void stop(long nowNanos, Effects out);
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/limit/GrantLimiterTest.java
@@ -0,0 +1,159 @@
+package org.coltsfootproxy.limit;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.config.ConfigView;
+import org.coltsfootproxy.config.Organisation;
+import org.coltsfootproxy.message.LimitMessage;
+import org.coltsfootproxy.message.LimitMessage.Account;
+import org.coltsfootproxy.message.LimitMessage.Ask;
+import org.coltsfootproxy.message.LimitMessage.Grant;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Effects;
+import org.testng.annotations.Test;
+
+/** Contract of {@link GrantLimiter} at one entry. */
+public final class GrantLimiterTest {
+    private static final long MILLI = 1_000_000;
+    private static final long SECOND = 1_000 * MILLI;
+    private static final OrganisationId ORGANISATION = OrganisationId.of("harbour");
+    private static final HostId SELF = HostId.of("entry-0");
+    private static final HostId OTHER = HostId.of("entry-1");
+    private static final long FENCING = 7;
+
+    private final List<LimitMessage> mSent = new ArrayList<>();
+    private final List<Decision> mDecided = new ArrayList<>();
+    private final Effects mOut =
+            effect -> mSent.add((LimitMessage) ((Effect.Send) effect).message());
+
+    private GrantLimiter limiter(OwnerLease leases) {
+        mSent.clear();
+        mDecided.clear();
+        GrantLimiter limiter =
+                GrantLimiter.create(
+                        SELF,
+                        1,
+                        LimitSettings.defaults(),
+                        leases,
+                        (call, decision, now, out) -> mDecided.add(decision));
+        Organisation rates = new Organisation(ORGANISATION, 10, 5, 1);
+        limiter.configure(
+                ConfigView.of(1, Stream.of(rates), Stream.empty(), Stream.empty(), Stream.empty()),
+                0);
+        return limiter;
+    }
+
+    private static OwnerLease lease(HostId owner, Optional<OwnerLease.Held> held) {
+        return new OwnerLease() {
+            @Override
+            public Optional<Owner> owner(int shard) {
+                return Optional.of(new Owner(owner, FENCING));
+            }
+
+            @Override
+            public Optional<Held> held(int shard, long now) {
+                return held.filter(h -> now < h.untilNanos());
+            }
+        };
+    }
+
+    private static Ask ask(long asked, int need) {
+        return new Ask(ORGANISATION, new Account(FENCING, 2, 1), asked, 0, 0, 0, need, 0);
+    }
+
+    @Test
+    public void aGrantEndsWithTheLeaseOfItsOwner() {
+        long until = 10 * SECOND + 300 * MILLI;
+        var held = new OwnerLease.Held(FENCING, 0, until);
+        GrantLimiter owner = limiter(lease(SELF, Optional.of(held)));
+        owner.handle(OTHER, ask(1, 2), 10 * SECOND, mOut);
+        Grant grant = (Grant) mSent.get(0);
+
+        assertEquals(grant.granted(), 2);
+        assertTrue(grant.lifeNanos() <= 300 * MILLI, "life " + grant.lifeNanos());
+    }
+
+    @Test
+    public void anOwnerWhoseLeaseHasEndedGrantsNothing() {
+        var held = new OwnerLease.Held(FENCING, 0, 10 * SECOND);
+        GrantLimiter owner = limiter(lease(SELF, Optional.of(held)));
+        owner.handle(OTHER, ask(1, 2), 10 * SECOND, mOut);
+
+        assertTrue(mSent.isEmpty());
+    }
+
+    @Test
+    public void aCopyOfAnAskGrantsNothingMore() {
+        var held = new OwnerLease.Held(FENCING, 0, 20 * SECOND);
+        GrantLimiter owner = limiter(lease(SELF, Optional.of(held)));
+        owner.handle(OTHER, ask(1, 2), 10 * SECOND, mOut);
+        owner.handle(OTHER, ask(1, 2), 10 * SECOND, mOut);
+
+        assertEquals(mSent.size(), 1);
+    }
+
+    @Test
+    public void aGrantThatComesAfterItsLifeIsVoid() {
+        GrantLimiter entry = limiter(lease(OTHER, Optional.empty()));
+        entry.tryAcquire(ORGANISATION, 1, 0, mOut);
+        Ask ask = (Ask) mSent.get(0);
+        Grant grant = new Grant(ORGANISATION, ask.account(), ask.askedNanos(), 5, SECOND, 0, false);
+        entry.handle(OTHER, grant, SECOND, mOut);
+
+        assertTrue(mDecided.isEmpty());
+        entry.handle(OTHER, grant, SECOND / 2, mOut);
+        assertEquals(mDecided, List.of(Decision.ADMITTED));
+    }
+
+    @Test
+    public void tokensAreNotUsedAfterTheirLife() {
+        GrantLimiter entry = limiter(lease(OTHER, Optional.empty()));
+        entry.tryAcquire(ORGANISATION, 1, 0, mOut);
+        Ask ask = (Ask) mSent.get(0);
+        Account account = ask.account();
+        Grant grant = new Grant(ORGANISATION, account, ask.askedNanos(), 5, SECOND, 0, false);
+        entry.handle(OTHER, grant, MILLI, mOut);
+
+        assertEquals(entry.tryAcquire(ORGANISATION, 2, SECOND / 2, mOut), Decision.ADMITTED);
+        assertEquals(entry.tryAcquire(ORGANISATION, 3, SECOND, mOut), Decision.WAIT);
+    }
+
+    @Test
+    public void aRequestIsTurnedAwayWhenNoOwnerAnswersInTime() {
+        GrantLimiter entry = limiter(lease(OTHER, Optional.empty()));
+        entry.tryAcquire(ORGANISATION, 1, 0, mOut);
+        long now = 0;
+        while (mDecided.isEmpty() && entry.nextTickNanos() < 10 * SECOND) {
+            now = entry.nextTickNanos();
+            entry.tick(now, mOut);
+        }
+
+        assertEquals(mDecided.get(0).verdict(), Decision.Verdict.UNAVAILABLE);
+        assertEquals(now, LimitSettings.defaults().maxWaitNanos());
+    }
+
+    @Test
+    public void aStoppingEntryGivesItsTokensBack() {
+        GrantLimiter entry = limiter(lease(OTHER, Optional.empty()));
+        entry.tryAcquire(ORGANISATION, 1, 0, mOut);
+        Ask ask = (Ask) mSent.get(0);
+        Account account = ask.account();
+        entry.handle(
+                OTHER,
+                new Grant(ORGANISATION, account, ask.askedNanos(), 5, SECOND, 0, false),
+                MILLI,
+                mOut);
+        entry.stop(2 * MILLI, mOut);
+
+        assertEquals(
+                mSent.get(mSent.size() - 1),
+                new LimitMessage.Return(ORGANISATION, account, 1, 4, MILLI));
+    }
+}
