--- a/src/main/java/org/coltsfootproxy/admission/SeenRequests.java
+++ b/src/main/java/org/coltsfootproxy/admission/SeenRequests.java
@@ -149,10 +149,14 @@
         };
     }
 
-    /** Notes that a request ended here, whatever its outcome. */
+    /** Notes that a request that was {@link Arrival#NEW} here ended, whatever its outcome. */
     public void ended(RequestId request, long nowNanos) {
         mEntries.computeIfPresent(
-                request, (id, entry) -> new Entry(State.ENDED, entry.keptUntil()));
+                request,
+                (id, entry) ->
+                        entry.state() == State.ACTIVE
+                                ? new Entry(State.ENDED, entry.keptUntil())
+                                : entry);
         forget(nowNanos);
     }
 
