--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -16,12 +16,26 @@
     // 200-299: consensus and storage
     LEADER_ELECTED(200, Level.INFO, "this host became leader"),
     LEADER_STEPPED_DOWN(201, Level.INFO, "this host stepped down as leader"),
+    GROUP_FOUNDED(202, Level.INFO, "a replicated log was founded"),
+    LOG_MEMBERS_CHANGED(203, Level.INFO, "the members of a replicated log were changed"),
+    SNAPSHOT_INSTALLED(204, Level.INFO, "a snapshot from the leader replaced the log"),
+    STORAGE_WRITE_REFUSED(205, Level.WARN, "the disk is full; the write will be tried again"),
+    STORAGE_FAILED(206, Level.ERROR, "the disk failed; this member takes no part any more"),
+    LEADERSHIP_GIVEN_UP(207, Level.INFO, "this host handed leadership over"),
+    HOST_WITHOUT_STATE(208, Level.WARN, "a host without state asked to join"),
 
     // 300-399: configuration, membership and leases
     TICKET_ACCEPTED(300, Level.INFO, "a change ticket was accepted"),
     TICKET_REFUSED(301, Level.WARN, "a change ticket was refused"),
     CONFIG_APPLIED(302, Level.INFO, "a configuration version came into force"),
     CONFIG_LEASE_LOST(303, Level.WARN, "the configuration can't be confirmed as current"),
+    CONFIG_UPDATE_REFUSED(304, Level.ERROR, "an update of the configuration can't be read"),
+    LEASE_GRANTED(305, Level.INFO, "a lease was granted"),
+    LEASE_ENDED(306, Level.INFO, "a lease was released or expired"),
+    LEASE_LOST(307, Level.WARN, "a lease held here was lost"),
+    HOST_LEAVING(308, Level.INFO, "the platform lists a host as leaving"),
+    HOST_LIST_UNREADABLE(309, Level.WARN, "the platform's host list can't be read"),
+    MEMBERS_CHANGED(310, Level.INFO, "the members of a replicated log were changed"),
 
     // 400-499: entry, limits and routing
     TARGET_SET_ASIDE(400, Level.WARN, "a target was set aside"),
@@ -29,6 +43,7 @@
     // 500-599: agent and admission
 
     // 600-699: jobs
+    ITEMS_IN_DOUBT(600, Level.WARN, "items that may have run wait for an operator"),
 
     // 700-799: network
     PEER_CONNECTED(700, Level.INFO, "a peer connected"),
