--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -55,9 +55,7 @@
                 RetryPolicy.of(
                         MAX_TRIES, MIN_LEFT_NANOS, RetryBudget.of(RETRY_RATIO, MOST_RETRIES_SAVED));
         mRequests = OnlineRequests.create(settings, random.nextLong(), mAgents, retries);
-        mLimiter =
-                policies.limiters()
-                        .create(id -> mConfig.view().organisation(id), mRequests::decided);
+        mLimiter = policies.limiters().create(mRequests::decided);
         mRequests.limitedBy(mLimiter);
     }
 
@@ -146,7 +144,7 @@
         ConfigView view = mConfig.view();
         mRequests.configure(view);
         mAgents.configure(view, out);
-        mLimiter.ratesChanged(now);
+        mLimiter.configure(view, now);
     }
 
     private void peerUp(Input.PeerUp up, long now, Effects out) {
--- a/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Supplier;
 import org.coltsfootproxy.limit.Limiter;
-import org.coltsfootproxy.limit.RateSource;
 import org.coltsfootproxy.routing.AgentChooser;
 
 /**
@@ -15,7 +14,7 @@
     /** Makes the limiter of an entry. */
     @FunctionalInterface
     public interface LimiterFactory {
-        /** Returns a limiter that reads rates from {@code rates} and tells {@code listener}. */
-        Limiter create(RateSource rates, Limiter.Listener listener);
+        /** Returns a limiter that tells {@code listener}. */
+        Limiter create(Limiter.Listener listener);
     }
 }
--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -164,7 +164,7 @@
                                         SOLWAY,
                                         ChooserSettings.defaults(),
                                         new Random(mFleet.random().nextLong())),
-                        (rates, listener) -> FixedShareLimiter.create(rates, () -> 1));
+                        listener -> FixedShareLimiter.create(() -> 1));
         EntryNode node =
                 EntryNode.create(
                         EntrySettings.of(ENTRY, SOLWAY),
