--- a/src/test/java/org/coltsfootproxy/docs/CatalogueTest.java
+++ b/src/test/java/org/coltsfootproxy/docs/CatalogueTest.java
@@ -87,10 +87,6 @@
             Files.writeString(file, text.substring(0, begin) + table + text.substring(end));
             return;
         }
-        assertEquals(
-                text.substring(begin, end),
-                table,
-                page
-                        + " is not up to date; run mvn test -Dtest=CatalogueTest -Dtest.options=-Dcatalogue.write=true");
+        assertEquals(text.substring(begin, end), table, page + OUT_OF_DATE);
     }
 }
