Fuzz jobs against what targets and callers saw, and mend what it found

The fuzz drives three control hosts, three agents and a lossy network through random lives of jobs. It found and now guards against: - a doubled lot was given back by the agent although its first copy may have run, which let an item that may not be repeated run twice: fences now tell old lots; - a doubled report of one failure counted as two attempts: the ledger keeps the lease of the last failure; - a job cancelled while its pieces were received answered CONFLICT to an honest resend: it answers with its cancelled state.

--- a/src/main/java/org/coltsfootproxy/job/ItemLife.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemLife.java
@@ -59,7 +59,7 @@
             return false;
         }
         String agent = mItems.run(lease.item()).agent();
-        endInDoubt(lease.item(), "the worker " + agent + " was lost", epochMillis);
+        endInDoubt(lease, "the worker " + agent + " was lost", epochMillis);
         return true;
     }
 
@@ -98,7 +98,7 @@
         return switch (report.outcome()) {
             case DONE -> end(item, ItemState.DONE, report);
             case REFUSED -> {
-                addTrouble(item, attempts(item) + 1, epochMillis, report.error());
+                addTrouble(report.lease(), attempts(item) + 1, epochMillis, report.error());
                 yield end(item, ItemState.FAILED, report);
             }
             case ATTEMPT_FAILED -> failAttempt(report, retry, epochMillis);
@@ -106,7 +106,7 @@
                 if (mJob.spec().repeatable()) {
                     yield failAttempt(report, retry, epochMillis);
                 }
-                endInDoubt(item, report.error(), epochMillis);
+                endInDoubt(report.lease(), report.error(), epochMillis);
                 yield ReportVerdict.RECORDED;
             }
             case GIVEN_BACK -> waitAgain(item);
@@ -122,8 +122,15 @@
 
     private ReportVerdict failAttempt(ItemReport report, RetryPolicy retry, long epochMillis) {
         int item = report.lease().item();
+        if (mItems.hasFailedUnder(item, report.lease().fence())) {
+            return ReportVerdict.DROPPED;
+        }
         int attempts = attempts(item) + 1;
-        addTrouble(item, attempts, epochMillis + retry.pauseMillis(attempts), report.error());
+        addTrouble(
+                report.lease(),
+                attempts,
+                epochMillis + retry.pauseMillis(attempts),
+                report.error());
         if (attempts >= retry.attempts()) {
             return end(item, ItemState.FAILED, report);
         }
@@ -135,14 +142,15 @@
         return mItems.attempts(item);
     }
 
-    private void addTrouble(int item, int attempts, long notBefore, String error) {
+    private void addTrouble(LeaseRef lease, int attempts, long notBefore, String error) {
         String kept = error.substring(0, Math.min(error.length(), MAX_ERROR_CHARS));
-        mItems.setTrouble(item, new ItemTable.Trouble(attempts, notBefore, kept));
+        mItems.setTrouble(
+                lease.item(), new ItemTable.Trouble(attempts, notBefore, kept, lease.fence()));
     }
 
-    private void endInDoubt(int item, String error, long epochMillis) {
-        addTrouble(item, attempts(item), epochMillis, error);
-        mItems.setState(item, ItemState.MAY_HAVE_RUN);
+    private void endInDoubt(LeaseRef lease, String error, long epochMillis) {
+        addTrouble(lease, attempts(lease.item()), epochMillis, error);
+        mItems.setState(lease.item(), ItemState.MAY_HAVE_RUN);
     }
 
     private ReportVerdict waitAgain(int item) {
--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -45,6 +45,7 @@
     private long mSequence;
     private long mPullSequence;
     private long mRenewSequence;
+    private long mLastFence;
     private boolean mIsPulling;
     private boolean mIsAwaiting;
     private int mPullSlots;
@@ -178,15 +179,24 @@
                 .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
     }
 
+    /**
+     * Takes a lot that was asked for and gives back any other.
+     *
+     * <p>Fencing numbers only grow, so a lower one is of a lot that came before, doubled or late;
+     * its items must not be given back, for they may have run.
+     */
     private void take(JobMessage.Lot lot, long nowNanos) {
+        List<LeasedItem> unseen =
+                lot.items().stream().filter(i -> i.lease().fence() > mLastFence).toList();
+        unseen.forEach(item -> mLastFence = Math.max(mLastFence, item.lease().fence()));
         if (lot.sequence() != mPullSequence || !mIsPulling) {
-            lot.items().forEach(item -> mOutbox.add(ItemReport.givenBack(item.lease())));
+            unseen.forEach(item -> mOutbox.add(ItemReport.givenBack(item.lease())));
             return;
         }
         mIsPulling = false;
         mLeaseNanos = lot.leaseMillis() * MILLI;
         mRenewNanos = Math.min(mRenewNanos, nowNanos + mLeaseNanos / RENEWALS_A_LEASE);
-        for (LeasedItem item : lot.items()) {
+        for (LeasedItem item : unseen) {
             mHeld.put(item.lease(), HeldItem.of(item, nowNanos + mLeaseNanos));
         }
     }
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -32,8 +32,8 @@
     private int mSize;
     private long mBytes;
 
-    /** Failures of an item: how many, when it may run again, and the last error. */
-    record Trouble(int attempts, long notBeforeEpochMillis, String error) {}
+    /** Failures of an item: how many, when it may run again, the last error and its lease. */
+    record Trouble(int attempts, long notBeforeEpochMillis, String error, long fence) {}
 
     /** The one run that was allowed of an item that may not be repeated. */
     record Run(long fence, String agent) {}
@@ -150,6 +150,12 @@
         return trouble == null ? 0 : trouble.attempts();
     }
 
+    /** Tells whether a failure under this or a later lease was recorded. */
+    boolean hasFailedUnder(int index, long fence) {
+        Trouble trouble = mTroubles.get(index);
+        return trouble != null && trouble.fence() >= fence;
+    }
+
     void setTrouble(int index, Trouble trouble) {
         mTroubles.put(index, trouble);
     }
--- a/src/main/java/org/coltsfootproxy/job/JobLedger.java
+++ b/src/main/java/org/coltsfootproxy/job/JobLedger.java
@@ -155,7 +155,9 @@
                 IntStream.range(0, known).allMatch(i -> table.isSame(offset + i, items.get(i))),
                 ErrorKind.CONFLICT,
                 "an item was received before with other content");
-        if (job.state() != JobState.RECEIVING) {
+        if (job.state() == JobState.CANCELLED) {
+            return;
+        } else if (job.state() != JobState.RECEIVING) {
             check(known == items.size(), ErrorKind.CONFLICT, "the job takes no more items");
             return;
         }
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -160,7 +160,8 @@
             return false;
         }
         ItemState state = job.items().state(ref.item());
-        return state == ItemState.WAITING
+        boolean isUntried = !job.items().hasFailedUnder(ref.item(), ref.fence());
+        return (state == ItemState.WAITING && isUntried)
                 || (state == ItemState.STARTED
                         && job.items().run(ref.item()).fence() == ref.fence());
     }
--- a/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
@@ -53,7 +53,7 @@
             return;
         }
         packer.packInt(trouble.attempts()).packLong(trouble.notBeforeEpochMillis());
-        packer.packString(trouble.error());
+        packer.packString(trouble.error()).packLong(trouble.fence());
     }
 
     private static void encode(ItemTable.Run run, MessageBufferPacker packer) throws IOException {
@@ -103,7 +103,10 @@
         return unpacker.tryUnpackNil()
                 ? null
                 : new ItemTable.Trouble(
-                        unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackString());
+                        unpacker.unpackInt(),
+                        unpacker.unpackLong(),
+                        unpacker.unpackString(),
+                        unpacker.unpackLong());
     }
 
     private static ItemTable.Run decodeRun(MessageUnpacker unpacker) throws IOException {
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/job/JobFuzzTest.java
@@ -0,0 +1,318 @@
+package org.coltsfootproxy.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.JobId;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.JobItem;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.message.JobSpec;
+import org.coltsfootproxy.message.JobState;
+import org.coltsfootproxy.message.SettleDecision;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Random lives of jobs under random faults, against what the targets and the callers saw.
+ *
+ * <p>Faults: messages lost, doubled, late and out of order; commits slow, lost or kept at a change
+ * of leader; control hosts restarted from a snapshot; agents restarted; online bursts.
+ */
+public final class JobFuzzTest {
+    private static final int STEPS = 2_500;
+    private static final int JOBS = 6;
+
+    private FakeFleet mFleet;
+    private Random mRandom;
+    private Map<String, Sent> mJobs;
+    private Map<Long, JobMessage.Ask> mAsked;
+
+    /** Accepted jobs by the number of the last question sent before the answer was seen. */
+    private Map<String, Long> mAccepted;
+
+    private Set<String> mCancelSent;
+    private Map<String, String> mResults;
+    private long mNumber;
+
+    private record Sent(OrganisationId organisation, JobSpec spec, List<JobItem> items) {}
+
+    @DataProvider
+    public Object[][] seeds() {
+        return IntStream.range(0, Integer.getInteger("job.fuzz.seeds", 30))
+                .mapToObj(i -> new Object[] {(long) i + Long.getLong("job.fuzz.first", 1)})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void itemsEndExactlyOnceWhateverFails(long seed) {
+        begin(seed);
+        for (int i = 0; i < STEPS; i++) {
+            step();
+            checkAnswers();
+        }
+        mFleet.settleDown();
+        checkAnswers();
+        checkEnd();
+        checkMembersAgree();
+    }
+
+    private void begin(long seed) {
+        mFleet = new FakeFleet(seed, 3, JobSettings.defaults());
+        mRandom = mFleet.mRandom;
+        mJobs = new HashMap<>();
+        mAsked = new HashMap<>();
+        mAccepted = new HashMap<>();
+        mCancelSent = new HashSet<>();
+        mResults = new HashMap<>();
+        mNumber = 0;
+    }
+
+    private void step() {
+        int chance = mRandom.nextInt(1_000);
+        if (chance < 550 && mFleet.hasMessages()) {
+            mFleet.deliverOne();
+        } else if (chance < 780 && !mFleet.mLog.isIdle()) {
+            mFleet.mLog.commitOne();
+        } else if (chance < 900) {
+            mFleet.advance(mRandom.nextInt(300));
+        } else if (chance < 960) {
+            act();
+        } else if (chance < 970) {
+            mFleet.advance(mRandom.nextInt(40_000));
+        } else if (chance < 978) {
+            mFleet.changeLeader();
+        } else if (chance < 982) {
+            mFleet.restartControl(mRandom.nextInt(3));
+        } else if (chance < 986) {
+            agent().restart();
+        } else {
+            agent().setOnlineBusy(mRandom.nextBoolean());
+        }
+    }
+
+    private FakeFleet.Agent agent() {
+        return mFleet.mAgents.get(mRandom.nextInt(mFleet.mAgents.size()));
+    }
+
+    private void act() {
+        String name = "job-" + mRandom.nextInt(JOBS);
+        Sent sent = mJobs.computeIfAbsent(name, this::newJob);
+        int what = mRandom.nextInt(12);
+        if (what < 4) {
+            send(sent);
+        } else if (what == 4 && mAccepted.containsKey(name)) {
+            List<JobItem> other = new ArrayList<>(sent.items());
+            other.set(0, JobItem.of("other", new byte[] {1}));
+            ask(new JobMessage.Submit(1, ++mNumber, sent.organisation(), sent.spec(), other));
+        } else if (what == 5 && mRandom.nextInt(3) == 0) {
+            mCancelSent.add(name);
+            ask(new JobMessage.Cancel(1, ++mNumber, sent.organisation(), sent.spec().id()));
+        } else if (what == 6) {
+            OrganisationId stranger = OrganisationId.of("stranger");
+            ask(new JobMessage.AskResults(1, ++mNumber, stranger, sent.spec().id(), 0));
+        } else if (what < 10) {
+            ask(new JobMessage.AskResults(1, ++mNumber, sent.organisation(), sent.spec().id(), 0));
+        } else {
+            settle(sent);
+        }
+    }
+
+    private Sent newJob(String name) {
+        int items = 1 + mRandom.nextInt(6);
+        boolean repeatable = mRandom.nextBoolean();
+        JobSpec spec =
+                new JobSpec(
+                        JobId.of(name),
+                        FakeFleet.SERVICE,
+                        "POST",
+                        "/p",
+                        repeatable,
+                        10_000,
+                        Long.MAX_VALUE,
+                        "later",
+                        items);
+        List<JobItem> bodies =
+                IntStream.range(0, items).mapToObj(i -> JobItem.of("", body(name, i))).toList();
+        return new Sent(FakeFleet.organisation(mRandom.nextInt(2)), spec, bodies);
+    }
+
+    private byte[] body(String name, int item) {
+        String end = mRandom.nextInt(10) == 0 ? "bad" : "";
+        return (name + "/" + item + end).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Sends a job whole, or a step of sending it in pieces. */
+    private void send(Sent sent) {
+        OrganisationId organisation = sent.organisation();
+        JobId id = sent.spec().id();
+        int items = sent.items().size();
+        int from = mRandom.nextInt(items);
+        int to = from + 1 + mRandom.nextInt(items - from);
+        List<JobItem> piece = sent.items().subList(from, to);
+        switch (mRandom.nextInt(4)) {
+            case 0 -> ask(new JobMessage.Begin(1, ++mNumber, organisation, sent.spec()));
+            case 1 -> ask(new JobMessage.Append(1, ++mNumber, organisation, id, from, piece));
+            case 2 -> ask(new JobMessage.Commit(1, ++mNumber, organisation, id));
+            default ->
+                    ask(
+                            new JobMessage.Submit(
+                                    1, ++mNumber, organisation, sent.spec(), sent.items()));
+        }
+    }
+
+    private void settle(Sent sent) {
+        JobLedger ledger = mFleet.mLog.host(0).ledger();
+        ledger.job(sent.organisation(), sent.spec().id())
+                .ifPresent(
+                        job ->
+                                IntStream.range(0, job.items().size())
+                                        .filter(i -> job.items().result(i).fence() != 0)
+                                        .findFirst()
+                                        .ifPresent(i -> settle(sent, job, i)));
+    }
+
+    private void settle(Sent sent, LedgerJob job, int item) {
+        SettleDecision decision = SettleDecision.values()[mRandom.nextInt(3)];
+        long fence = job.items().result(item).fence();
+        if (decision == SettleDecision.RUN_AGAIN) {
+            mFleet.mOracle.mRunAgains.merge(
+                    FakeFleet.text(sent.items().get(item).body()) + "@" + fence, 1, (a, b) -> 1);
+        }
+        byte[] result =
+                FakeFleet.text(sent.items().get(item).body())
+                        .concat("#by-hand")
+                        .getBytes(StandardCharsets.UTF_8);
+        ask(
+                new JobMessage.Settle(
+                        1,
+                        ++mNumber,
+                        sent.organisation(),
+                        sent.spec().id(),
+                        item,
+                        fence,
+                        decision,
+                        decision == SettleDecision.MARK_DONE ? result : new byte[0]));
+    }
+
+    private void ask(JobMessage.Ask ask) {
+        mAsked.put(ask.call(), ask);
+        mFleet.ask(ask);
+    }
+
+    private void checkAnswers() {
+        mFleet.mAnswers.forEach(this::checkAnswer);
+        mFleet.mAnswers.clear();
+    }
+
+    private void checkAnswer(JobMessage.Answer answer) {
+        JobMessage.Ask ask = mAsked.get(answer.call());
+        boolean isStranger = ask.organisation().value().equals("stranger");
+        if (answer instanceof JobMessage.Status status) {
+            checkStatus(ask, status);
+        } else if (answer instanceof JobMessage.Results results) {
+            assertFalse(isStranger, "another organisation read results");
+            results.results().forEach(r -> checkResult(results.status().spec().id(), r.index(), r));
+        } else if (answer instanceof JobMessage.Refused refused) {
+            checkRefusal(ask, refused);
+        }
+    }
+
+    private void checkStatus(JobMessage.Ask ask, JobMessage.Status status) {
+        String name = status.status().spec().id().value();
+        if (ask instanceof JobMessage.Submit submit) {
+            assertEquals(submit.items().get(0).id(), "", "other content was accepted for " + name);
+        }
+        boolean isWhole = status.status().received() == status.status().spec().items();
+        if (status.status().state() != JobState.RECEIVING && isWhole) {
+            mAccepted.putIfAbsent(name, mNumber);
+        }
+    }
+
+    private void checkRefusal(JobMessage.Ask ask, JobMessage.Refused refused) {
+        boolean isHonest = ask instanceof JobMessage.Submit s && s.items().get(0).id().isEmpty();
+        if (isHonest) {
+            assertTrue(
+                    refused.kind() == ErrorKind.NO_LEADER
+                            || refused.kind() == ErrorKind.COMMIT_UNKNOWN,
+                    "a resend with the same content was refused: " + refused);
+        }
+        boolean isAccepted =
+                ask instanceof JobMessage.AskResults a
+                        && a.call() > mAccepted.getOrDefault(a.job().value(), Long.MAX_VALUE);
+        if (isAccepted && !ask.organisation().value().equals("stranger")) {
+            assertEquals(refused.kind(), ErrorKind.NO_LEADER, "an accepted job was lost");
+        }
+    }
+
+    /** A result, once read, never changes, and a target gave it. */
+    private void checkResult(JobId job, int index, org.coltsfootproxy.message.ItemResult result) {
+        if (result.state() != ItemState.DONE) {
+            return;
+        }
+        String body = FakeFleet.text(result.body());
+        String before = mResults.putIfAbsent(job + "/" + index, body);
+        assertTrue(before == null || before.equals(body), "a result changed: " + before);
+        assertTrue(body.startsWith(job + "/" + index), "a result of another item: " + body);
+    }
+
+    private void checkEnd() {
+        for (String name : mAccepted.keySet()) {
+            Sent sent = mJobs.get(name);
+            LedgerJob job =
+                    mFleet.ledger().job(sent.organisation(), sent.spec().id()).orElseThrow();
+            IntStream.range(0, sent.items().size()).forEach(i -> checkItem(job, sent, i));
+            assertTrue(
+                    job.state() == JobState.FINISHED || job.state() == JobState.CANCELLED,
+                    name + " is " + job.status());
+            assertTrue(job.state() != JobState.CANCELLED || mCancelSent.contains(name));
+        }
+    }
+
+    private void checkItem(LedgerJob job, Sent sent, int item) {
+        String body = FakeFleet.text(sent.items().get(item).body());
+        ItemState state = job.items().state(item);
+        List<String> runs = mFleet.mOracle.mRuns.getOrDefault(body, List.of());
+        int failures = mFleet.mOracle.mFailures.getOrDefault(body, 0);
+        String what = body + " is " + state + " after " + runs + " and failures " + failures;
+        assertTrue(state.isEnded(), what);
+        if (state == ItemState.DONE) {
+            String result = FakeFleet.text(job.items().result(item).body());
+            assertTrue(runs.contains(result) || result.endsWith("#by-hand"), what + result);
+            checkResult(job.spec().id(), item, job.items().result(item));
+        } else if (state == ItemState.CANCELLED) {
+            assertEquals(job.state(), JobState.CANCELLED, what);
+        }
+        if (sent.spec().repeatable()) {
+            int attempts = JobSettings.defaults().retry().attempts();
+            assertTrue(state != ItemState.MAY_HAVE_RUN, what);
+            assertTrue(state != ItemState.FAILED || failures >= attempts, what);
+        } else {
+            long again =
+                    mFleet.mOracle.mRunAgains.keySet().stream()
+                            .filter(key -> key.startsWith(body + "@"))
+                            .count();
+            assertTrue(runs.size() <= 1 + again, what + ", run again by hand " + again);
+        }
+    }
+
+    private void checkMembersAgree() {
+        byte[] first = mFleet.ledger().snapshot();
+        for (int i = 0; i < 3; i++) {
+            mFleet.mLog.lead(mFleet.mLog.host(i), 0);
+            assertEquals(mFleet.ledger().snapshot(), first, "members differ");
+        }
+    }
+}
