--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -43,6 +43,7 @@
     // 500-599: agent and admission
 
     // 600-699: jobs
+    ITEMS_IN_DOUBT(600, Level.WARN, "items that may have run wait for an operator"),
 
     // 700-799: network
     PEER_CONNECTED(700, Level.INFO, "a peer connected"),
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/job/ItemLife.java
@@ -0,0 +1,178 @@
+package org.coltsfootproxy.job;
+
+import org.coltsfootproxy.message.ItemReport;
+import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.JobState;
+import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.ReportVerdict;
+
+/**
+ * The steps of an item's life, decided from the item's state alone.
+ *
+ * <p>An item that may not be repeated runs only under the one fencing number that a durable start
+ * recorded, and leaves that run only by a report that carries this number or by an operator.
+ */
+final class ItemLife {
+    private static final int MAX_ERROR_CHARS = 300;
+
+    private final LedgerJob mJob;
+    private final ItemTable mItems;
+
+    private ItemLife(LedgerJob job) {
+        mJob = job;
+        mItems = job.items();
+    }
+
+    static ItemLife of(LedgerJob job) {
+        return new ItemLife(job);
+    }
+
+    /** Records that the agent may call the target; tells whether it may. */
+    boolean start(LeaseRef lease, String agent, long epochMillis) {
+        if (!isKnown(lease) || mJob.spec().repeatable()) {
+            return false;
+        }
+        int item = lease.item();
+        if (mItems.state(item) == ItemState.STARTED) {
+            return mItems.run(item).fence() == lease.fence();
+        }
+        if (mItems.state(item) != ItemState.WAITING || isPausing(item, epochMillis)) {
+            return false;
+        }
+        mItems.setState(item, ItemState.STARTED);
+        mItems.setRun(item, new ItemTable.Run(lease.fence(), agent));
+        return true;
+    }
+
+    private boolean isPausing(int item, long epochMillis) {
+        ItemTable.Trouble trouble = mItems.trouble(item);
+        return trouble != null && trouble.notBeforeEpochMillis() > epochMillis;
+    }
+
+    private boolean isKnown(LeaseRef lease) {
+        return lease.item() >= 0 && lease.item() < mItems.size();
+    }
+
+    /** Records that the worker of a started item is lost; tells whether anything changed. */
+    boolean lose(LeaseRef lease, long epochMillis) {
+        if (!isKnown(lease) || !isRunOf(lease, ItemState.STARTED)) {
+            return false;
+        }
+        String agent = mItems.run(lease.item()).agent();
+        endInDoubt(lease.item(), "the worker " + agent + " was lost", epochMillis);
+        return true;
+    }
+
+    private boolean isRunOf(LeaseRef lease, ItemState state) {
+        return mItems.state(lease.item()) == state
+                && mItems.run(lease.item()).fence() == lease.fence();
+    }
+
+    /** Records an agent's report. */
+    ReportVerdict report(ItemReport report, RetryPolicy retry, long epochMillis) {
+        if (!isKnown(report.lease())) {
+            return ReportVerdict.DROPPED;
+        }
+        return switch (mItems.state(report.lease().item())) {
+            case WAITING ->
+                    mJob.spec().repeatable()
+                            ? record(report, retry, epochMillis)
+                            : refuseUnstarted(report);
+            case STARTED, MAY_HAVE_RUN ->
+                    isRunOf(report.lease(), mItems.state(report.lease().item()))
+                            ? record(report, retry, epochMillis)
+                            : ReportVerdict.DROPPED;
+            case CANCELLED -> ReportVerdict.CANCELLED;
+            case DONE, FAILED -> ReportVerdict.DROPPED;
+        };
+    }
+
+    private static ReportVerdict refuseUnstarted(ItemReport report) {
+        return report.outcome() == ItemReport.Outcome.GIVEN_BACK
+                ? ReportVerdict.RECORDED
+                : ReportVerdict.DROPPED;
+    }
+
+    private ReportVerdict record(ItemReport report, RetryPolicy retry, long epochMillis) {
+        int item = report.lease().item();
+        return switch (report.outcome()) {
+            case DONE -> end(item, ItemState.DONE, report);
+            case REFUSED -> {
+                addTrouble(item, attempts(item) + 1, epochMillis, report.error());
+                yield end(item, ItemState.FAILED, report);
+            }
+            case ATTEMPT_FAILED -> failAttempt(report, retry, epochMillis);
+            case MAY_HAVE_RUN -> {
+                if (mJob.spec().repeatable()) {
+                    yield failAttempt(report, retry, epochMillis);
+                }
+                endInDoubt(item, report.error(), epochMillis);
+                yield ReportVerdict.RECORDED;
+            }
+            case GIVEN_BACK -> waitAgain(item);
+        };
+    }
+
+    private ReportVerdict end(int item, ItemState state, ItemReport report) {
+        mItems.setState(item, state);
+        mItems.setResult(item, report.status(), report.body());
+        mItems.clearRun(item);
+        return ReportVerdict.RECORDED;
+    }
+
+    private ReportVerdict failAttempt(ItemReport report, RetryPolicy retry, long epochMillis) {
+        int item = report.lease().item();
+        int attempts = attempts(item) + 1;
+        addTrouble(item, attempts, epochMillis + retry.pauseMillis(attempts), report.error());
+        if (attempts >= retry.attempts()) {
+            return end(item, ItemState.FAILED, report);
+        }
+        ReportVerdict verdict = waitAgain(item);
+        return verdict == ReportVerdict.RECORDED ? ReportVerdict.WAITS : verdict;
+    }
+
+    private int attempts(int item) {
+        return mItems.attempts(item);
+    }
+
+    private void addTrouble(int item, int attempts, long notBefore, String error) {
+        String kept = error.substring(0, Math.min(error.length(), MAX_ERROR_CHARS));
+        mItems.setTrouble(item, new ItemTable.Trouble(attempts, notBefore, kept));
+    }
+
+    private void endInDoubt(int item, String error, long epochMillis) {
+        addTrouble(item, attempts(item), epochMillis, error);
+        mItems.setState(item, ItemState.MAY_HAVE_RUN);
+    }
+
+    private ReportVerdict waitAgain(int item) {
+        mItems.clearRun(item);
+        if (mJob.state() == JobState.CANCELLED) {
+            cancel(item);
+            return ReportVerdict.CANCELLED;
+        }
+        mItems.setState(item, ItemState.WAITING);
+        return ReportVerdict.RECORDED;
+    }
+
+    /** Keeps an item that has not started from running. */
+    void cancel(int item) {
+        mItems.setState(item, ItemState.CANCELLED);
+        mItems.dropBody(item);
+    }
+
+    /** Runs an item in doubt again, as an operator decided. */
+    boolean runAgain(int item) {
+        mItems.clearRun(item);
+        mItems.setState(item, ItemState.WAITING);
+        return true;
+    }
+
+    /** Ends an item in doubt, as an operator decided. */
+    boolean settle(int item, ItemState state, int status, byte[] body) {
+        mItems.clearRun(item);
+        mItems.setState(item, state);
+        mItems.setResult(item, status, body);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -0,0 +1,387 @@
+package org.coltsfootproxy.job;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.message.ItemReport;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.LeasedItem;
+import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.Node;
+
+/**
+ * The agent's side of batch jobs for one group: it pulls items while slots are idle, renews their
+ * leases and reports their ends until they are acknowledged.
+ *
+ * <p>Single-threaded and deterministic like a {@link Node}. It holds at most one lot of items that
+ * wait and pulls no more while reports pile up, so its memory is bounded.
+ */
+public final class ItemPuller {
+    private static final long MILLI = EpochClock.NANOS_PER_MILLI;
+    private static final long ANSWER_NANOS = 3_000 * MILLI;
+    private static final long FIRST_LEASE_NANOS = 6_000 * MILLI;
+    private static final long IDLE_NANOS = 1_000 * MILLI;
+    private static final int RENEWALS_A_LEASE = 3;
+    private static final long MAX_UNREPORTED_BYTES = 8L << 20;
+
+    private final int mGroup;
+    private final Incarnation mIncarnation;
+    private final ServiceId mService;
+    private final ItemRunner mRunner;
+    private final ControlLink mLink;
+    private final ReportOutbox mOutbox;
+    private final Map<LeaseRef, HeldItem> mHeld = new LinkedHashMap<>();
+    private int mCapacity;
+    private int mSlots;
+    private long mSlotsGoneNanos;
+    private long mSequence;
+    private long mPullSequence;
+    private long mRenewSequence;
+    private boolean mIsPulling;
+    private boolean mIsAwaiting;
+    private int mPullSlots;
+    private long mSentNanos;
+    private long mStartNanos;
+    private long mRenewNanos;
+    private long mLeaseNanos = FIRST_LEASE_NANOS;
+    private boolean mIsStopping;
+
+    private ItemPuller(
+            int group,
+            Incarnation incarnation,
+            ServiceId service,
+            int capacity,
+            List<HostId> controls,
+            ItemRunner runner) {
+        mGroup = group;
+        mIncarnation = incarnation;
+        mService = service;
+        mCapacity = capacity;
+        mRunner = runner;
+        mLink = ControlLink.of(controls, incarnation.value());
+        mOutbox = new ReportOutbox(group, incarnation);
+    }
+
+    /**
+     * Returns a puller that holds no items.
+     *
+     * @param group group of the replicated log, from 1
+     * @param incarnation this life of the agent
+     * @param capacity items that could run at once if nothing else ran
+     * @param controls control hosts of the group
+     */
+    public static ItemPuller create(
+            int group,
+            Incarnation incarnation,
+            ServiceId service,
+            int capacity,
+            List<HostId> controls,
+            ItemRunner runner) {
+        checkArgument(group > 0, "group %s is not one of jobs", group);
+        checkArgument(capacity > 0, "capacity %s is below 1", capacity);
+        checkNotNull(incarnation, "incarnation is missing");
+        checkNotNull(service, "service is missing");
+        checkNotNull(runner, "runner is missing");
+        return new ItemPuller(group, incarnation, service, capacity, controls, runner);
+    }
+
+    /**
+     * Tells how many further batch items could run at the target now.
+     *
+     * <p>To be called on each change. Items are run at once while slots are idle.
+     */
+    public void slotsFree(int slots, long nowNanos, Effects out) {
+        checkArgument(slots >= 0, "slots %s are below 0", slots);
+        if (slots == 0 && mSlots > 0) {
+            mSlotsGoneNanos = nowNanos;
+        }
+        mSlots = slots;
+        proceed(nowNanos, out);
+    }
+
+    /** Changes the number of items that could run at once if nothing else ran. */
+    public void setCapacity(int capacity) {
+        checkArgument(capacity > 0, "capacity %s is below 1", capacity);
+        mCapacity = capacity;
+    }
+
+    /** Tells how a running item ended; {@link ItemReports} makes the report. */
+    public void ended(ItemReport report, long nowNanos, Effects out) {
+        if (mHeld.remove(report.lease()) != null) {
+            mOutbox.add(report);
+        }
+        proceed(nowNanos, out);
+    }
+
+    /** Gives back what does not run and pulls no more; what runs is finished and reported. */
+    public void stop(long nowNanos, Effects out) {
+        mIsStopping = true;
+        giveBackWaiting();
+        proceed(nowNanos, out);
+    }
+
+    /** Tells whether no item is held and every report is acknowledged. */
+    public boolean isDrained() {
+        return mHeld.isEmpty() && mOutbox.isEmpty();
+    }
+
+    /** Handles a message of a control host for this group. */
+    public void handle(HostId from, JobMessage message, long nowNanos, Effects out) {
+        if (message instanceof JobMessage.Redirect redirect) {
+            redirected(from, redirect, nowNanos);
+        } else if (message instanceof JobMessage.Lot lot) {
+            confirm(from);
+            take(lot, nowNanos);
+        } else if (message instanceof JobMessage.Renewed renewed) {
+            confirm(from);
+            renewed(renewed, nowNanos, out);
+        } else if (message instanceof JobMessage.Started started) {
+            confirm(from);
+            started(started);
+        } else if (message instanceof JobMessage.Reported reported) {
+            confirm(from);
+            mOutbox.acknowledge(reported);
+        } else if (message instanceof JobMessage.Revoke revoke) {
+            revoke.leases().forEach(ref -> drop(ref, nowNanos, out));
+        }
+        proceed(nowNanos, out);
+    }
+
+    private void confirm(HostId from) {
+        if (mLink.isHost(from)) {
+            mLink.confirm();
+        }
+    }
+
+    private void redirected(HostId from, JobMessage.Redirect redirect, long nowNanos) {
+        if (mLink.isHost(from) && !mLink.isPausing(nowNanos)) {
+            mLink.redirect(redirect.leader(), nowNanos);
+            forgetAnswers();
+        }
+    }
+
+    /** Sends everything again once the next control host is tried. */
+    private void forgetAnswers() {
+        mIsPulling = false;
+        mIsAwaiting = false;
+        mOutbox.sendAgain();
+        mHeld.values().stream()
+                .filter(held -> held.step() == HeldItem.Step.STARTING)
+                .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
+    }
+
+    private void take(JobMessage.Lot lot, long nowNanos) {
+        if (lot.sequence() != mPullSequence || !mIsPulling) {
+            lot.items().forEach(item -> mOutbox.add(ItemReport.givenBack(item.lease())));
+            return;
+        }
+        mIsPulling = false;
+        mLeaseNanos = lot.leaseMillis() * MILLI;
+        mRenewNanos = Math.min(mRenewNanos, nowNanos + mLeaseNanos / RENEWALS_A_LEASE);
+        for (LeasedItem item : lot.items()) {
+            mHeld.put(item.lease(), HeldItem.of(item, nowNanos + mLeaseNanos));
+        }
+    }
+
+    private void renewed(JobMessage.Renewed renewed, long nowNanos, Effects out) {
+        if (renewed.sequence() != mRenewSequence || !mIsAwaiting) {
+            return;
+        }
+        mIsAwaiting = false;
+        long expiry = mSentNanos + renewed.leaseMillis() * MILLI;
+        mHeld.values().forEach(held -> held.extend(expiry));
+        renewed.lost().forEach(ref -> drop(ref, nowNanos, out));
+    }
+
+    private void started(JobMessage.Started started) {
+        started.granted().stream()
+                .map(mHeld::get)
+                .filter(held -> held != null && held.step() == HeldItem.Step.STARTING)
+                .forEach(held -> held.setStep(HeldItem.Step.CLEARED));
+        started.refused().stream()
+                .filter(ref -> mHeld.containsKey(ref) && !mHeld.get(ref).isRunning())
+                .forEach(mHeld::remove);
+    }
+
+    /** Lets go of a lost item; one that may not be repeated and runs goes on, to be reported. */
+    private void drop(LeaseRef ref, long nowNanos, Effects out) {
+        HeldItem held = mHeld.get(ref);
+        if (held == null || (held.isRunning() && !held.item().repeatable())) {
+            return;
+        }
+        mHeld.remove(ref);
+        if (held.isRunning()) {
+            mRunner.stop(ref, nowNanos, out);
+        }
+    }
+
+    /** Does whatever is due. */
+    public void tick(long nowNanos, Effects out) {
+        proceed(nowNanos, out);
+    }
+
+    private void proceed(long nowNanos, Effects out) {
+        dropExpired(nowNanos);
+        if (mSlots == 0 && nowNanos - mSlotsGoneNanos >= IDLE_NANOS) {
+            giveBackWaiting();
+        }
+        run(nowNanos, out);
+        checkSilence(nowNanos);
+        if (!mLink.isPausing(nowNanos)) {
+            mLink.endPause();
+            start(nowNanos, out);
+            pull(nowNanos, out);
+            renew(nowNanos, out);
+            mOutbox.send(mLink.host(), nowNanos, out);
+        }
+    }
+
+    private void dropExpired(long nowNanos) {
+        mHeld.values()
+                .removeIf(
+                        held ->
+                                nowNanos - held.expiryNanos() >= 0
+                                        && held.step() == HeldItem.Step.QUEUED);
+    }
+
+    private void giveBackWaiting() {
+        List<HeldItem> waiting = mHeld.values().stream().filter(h -> !h.isRunning()).toList();
+        for (HeldItem held : waiting) {
+            mHeld.remove(held.item().lease());
+            mOutbox.add(ItemReport.givenBack(held.item().lease()));
+        }
+    }
+
+    private void run(long nowNanos, Effects out) {
+        while (mSlots > 0) {
+            HeldItem next = inStep(HeldItem.Step.CLEARED).findFirst().orElse(null);
+            if (next == null) {
+                next =
+                        inStep(HeldItem.Step.QUEUED)
+                                .filter(ItemPuller::isRepeatable)
+                                .findFirst()
+                                .orElse(null);
+            }
+            if (next == null) {
+                return;
+            }
+            mSlots--;
+            next.setStep(HeldItem.Step.RUNNING);
+            mRunner.run(next.item(), nowNanos, out);
+        }
+    }
+
+    private static boolean isRepeatable(HeldItem held) {
+        return held.item().repeatable();
+    }
+
+    private Stream<HeldItem> inStep(HeldItem.Step step) {
+        return mHeld.values().stream().filter(held -> held.step() == step);
+    }
+
+    /** Asks for durable starts of as many items as slots are idle. */
+    private void start(long nowNanos, Effects out) {
+        long underWay = inStep(HeldItem.Step.STARTING).count();
+        List<HeldItem> next =
+                inStep(HeldItem.Step.QUEUED)
+                        .filter(held -> !isRepeatable(held))
+                        .limit(Math.max(0, mSlots - underWay))
+                        .toList();
+        if (next.isEmpty()) {
+            return;
+        }
+        next.forEach(held -> held.setStep(HeldItem.Step.STARTING));
+        mStartNanos = nowNanos;
+        List<LeaseRef> refs = next.stream().map(held -> held.item().lease()).toList();
+        out.send(mLink.host(), new JobMessage.Start(mGroup, mIncarnation, refs));
+    }
+
+    private void pull(long nowNanos, Effects out) {
+        long waiting = mHeld.values().stream().filter(held -> !held.isRunning()).count();
+        boolean isWanted =
+                mSlots > waiting && !mIsStopping && mOutbox.bytes() < MAX_UNREPORTED_BYTES;
+        boolean isIdleEnough = mSlots > 0 || nowNanos - mSlotsGoneNanos < IDLE_NANOS;
+        if (isWanted && !mIsPulling) {
+            sendPull((int) (mSlots - waiting), nowNanos, out);
+            mIsPulling = true;
+        } else if (mIsPulling && (mIsStopping || !isIdleEnough)) {
+            sendPull(0, nowNanos, out);
+            mIsPulling = false;
+        }
+    }
+
+    private void sendPull(int slots, long nowNanos, Effects out) {
+        if (!needsLink()) {
+            mRenewNanos = nowNanos + mLeaseNanos / RENEWALS_A_LEASE;
+        }
+        mPullSlots = slots;
+        mPullSequence = ++mSequence;
+        askForLot(out);
+    }
+
+    private void askForLot(Effects out) {
+        out.send(
+                mLink.host(),
+                new JobMessage.Pull(
+                        mGroup, mIncarnation, mService, mPullSequence, mPullSlots, mCapacity));
+    }
+
+    private boolean needsLink() {
+        return mIsPulling || !mHeld.isEmpty() || !mOutbox.isEmpty();
+    }
+
+    private void renew(long nowNanos, Effects out) {
+        if (!needsLink() || mIsAwaiting || nowNanos - mRenewNanos < 0) {
+            return;
+        }
+        mRenewSequence = ++mSequence;
+        mIsAwaiting = true;
+        mSentNanos = nowNanos;
+        mRenewNanos = nowNanos + mLeaseNanos / RENEWALS_A_LEASE;
+        List<LeaseRef> refs = Stream.concat(mHeld.keySet().stream(), mOutbox.leases()).toList();
+        out.send(mLink.host(), new JobMessage.Renew(mGroup, mIncarnation, mRenewSequence, refs));
+    }
+
+    private void checkSilence(long nowNanos) {
+        boolean isSilent = mIsAwaiting && nowNanos - mSentNanos >= ANSWER_NANOS;
+        boolean isStartSilent =
+                inStep(HeldItem.Step.STARTING).findAny().isPresent()
+                        && nowNanos - mStartNanos >= ANSWER_NANOS;
+        if (isSilent) {
+            mLink.next(nowNanos);
+            forgetAnswers();
+            mRenewNanos = nowNanos;
+        } else if (isStartSilent) {
+            inStep(HeldItem.Step.STARTING)
+                    .toList()
+                    .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
+        }
+    }
+
+    /** Returns the time of the next due {@link #tick}, or {@link Node#NEVER}. */
+    public long nextTickNanos() {
+        if (!needsLink()) {
+            return Node.NEVER;
+        }
+        boolean givesBack =
+                mSlots == 0
+                        && (mIsPulling || mHeld.values().stream().anyMatch(h -> !h.isRunning()));
+        long idleEnd = givesBack ? mSlotsGoneNanos + IDLE_NANOS : Node.NEVER;
+        return Math.min(idleEnd, mLink.isPausing() ? mLink.pauseEndNanos() : nextSendNanos());
+    }
+
+    private long nextSendNanos() {
+        boolean isStarting = inStep(HeldItem.Step.STARTING).findAny().isPresent();
+        long renewal = mIsAwaiting ? mSentNanos + ANSWER_NANOS : mRenewNanos;
+        long start = isStarting ? mStartNanos + ANSWER_NANOS : Node.NEVER;
+        return Math.min(Math.min(renewal, start), mOutbox.nextSendNanos());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/job/LedgerJob.java
@@ -0,0 +1,156 @@
+package org.coltsfootproxy.job;
+
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.JobSpec;
+import org.coltsfootproxy.message.JobState;
+import org.coltsfootproxy.message.JobStatus;
+
+/** One job of the ledger with its items. */
+final class LedgerJob {
+    private final long mNumber;
+    private final OrganisationId mOrganisation;
+    private final JobSpec mSpec;
+    private final ItemTable mItems = new ItemTable();
+    private JobState mState;
+    private long mTouchedMillis;
+    private long mAcceptedMillis;
+    private long mFinishedMillis;
+
+    private LedgerJob(
+            long number, OrganisationId organisation, JobSpec spec, JobState state, long millis) {
+        mNumber = number;
+        mOrganisation = organisation;
+        mSpec = spec;
+        mState = state;
+        mTouchedMillis = millis;
+    }
+
+    /** Returns a job that no item was received of. */
+    static LedgerJob begin(
+            long number, OrganisationId organisation, JobSpec spec, long epochMillis) {
+        return new LedgerJob(number, organisation, spec, JobState.RECEIVING, epochMillis);
+    }
+
+    /** Returns a job as a snapshot tells it; its items are still to be restored. */
+    static LedgerJob restore(SnapshotHead head) {
+        var job =
+                new LedgerJob(
+                        head.number(),
+                        head.organisation(),
+                        head.spec(),
+                        head.state(),
+                        head.touchedMillis());
+        job.mAcceptedMillis = head.acceptedMillis();
+        job.mFinishedMillis = head.finishedMillis();
+        return job;
+    }
+
+    /** All of a job but its items. */
+    record SnapshotHead(
+            long number,
+            OrganisationId organisation,
+            JobSpec spec,
+            JobState state,
+            long touchedMillis,
+            long acceptedMillis,
+            long finishedMillis) {}
+
+    SnapshotHead head() {
+        return new SnapshotHead(
+                mNumber,
+                mOrganisation,
+                mSpec,
+                mState,
+                mTouchedMillis,
+                mAcceptedMillis,
+                mFinishedMillis);
+    }
+
+    long number() {
+        return mNumber;
+    }
+
+    OrganisationId organisation() {
+        return mOrganisation;
+    }
+
+    JobSpec spec() {
+        return mSpec;
+    }
+
+    ItemTable items() {
+        return mItems;
+    }
+
+    JobState state() {
+        return mState;
+    }
+
+    long acceptedMillis() {
+        return mAcceptedMillis;
+    }
+
+    /** Returns the time of the last piece, or of the end. */
+    long touchedMillis() {
+        return mTouchedMillis;
+    }
+
+    void touch(long epochMillis) {
+        mTouchedMillis = epochMillis;
+    }
+
+    void accept(long epochMillis) {
+        mItems.trim();
+        mState = JobState.RUNNING;
+        mAcceptedMillis = epochMillis;
+        touch(epochMillis);
+    }
+
+    void cancel(long epochMillis) {
+        mState = JobState.CANCELLED;
+        mFinishedMillis = epochMillis;
+        touch(epochMillis);
+    }
+
+    /** Brings the job's state in line with those of its items. */
+    void update(long epochMillis) {
+        boolean isOver = mItems.open() == 0;
+        if (mState == JobState.RUNNING && isOver) {
+            mState = JobState.FINISHED;
+            mFinishedMillis = epochMillis;
+            touch(epochMillis);
+        } else if (mState == JobState.FINISHED && !isOver) {
+            mState = JobState.RUNNING;
+            mFinishedMillis = 0;
+        }
+    }
+
+    /** Tells whether nothing will change any more, by agents or an operator. */
+    boolean isSettled() {
+        boolean isOver = mState == JobState.FINISHED || mState == JobState.CANCELLED;
+        return isOver && mItems.open() == 0 && mItems.count(ItemState.MAY_HAVE_RUN) == 0;
+    }
+
+    /** Returns the number of items that count against the organisation's quota. */
+    int openItems() {
+        return mState == JobState.RECEIVING ? mSpec.items() : mItems.open();
+    }
+
+    JobStatus status() {
+        return new JobStatus(
+                mOrganisation,
+                mSpec,
+                mState,
+                mItems.size(),
+                mItems.count(ItemState.WAITING),
+                mItems.count(ItemState.STARTED),
+                mItems.count(ItemState.DONE),
+                mItems.count(ItemState.FAILED),
+                mItems.count(ItemState.MAY_HAVE_RUN),
+                mItems.count(ItemState.CANCELLED),
+                mAcceptedMillis,
+                mFinishedMillis,
+                0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/job/ReportHandler.java
@@ -0,0 +1,224 @@
+package org.coltsfootproxy.job;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Metric;
+import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.message.ItemReport;
+import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.ReportVerdict;
+
+/** Takes durable starts and reports from agents to the ledger and answers after the commit. */
+final class ReportHandler {
+    private static final int MAX_COMMANDS = 2;
+    private static final double MILLIS = 1_000;
+
+    private final int mGroup;
+    private final LeaderState mState;
+    private final CommandLog mLog;
+    private final StepClock mStep;
+    private final LeaseManager mLeases;
+    private final ReportBatch mBatch = new ReportBatch();
+    private int mCommands;
+    private long mDropped;
+
+    ReportHandler(int group, LeaderState state, CommandLog log, LeaseManager leases) {
+        mGroup = group;
+        mState = state;
+        mLog = log;
+        mStep = state.step();
+        mLeases = leases;
+    }
+
+    void clear() {
+        mBatch.clear();
+    }
+
+    /** Returns the number of reports that were dropped without going to the ledger. */
+    long dropped() {
+        return mDropped;
+    }
+
+    void start(AgentSession session, JobMessage.Start start) {
+        HostId agent = session.agent();
+        Map<Boolean, List<LeaseRef>> byHeld =
+                start.leases().stream()
+                        .collect(
+                                java.util.stream.Collectors.partitioningBy(
+                                        ref -> mState.table().held(agent, ref).isPresent()));
+        if (byHeld.get(true).isEmpty()) {
+            mStep.send(agent, new JobMessage.Started(mGroup, List.of(), byHeld.get(false)));
+            return;
+        }
+        setBusy(agent, byHeld.get(true), true);
+        mLog.propose(
+                new JobCommand.Start(
+                        mStep.epochMillis(), agent, session.incarnation(), byHeld.get(true)),
+                outcome -> started(agent, byHeld, (JobOutcome.Starts) outcome),
+                kind -> {
+                    setBusy(agent, byHeld.get(true), false);
+                    onFailure(kind);
+                });
+    }
+
+    private void setBusy(HostId agent, List<LeaseRef> refs, boolean isBusy) {
+        refs.stream()
+                .flatMap(ref -> mState.table().held(agent, ref).stream())
+                .forEach(lease -> lease.setBusy(isBusy));
+    }
+
+    private void started(
+            HostId agent, Map<Boolean, List<LeaseRef>> byHeld, JobOutcome.Starts starts) {
+        List<LeaseRef> granted = new ArrayList<>();
+        List<LeaseRef> refused = new ArrayList<>(byHeld.get(false));
+        List<LeaseRef> asked = byHeld.get(true);
+        IntStream.range(0, asked.size())
+                .forEach(i -> (starts.granted().get(i) ? granted : refused).add(asked.get(i)));
+        setBusy(agent, asked, false);
+        mState.addUnowned(granted.stream().filter(r -> !mState.table().isLeased(r)).toList());
+        mState.free(refused);
+        mStep.send(agent, new JobMessage.Started(mGroup, granted, refused));
+    }
+
+    private void onFailure(ErrorKind kind) {
+        if (kind == ErrorKind.STORAGE_FULL) {
+            mLeases.pauseGrants();
+        }
+    }
+
+    void report(AgentSession session, JobMessage.Report message) {
+        List<JobMessage.Reported.Settled> settled = new ArrayList<>();
+        for (ItemReport report : message.reports()) {
+            take(session, report)
+                    .ifPresent(
+                            verdict ->
+                                    settled.add(
+                                            new JobMessage.Reported.Settled(
+                                                    report.lease(), verdict)));
+        }
+        if (!settled.isEmpty()) {
+            mStep.send(session.agent(), new JobMessage.Reported(mGroup, settled));
+        }
+        flush();
+    }
+
+    /** Returns the verdict on a report, or nothing if the ledger decides or has no room yet. */
+    private Optional<ReportVerdict> take(AgentSession session, ItemReport report) {
+        LeaseRef ref = report.lease();
+        Optional<Lease> current = mState.table().current(ref);
+        boolean isHeld = mState.table().held(session.agent(), ref).isPresent();
+        Optional<ItemState> state = mState.ledger().itemState(ref);
+        if (state.isEmpty() || state.get() == ItemState.DONE || state.get() == ItemState.FAILED) {
+            return Optional.of(drop(ref, ReportVerdict.DROPPED));
+        } else if (state.get() == ItemState.CANCELLED) {
+            return Optional.of(drop(ref, ReportVerdict.CANCELLED));
+        } else if (state.get() == ItemState.WAITING && current.isPresent() && !isHeld) {
+            return Optional.of(drop(ref, ReportVerdict.DROPPED));
+        } else if (isHeld && current.get().isBusy()) {
+            return Optional.empty();
+        } else if (state.get() == ItemState.WAITING && isGivenBack(report)) {
+            giveBack(ref);
+            return Optional.of(ReportVerdict.RECORDED);
+        }
+        if (mBatch.add(session.agent(), report) && isHeld) {
+            current.get().setBusy(true);
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isGivenBack(ItemReport report) {
+        return report.outcome() == ItemReport.Outcome.GIVEN_BACK;
+    }
+
+    private ReportVerdict drop(LeaseRef ref, ReportVerdict verdict) {
+        mDropped++;
+        mState.table().remove(ref);
+        return verdict;
+    }
+
+    private void giveBack(LeaseRef ref) {
+        mState.ledger()
+                .job(ref.job())
+                .ifPresent(
+                        job ->
+                                mState.share()
+                                        .correct(
+                                                job.organisation(),
+                                                -mState.runTimes().seconds(job)));
+        mState.free(List.of(ref));
+    }
+
+    /** Proposes the reports that wait, unless enough are on their way. */
+    void flush() {
+        while (!mBatch.isEmpty() && mCommands < MAX_COMMANDS) {
+            List<ReportBatch.Entry> entries = mBatch.take();
+            mCommands++;
+            mLog.propose(
+                    new JobCommand.Report(
+                            mStep.epochMillis(),
+                            entries.stream().map(ReportBatch.Entry::report).toList(),
+                            mState.settings().retry()),
+                    outcome -> reported(entries, (JobOutcome.Verdicts) outcome),
+                    kind -> failed(entries, kind));
+        }
+    }
+
+    private void failed(List<ReportBatch.Entry> entries, ErrorKind kind) {
+        mCommands--;
+        entries.forEach(
+                entry ->
+                        mState.table()
+                                .held(entry.agent(), entry.report().lease())
+                                .ifPresent(lease -> lease.setBusy(false)));
+        onFailure(kind);
+    }
+
+    private void reported(List<ReportBatch.Entry> entries, JobOutcome.Verdicts outcome) {
+        mCommands--;
+        Map<HostId, List<JobMessage.Reported.Settled>> byAgent = new LinkedHashMap<>();
+        for (int i = 0; i < entries.size(); i++) {
+            ReportBatch.Entry entry = entries.get(i);
+            ReportVerdict verdict = outcome.verdicts().get(i);
+            conclude(entry.report(), verdict);
+            byAgent.computeIfAbsent(entry.agent(), agent -> new ArrayList<>())
+                    .add(new JobMessage.Reported.Settled(entry.report().lease(), verdict));
+        }
+        byAgent.forEach(
+                (agent, settled) -> mStep.send(agent, new JobMessage.Reported(mGroup, settled)));
+        flush();
+    }
+
+    private void conclude(ItemReport report, ReportVerdict verdict) {
+        LeaseRef ref = report.lease();
+        if (mState.table().remove(ref) || verdict != ReportVerdict.DROPPED) {
+            mState.putBack(ref);
+        }
+        mLeases.revokeEnded(ref);
+        mState.ledger().job(ref.job()).ifPresent(job -> conclude(job, report, verdict));
+    }
+
+    private void conclude(LedgerJob job, ItemReport report, ReportVerdict verdict) {
+        if (verdict == ReportVerdict.RECORDED && report.runMillis() > 0) {
+            double seconds = report.runMillis() / MILLIS;
+            double expected = mState.runTimes().seconds(job);
+            mState.share().correct(job.organisation(), seconds - expected);
+            mState.runTimes().add(job, seconds);
+        }
+        if (verdict == ReportVerdict.RECORDED && report.outcome() == ItemReport.Outcome.DONE) {
+            mStep.measure(
+                    Metric.ITEMS_COMPLETED,
+                    job.organisation().value(),
+                    TrafficClass.BATCH.name(),
+                    1);
+        }
+        mState.jobChanged(job);
+    }
+}
