Own token buckets by lease and announce the owners

Cause: the limiter by grants needs to know who owns an organisation's bucket, and only one entry may. Change: LimitOwnership asks control for the leases of the shards that this entry is first for, gives them up when it no longer is, and announces them to the other entries; settings choose leased grants, asking each time or fixed shares. Conclusion: the limiter can run over several entries.

--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LimitMessage;
 import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.message.OwnerMessage;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
@@ -41,6 +42,7 @@
     private final AgentPool mAgents;
     private final OnlineRequests mRequests;
     private final Limiter mLimiter;
+    private final LimitOwnership mOwnership;
     private final JobGateway mJobs;
     private long mNextWatch;
     private boolean mStopping;
@@ -63,6 +65,7 @@
         mRequests = OnlineRequests.create(settings, random.nextLong(), mAgents, retries);
         mLimiter = policies.limiters().create(mRequests::decided);
         mRequests.limitedBy(mLimiter);
+        mOwnership = policies.ownership();
     }
 
     /**
@@ -89,6 +92,7 @@
     @Override
     public void start(long nowNanos, Effects out) {
         mConfig.start(nowNanos, out);
+        mOwnership.start(nowNanos, out);
         mNextWatch = nowNanos + WATCH_NANOS;
     }
 
@@ -147,6 +151,9 @@
             if (mConfig.handle(from, config, now, out)) {
                 configure(now, out);
             }
+            mOwnership.handle(from, config, now, out);
+        } else if (message instanceof OwnerMessage owner) {
+            mOwnership.handle(from, owner);
         } else if (message instanceof CallMessage.AgentState state) {
             mAgents.report(from, state, now);
         } else if (message instanceof CallMessage call) {
@@ -166,6 +173,7 @@
     }
 
     private void peerUp(Input.PeerUp up, long now, Effects out) {
+        mOwnership.peerUp(up.host(), now, out);
         if (mAgents.isWatched(up.host())) {
             mAgents.up(up.host(), up.incarnation());
             mAgents.watch(up.host(), out);
@@ -175,6 +183,7 @@
 
     private void peerLost(HostId host, long now, Effects out) {
         mConfig.peerLost(host, now, out);
+        mOwnership.peerLost(host, now, out);
         mAgents.down(host);
         mRequests.agentLost(host, now, out);
     }
@@ -182,6 +191,7 @@
     @Override
     public void tick(long nowNanos, Effects out) {
         mConfig.tick(nowNanos, out);
+        mOwnership.tick(nowNanos, out);
         mLimiter.tick(nowNanos, out);
         mRequests.tick(nowNanos, out);
         mJobs.tick(nowNanos, out);
@@ -192,6 +202,7 @@
         if (mStopping && !mRefusing && nowNanos - mRefuseFrom >= 0) {
             mRefusing = true;
             mLimiter.stop(nowNanos, out);
+            mOwnership.stop(nowNanos, out);
         }
     }
 
@@ -201,6 +212,7 @@
                 LongStream.of(
                                 mConfig.nextTickNanos(),
                                 mLimiter.nextTickNanos(),
+                                mOwnership.nextTickNanos(),
                                 mRequests.nextTickNanos(),
                                 mJobs.nextTickNanos(),
                                 mNextWatch)
--- a/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
@@ -9,8 +9,10 @@
  *
  * @param choosers makes the chooser of a service
  * @param limiters makes the limiter of organisations' rates
+ * @param ownership who owns token buckets, as far as the limiter needs to know
  */
-public record EntryPolicies(Supplier<AgentChooser> choosers, LimiterFactory limiters) {
+public record EntryPolicies(
+        Supplier<AgentChooser> choosers, LimiterFactory limiters, LimitOwnership ownership) {
     /** Makes the limiter of an entry. */
     @FunctionalInterface
     public interface LimiterFactory {
--- a/src/main/java/org/coltsfootproxy/membership/LeaseHolder.java
+++ b/src/main/java/org/coltsfootproxy/membership/LeaseHolder.java
@@ -184,6 +184,11 @@
         return mIsHeld && nowNanos - mHeldUntil < 0;
     }
 
+    /** Returns when the lease ends by this host's clock unless it is renewed; for one held now. */
+    public long heldUntilNanos() {
+        return mHeldUntil;
+    }
+
     /** Returns the fencing number of the last grant, or 0. */
     public long fencing() {
         return mFencing;
--- a/src/main/java/org/coltsfootproxy/message/Message.java
+++ b/src/main/java/org/coltsfootproxy/message/Message.java
@@ -8,7 +8,7 @@
  * 400-499 for {@link LimitMessage} and 600-699 for {@link JobMessage}.
  */
 public sealed interface Message
-        permits CallMessage, RaftMessage, ConfigMessage, LimitMessage, JobMessage {
+        permits CallMessage, RaftMessage, ConfigMessage, LimitMessage, OwnerMessage, JobMessage {
     /** Returns the connection that the message takes. */
     Lane lane();
 }
--- a/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/EntryRoleParts.java
@@ -2,16 +2,19 @@
 
 import java.util.Optional;
 import java.util.Random;
+import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.entry.EntryNode;
 import org.coltsfootproxy.entry.EntryPolicies;
 import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.entry.LimitOwnership;
 import org.coltsfootproxy.job.EpochClock;
 import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.FixedShareLimiter;
+import org.coltsfootproxy.limit.GrantLimiter;
+import org.coltsfootproxy.limit.LimitSettings;
 import org.coltsfootproxy.limit.Limiter;
-import org.coltsfootproxy.limit.RateSource;
 import org.coltsfootproxy.net.HttpFront;
 import org.coltsfootproxy.net.InputSink;
 import org.coltsfootproxy.net.NetEvents;
@@ -39,7 +42,7 @@
                 EntryNode.create(
                         EntrySettings.of(settings.host(), settings.dataCentre()),
                         Role.subscriber(settings, random),
-                        policies(settings, role, random),
+                        policies(settings, role, incarnation, random),
                         jobs(settings, random),
                         random);
         HttpFront front =
@@ -60,10 +63,20 @@
     }
 
     private static EntryPolicies policies(
-            Settings settings, Settings.EntryRole role, Random random) {
+            Settings settings, Settings.EntryRole role, Incarnation incarnation, Random random) {
+        LimitOwnership ownership =
+                role.limits() == Settings.LimitMode.FIXED
+                        ? LimitOwnership.none(settings.host())
+                        : LimitOwnership.create(
+                                settings.host(),
+                                incarnation,
+                                Role.peers(role.entries()),
+                                settings.control().stream().map(Settings.Peer::host).toList(),
+                                random);
         return new EntryPolicies(
                 () -> chooser(settings, role, random),
-                (rates, listener) -> limiter(role, rates, listener));
+                listener -> limiter(settings, role, incarnation, ownership, listener),
+                ownership);
     }
 
     private static AgentChooser chooser(Settings settings, Settings.EntryRole role, Random random) {
@@ -79,9 +92,20 @@
     }
 
     private static Limiter limiter(
-            Settings.EntryRole role, RateSource rates, Limiter.Listener listener) {
+            Settings settings,
+            Settings.EntryRole role,
+            Incarnation incarnation,
+            LimitOwnership ownership,
+            Limiter.Listener listener) {
+        HostId self = settings.host();
+        long life = incarnation.value();
+        LimitSettings leased = LimitSettings.defaults();
         int entries = role.entries().size();
-        return FixedShareLimiter.create(rates, () -> entries);
+        return switch (role.limits()) {
+            case FIXED -> FixedShareLimiter.create(() -> entries);
+            case ASK -> GrantLimiter.create(self, life, leased.withoutAhead(), ownership, listener);
+            case LEASED -> GrantLimiter.create(self, life, leased, ownership, listener);
+        };
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/runtime/Role.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Role.java
@@ -74,7 +74,12 @@
 
     /** Returns the control hosts of the settings. */
     static List<ControlHost> controlHosts(Settings settings) {
-        return settings.control().stream()
+        return peers(settings.control());
+    }
+
+    /** Returns hosts of the settings with their addresses. */
+    static List<ControlHost> peers(List<Settings.Peer> peers) {
+        return peers.stream()
                 .map(p -> ControlHost.of(p.host(), p.dataCentre(), p.address()))
                 .toList();
     }
--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -166,7 +166,8 @@
                                         SOLWAY,
                                         ChooserSettings.defaults(),
                                         new Random(mFleet.random().nextLong())),
-                        listener -> FixedShareLimiter.create(() -> 1));
+                        listener -> FixedShareLimiter.create(() -> 1),
+                        LimitOwnership.none(ENTRY));
         EntryNode node =
                 EntryNode.create(
                         EntrySettings.of(ENTRY, SOLWAY),
