--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/cli/DemoCommand.java
@@ -0,0 +1,314 @@
+package org.coltsfootproxy.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.ProxyException;
+
+/** The demonstration: a whole fleet in one process, a few calls and a job, and what they prove. */
+final class DemoCommand {
+    private static final int ITEMS = 200;
+    private static final int IMPOSSIBLE_ITEM = 17;
+    private static final int CALLS = 50;
+    private static final Duration PATIENCE = Duration.ofSeconds(60);
+    private static final Duration WITHDRAWN_WITHIN = Duration.ofSeconds(4);
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final DemoFleet mFleet;
+    private final Output mOut;
+    private final OperatorClient mOperator;
+    private final OperatorClient mSolway;
+    private final List<Check> mChecks = new ArrayList<>();
+
+    private record Check(String promise, boolean held) {}
+
+    /** A condition that may take some time to hold. */
+    @FunctionalInterface
+    private interface Condition {
+        boolean holds() throws ProxyException;
+    }
+
+    private DemoCommand(DemoFleet fleet, Output out) {
+        mFleet = fleet;
+        mOut = out;
+        mOperator = OperatorClient.of(fleet.admin(), DemoFleet.OPERATOR_KEY);
+        mSolway = OperatorClient.of(fleet.caller(), DemoFleet.FLOOD_KEY);
+    }
+
+    static List<Command> all() {
+        Options options =
+                new Options()
+                        .addOption(
+                                "1", "once", false, "end after the checks instead of staying up");
+        return List.of(
+                new SimpleCommand(
+                        "demo",
+                        "",
+                        "run a whole fleet in one process and check what it promises",
+                        options,
+                        DemoCommand::run));
+    }
+
+    private static void run(CommandLine line, Output out) throws ProxyException {
+        DemoFleet fleet = DemoFleet.start();
+        try {
+            DemoCommand demo = new DemoCommand(fleet, out);
+            demo.play();
+            demo.summarise();
+            if (!line.hasOption("once")) {
+                demo.explain();
+                stayUp();
+            }
+        } finally {
+            fleet.stop();
+        }
+    }
+
+    private void play() throws ProxyException {
+        mOut.line("applying the first change ticket");
+        await("a control host leads", () -> tryApply(mFleet.ticket()));
+        await(
+                "the first ticket is in force at the entry",
+                () -> status(mSolway, "/cards/1") == 200);
+        online();
+        batch();
+        withdraw();
+        check(
+                "no key header reached a target",
+                keyFields(mFleet.engine().record().keyFields())
+                        && keyFields(mFleet.plain().record().keyFields()));
+    }
+
+    private static boolean keyFields(Set<String> fields) {
+        return fields.isEmpty();
+    }
+
+    private boolean tryApply(String ticket) throws ProxyException {
+        try {
+            mOperator.send("POST", "/v1/tickets", bytes(ticket), "application/yaml");
+            return true;
+        } catch (ProxyException e) {
+            if (e.kind() == ErrorKind.NO_LEADER || e.kind() == ErrorKind.COMMIT_UNKNOWN) {
+                return false;
+            }
+            throw e;
+        }
+    }
+
+    private void online() throws ProxyException {
+        mOut.line("sending online calls");
+        long good =
+                IntStream.range(0, CALLS)
+                        .filter(i -> isAnswered("/cards/" + i, "\"/cards/" + i + "\""))
+                        .count();
+        check(CALLS + " calls each got the answer to its own request", good == CALLS);
+        String prompt = "{\"id\":\"demo-prompt\",\"prompt\":\"Who sits?\",\"stream\":true}";
+        byte[] stream = mSolway.send("POST", "/assistant/ask", bytes(prompt), "application/json");
+        check("a stream of tokens came through", text(stream).contains("data: "));
+        byte[] swap = bytes("{\"id\":\"demo-swap\"}");
+        mSolway.send("POST", "/swaps", swap, "application/json");
+        int runs = mFleet.plain().record().runs().getOrDefault("demo-swap", 0);
+        check("a swap ran exactly once", runs == 1);
+        OperatorClient stranger = OperatorClient.of(mFleet.caller(), "");
+        check("a call without a key is refused", status(stranger, "/cards/1") == 401);
+        check("an open route needs no key", status(stranger, "/tides/today") == 200);
+    }
+
+    private boolean isAnswered(String path, String expected) {
+        try {
+            return text(mSolway.get(path)).contains(expected);
+        } catch (ProxyException e) {
+            mOut.line("  " + path + ": " + e.kind().label() + ": " + e.getMessage());
+            return false;
+        }
+    }
+
+    private void batch() throws ProxyException {
+        mOut.line("submitting a batch job of " + ITEMS + " items, one of which can't be done");
+        String items =
+                IntStream.range(0, ITEMS)
+                        .mapToObj(DemoCommand::item)
+                        .collect(Collectors.joining("\n"));
+        String path = "/v1/jobs?id=briefings&service-path=/assistant/brief&deadline=600";
+        await("the job is accepted", () -> trySubmit(path, items));
+        await("the job ends", this::isJobEnded);
+        List<JsonNode> results = results();
+        long done = results.stream().filter(r -> r.path("status").asInt() == 200).count();
+        check("every possible item has its result", done == ITEMS - 1);
+        JsonNode bad = results.get(IMPOSSIBLE_ITEM);
+        check("the impossible item is reported", !bad.path("error").asText().isEmpty());
+        check(
+                "no item ran twice to its end",
+                mFleet.engine().record().completed().values().stream().allMatch(n -> n == 1));
+    }
+
+    private static String item(int number) {
+        boolean isImpossible = number == IMPOSSIBLE_ITEM;
+        return String.format(
+                "{\"id\":\"i%d\",\"body\":{\"id\":\"briefing-%d\",\"tokens\":4,\"impossible\":%b}}",
+                number, number, isImpossible);
+    }
+
+    private boolean trySubmit(String path, String items) throws ProxyException {
+        try {
+            mSolway.send("POST", path, bytes(items), "application/jsonl");
+            return true;
+        } catch (ProxyException e) {
+            if (e.kind() == ErrorKind.NO_LEADER) {
+                return false;
+            }
+            throw e;
+        }
+    }
+
+    private boolean isJobEnded() throws ProxyException {
+        JsonNode status = json(mSolway.get("/v1/jobs/briefings"));
+        String state = status.path("state").asText();
+        return !Set.of("loading", "running", "open", "accepted").contains(state);
+    }
+
+    private List<JsonNode> results() throws ProxyException {
+        List<JsonNode> all = new ArrayList<>();
+        int before = -1;
+        while (all.size() > before && all.size() < ITEMS) {
+            before = all.size();
+            String lines = text(mSolway.get("/v1/jobs/briefings/results?from=" + before));
+            for (String line : lines.lines().toList()) {
+                all.add(json(bytes(line)));
+            }
+        }
+        return all;
+    }
+
+    private void withdraw() throws ProxyException {
+        mOut.line("withdrawing a key");
+        OperatorClient minch = OperatorClient.of(mFleet.caller(), DemoFleet.QUIET_KEY);
+        check("the key works before", status(minch, "/cards/1") == 200);
+        tryApply("ticket: 2\nremove:\n  keys: [minch-1]\n");
+        long start = System.nanoTime();
+        await("the withdrawn key stops working", () -> status(minch, "/cards/1") == 401);
+        boolean isQuick = System.nanoTime() - start < WITHDRAWN_WITHIN.toNanos();
+        check("it stopped within " + WITHDRAWN_WITHIN.toSeconds() + " s", isQuick);
+    }
+
+    /** Returns the status that a call gets. */
+    private static int status(OperatorClient client, String path) throws ProxyException {
+        try {
+            client.get(path);
+            return 200;
+        } catch (ProxyException e) {
+            return e.kind().status();
+        }
+    }
+
+    private void await(String what, Condition condition) throws ProxyException {
+        long end = System.nanoTime() + PATIENCE.toNanos();
+        boolean holds = condition.holds();
+        while (!holds && System.nanoTime() < end) {
+            LockSupport.parkNanos(POLL_NANOS);
+            holds = condition.holds();
+        }
+        check(what, holds);
+        if (!holds) {
+            throw ProxyException.of(ErrorKind.INTERNAL, "gave up waiting: " + what);
+        }
+    }
+
+    private void check(String promise, boolean held) {
+        mChecks.add(new Check(promise, held));
+        mOut.line((held ? "  held    " : "  BROKEN  ") + promise);
+    }
+
+    private void summarise() throws ProxyException {
+        long broken = mChecks.stream().filter(check -> !check.held()).count();
+        ObjectNode summary = Output.object();
+        summary.put("checks", mChecks.size());
+        summary.put("broken", broken);
+        mOut.value(summary);
+        if (broken > 0) {
+            throw ProxyException.of(ErrorKind.INTERNAL, broken + " promises were broken");
+        }
+    }
+
+    private void explain() {
+        String caller = "http://" + mFleet.caller();
+        mOut.line("");
+        mOut.line("Try, while this runs (control-C stops it):");
+        mOut.line(
+                "  curl -i -H 'Authorization: Bearer "
+                        + DemoFleet.FLOOD_KEY
+                        + "' "
+                        + caller
+                        + "/cards/1");
+        mOut.line("  curl -i " + caller + "/cards/1");
+        mOut.line("  curl -i " + caller + "/tides/today");
+        mOut.line(
+                "  curl -N -H 'Authorization: Bearer "
+                        + DemoFleet.FLOOD_KEY
+                        + "' -d '{\"id\":\"q1\",\"stream\":true}' "
+                        + caller
+                        + "/assistant/ask");
+        mOut.line(
+                "  coltsfootproxy status --address "
+                        + mFleet.admin()
+                        + " --key "
+                        + DemoFleet.OPERATOR_KEY);
+        mOut.line("  curl http://" + mFleet.admin() + "/metrics");
+    }
+
+    private static void stayUp() {
+        CountDownLatch stopped = new CountDownLatch(1);
+        Thread main = Thread.currentThread();
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    stopped.countDown();
+                                    joinQuietly(main);
+                                }));
+        try {
+            stopped.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void joinQuietly(Thread thread) {
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private static JsonNode json(byte[] bytes) throws ProxyException {
+        try {
+            return MAPPER.readTree(bytes);
+        } catch (IOException e) {
+            throw ProxyException.of(ErrorKind.INTERNAL, "the answer is not JSON", e);
+        }
+    }
+}
--- a/src/main/java/org/coltsfootproxy/cli/JobCommands.java
+++ b/src/main/java/org/coltsfootproxy/cli/JobCommands.java
@@ -84,7 +84,7 @@
         byte[] items = Arguments.read(Arguments.only(line, "FILE"));
         String path =
                 String.format(
-                        "/v1/jobs?id=%s&path=%s&deadline=%s",
+                        "/v1/jobs?id=%s&service-path=%s&deadline=%s",
                         encoded(line.getOptionValue("id")),
                         encoded(line.getOptionValue("path")),
                         encoded(line.getOptionValue("deadline")));
--- a/src/main/java/org/coltsfootproxy/runtime/Addresses.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Addresses.java
@@ -5,13 +5,13 @@
 import java.net.InetSocketAddress;
 
 /** Addresses made of an IP number and a port. */
-final class Addresses {
+public final class Addresses {
     private static final int MAX_PORT = 65_535;
 
     private Addresses() {}
 
     /** Tells whether {@code text} is an IP number with a port. */
-    static boolean isValid(String text) {
+    public static boolean isValid(String text) {
         try {
             HostAndPort parsed = HostAndPort.fromString(text);
             return parsed.hasPort()
@@ -23,7 +23,7 @@
     }
 
     /** Returns the socket address of a valid address. */
-    static InetSocketAddress parse(String text) {
+    public static InetSocketAddress parse(String text) {
         HostAndPort parsed = HostAndPort.fromString(text);
         return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
     }
