Run the control role on replicated logs

ControlNode hosts group 0 (configuration and leases) and the groups of jobs, answers operators at any host, and hands leadership over at a planned stop. An order goes to the leader wherever it is; a ticket is tried again after silence or an unknown outcome, since its resend gets the first answer, and "not run" is said only if no attempt can have been taken.

API: ControlSettings.of(...) as before, or with jobGroups, autoReplace and JobSettings; ControlNode.create(settings, recovered (one for each of settings.groups()), EpochClock, Random). The driver carries out Effect.Persist for each group and answers by Persisted. VirtualFleet now does so too. POST /v1/members {action: add|replace|remove, host}; GET /v1/status; operators' job pages below /v1/organisations/ORGANISATION.

--- a/src/main/java/org/coltsfootproxy/config/ConfigState.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigState.java
@@ -32,6 +32,7 @@
     private ObjectTable mTable;
     private AnswerRecord mAnswers;
     private long mVersion;
+    private ConfigView mView = ConfigView.empty();
 
     private ConfigState(int maxAccepted, int maxRemoved) {
         checkArgument(maxRemoved > 0, "maxRemoved %s is not positive", maxRemoved);
@@ -54,6 +55,7 @@
         mTable = new ObjectTable(mMaxRemoved);
         mAnswers = AnswerRecord.create(mMaxAccepted, MAX_REFUSED);
         mVersion = 0;
+        mView = ConfigView.empty();
     }
 
     @Override
@@ -142,6 +144,16 @@
         return mAnswers.floor();
     }
 
+    /** Returns the present configuration, ready for look-ups. */
+    public ConfigView view() {
+        if (mView.version() != mVersion) {
+            ChangeSet set = changesSince(mView.version());
+            ConfigView base = set.from() == 0 ? ConfigView.empty() : mView;
+            mView = base.with(set.to(), set.changes());
+        }
+        return mView;
+    }
+
     /** Returns what leads from {@code version} or any later one to the present version. */
     ChangeSet changesSince(long version) {
         return version > 0 && version >= mTable.deltaFloor()
--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -1,168 +1,308 @@
 package org.coltsfootproxy.control;
 
-import java.util.Optional;
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
-import org.coltsfootproxy.base.ErrorKind;
-import org.coltsfootproxy.base.EventCode;
-import org.coltsfootproxy.base.ProxyException;
-import org.coltsfootproxy.config.ConfigCommand;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.config.ConfigPublisher;
-import org.coltsfootproxy.config.ConfigResult;
-import org.coltsfootproxy.config.ConfigState;
-import org.coltsfootproxy.config.KeyDigest;
-import org.coltsfootproxy.config.Ticket;
-import org.coltsfootproxy.config.TicketParser;
-import org.coltsfootproxy.config.Verdict;
-import org.coltsfootproxy.consensus.Proposer;
+import org.coltsfootproxy.config.ControlHost;
+import org.coltsfootproxy.config.Organisation;
+import org.coltsfootproxy.consensus.RaftSettings;
+import org.coltsfootproxy.consensus.RecoveredState;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobGateway;
+import org.coltsfootproxy.job.JobLedger;
+import org.coltsfootproxy.job.JobService;
+import org.coltsfootproxy.membership.LeaseGranter;
 import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
-import org.coltsfootproxy.node.JsonAnswer;
 import org.coltsfootproxy.node.Node;
-import org.coltsfootproxy.node.Problem;
 
-/** The control role: hosts the replicated logs and serves operators and subscribers. */
+/**
+ * The control role: hosts the replicated logs of configuration and jobs, and serves subscribers,
+ * holders of leases, entries and agents with jobs, and operators.
+ */
 public final class ControlNode implements Node {
-    private static final String BEARER = "Bearer ";
+    /** Rounds in one step; what is due after them waits for the next tick. */
+    private static final int MAX_ROUNDS = 32;
+
+    /** Longest time that a planned stop waits for another host to take over. */
+    private static final long HANDOVER_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private static final long HANDOVER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
     private final ControlSettings mSettings;
-    private final ConfigState mState = ConfigState.create();
-    private final LocalGroup mGroup;
+    private final Random mRandom;
+    private final StepEffects mOut;
+    private final ConfigMachine mMachine = new ConfigMachine();
+    private final List<Group> mGroups = new ArrayList<>();
+    private final List<JobService> mJobs = new ArrayList<>();
     private final ConfigPublisher mPublisher;
+    private final LeaseGranter mLeases;
+    private final Orders mOrders;
+    private final StatusBoard mStatus;
+    private final JobGateway mGateway;
     private final OperatorApi mApi;
     private boolean mIsStopping;
+    private long mStopUntil;
+    private long mNextHandover = NEVER;
 
-    private ControlNode(ControlSettings settings) {
+    private ControlNode(
+            ControlSettings settings,
+            List<RecoveredState> recovered,
+            EpochClock clock,
+            Random random) {
         mSettings = settings;
-        mGroup = new LocalGroup(settings.self(), mState);
-        mPublisher = ConfigPublisher.create(mState, mGroup, settings.timing());
-        mApi = new OperatorApi(mState);
+        mRandom = random;
+        mOut = new StepEffects(settings.self());
+        Group config = new Group(0, mMachine, recovered.get(0));
+        mGroups.add(config);
+        IntStream.range(1, recovered.size()).forEach(g -> addJobs(g, recovered.get(g), clock));
+        mPublisher = ConfigPublisher.create(mMachine.config(), config, settings.timing());
+        mLeases =
+                LeaseGranter.create(
+                        mMachine.leases(),
+                        ConfigMachine.leaseProposer(config),
+                        config,
+                        config,
+                        settings.timing());
+        mOrders = new Orders(settings.self(), mGroups, random.nextLong());
+        List<HostId> hosts = settings.hosts().stream().map(ControlHost::host).toList();
+        mStatus =
+                new StatusBoard(
+                        settings.self(),
+                        hosts.stream().filter(h -> !h.equals(settings.self())).toList(),
+                        mGroups,
+                        mMachine,
+                        mPublisher,
+                        random.nextLong());
+        mGateway = JobGateway.create(hosts, settings.jobGroups(), random.nextLong(), clock);
+        mApi =
+                new OperatorApi(
+                        settings.operatorKeyDigest(),
+                        config,
+                        mMachine,
+                        mOrders,
+                        new MemberOrders(mOrders, settings.groups()),
+                        mStatus,
+                        mGateway);
+    }
+
+    private void addJobs(int number, RecoveredState recovered, EpochClock clock) {
+        JobLedger ledger = JobLedger.create();
+        Group group = new Group(number, ledger, recovered);
+        mGroups.add(group);
+        mJobs.add(
+                JobService.create(
+                        mSettings.self(),
+                        number,
+                        ledger,
+                        group,
+                        mSettings.jobs(),
+                        this::weight,
+                        clock));
     }
 
-    /** Returns a control host. */
-    public static ControlNode create(ControlSettings settings, Random random) {
-        return new ControlNode(settings);
+    private double weight(OrganisationId id) {
+        return mMachine.config().view().organisation(id).map(Organisation::weight).orElse(1.0);
+    }
+
+    /**
+     * Returns a control host in the state that its stores hold.
+     *
+     * @param recovered what was found in the store of each group, {@link ControlSettings#groups} of
+     *     them in the order of their numbers
+     * @param clock turns the times that the node is handed into wall-clock times
+     */
+    public static ControlNode create(
+            ControlSettings settings,
+            List<RecoveredState> recovered,
+            EpochClock clock,
+            Random random) {
+        checkArgument(
+                recovered.size() == settings.groups(),
+                "%s stores for %s groups",
+                recovered.size(),
+                settings.groups());
+        checkNotNull(clock, "clock is missing");
+        return new ControlNode(settings, recovered, clock, random);
     }
 
     @Override
     public void start(long nowNanos, Effects out) {
+        mOut.begin(out);
+        List<HostId> hosts = mSettings.hosts().stream().map(ControlHost::host).toList();
+        mSettings.hosts().stream()
+                .filter(host -> !host.host().equals(mSettings.self()))
+                .forEach(h -> mOut.add(new Effect.PeerAddress(h.host(), h.address())));
+        RaftSettings raft = RaftSettings.of(hosts).withAutoReplace(mSettings.autoReplace());
+        Member self = Member.of(mSettings.self(), mSettings.incarnation());
+        mGroups.forEach(group -> group.start(raft, self, mRandom, nowNanos));
         mPublisher.start(nowNanos);
+        mLeases.start(nowNanos);
+        settle(nowNanos);
     }
 
     @Override
     public void handle(Input input, long nowNanos, Effects out) {
-        if (input instanceof Input.HttpCall call) {
-            onCall(call, out);
-        } else if (input instanceof Input.FromPeer peer
-                && peer.message() instanceof ConfigMessage.Subscribe subscribe) {
-            mPublisher.handle(peer.from(), subscribe, nowNanos, out);
+        mOut.begin(out);
+        if (input instanceof Input.FromPeer peer) {
+            receive(peer.from(), peer.message(), nowNanos);
+        } else if (input instanceof Input.HttpCall call) {
+            mApi.handle(call, nowNanos, mOut);
+        } else if (input instanceof Input.HttpGone gone) {
+            mGateway.gone(gone.call());
+        } else if (input instanceof Input.Persisted persisted) {
+            mGroups.get(persisted.group()).handle(persisted, nowNanos, mOut);
+        } else if (input instanceof Input.PersistFailed failed) {
+            mGroups.get(failed.group()).handle(failed, nowNanos, mOut);
         } else if (input instanceof Input.PeerLost lost) {
             mPublisher.peerLost(lost.host());
-        } else if (input instanceof Input.PlannedStop) {
-            mIsStopping = true;
-            mPublisher.stop(out);
+            mOrders.peerLost(lost.host(), nowNanos);
+        } else if (input instanceof Input.PlannedStop && !mIsStopping) {
+            stop(nowNanos);
         }
-        mPublisher.tick(nowNanos, out);
-    }
-
-    @Override
-    public void tick(long nowNanos, Effects out) {
-        mPublisher.tick(nowNanos, out);
+        settle(nowNanos);
     }
 
-    @Override
-    public long nextTickNanos() {
-        return mPublisher.nextTickNanos();
+    private void receive(HostId from, Message message, long nowNanos) {
+        if (message instanceof RaftMessage raft) {
+            receiveRaft(from, raft, nowNanos);
+        } else if (message instanceof JobMessage job) {
+            receiveJob(from, job, nowNanos);
+        } else if (message instanceof ConfigMessage.Subscribe subscribe) {
+            mPublisher.handle(from, subscribe, nowNanos, mOut);
+        } else if (message instanceof ConfigMessage.LeaseRequest request) {
+            mLeases.handle(from, request, nowNanos, mOut);
+        } else if (message instanceof ConfigMessage.LeaseRelease release) {
+            mLeases.handle(from, release, nowNanos, mOut);
+        } else if (message instanceof ConfigMessage config) {
+            receiveFromControl(from, config, nowNanos);
+        }
     }
 
-    @Override
-    public boolean isDrained() {
-        return mIsStopping;
+    private void receiveRaft(HostId from, RaftMessage message, long nowNanos) {
+        if (message.group() >= 0 && message.group() < mGroups.size()) {
+            mGroups.get(message.group()).node().receive(from, message, nowNanos, mOut);
+        }
     }
 
-    private void onCall(Input.HttpCall call, Effects out) {
-        try {
-            answer(call, out);
-        } catch (ProxyException e) {
-            Problem.from(e).answer(call.call(), out);
+    private void receiveJob(HostId from, JobMessage message, long nowNanos) {
+        if (message instanceof JobMessage.Answer answer) {
+            mGateway.handle(from, answer, nowNanos, mOut);
+        } else if (message.group() >= 1 && message.group() <= mJobs.size()) {
+            mJobs.get(message.group() - 1).handle(from, message, nowNanos, mOut);
         }
     }
 
-    private void answer(Input.HttpCall call, Effects out) throws ProxyException {
-        String path = call.path().split("\\?", 2)[0];
-        if (path.equals("/healthz") || path.equals("/readyz")) {
-            JsonAnswer.send(call.call(), 200, new OperatorAnswers.Health("ok", null), out);
+    /** Orders and questions between control hosts count only if they come from one. */
+    private void receiveFromControl(HostId from, ConfigMessage message, long nowNanos) {
+        if (!isControlHost(from)) {
             return;
         }
-        authenticate(call);
-        if (path.equals("/v1/tickets") && call.method().equals("POST")) {
-            apply(call, out);
-        } else if (path.equals("/v1/tickets")) {
-            JsonAnswer.send(call.call(), 200, mApi.tickets(), out);
-        } else if (path.startsWith("/v1/tickets/")) {
-            String number = path.substring("/v1/tickets/".length());
-            JsonAnswer.send(call.call(), 200, mApi.ticket(number), out);
-        } else if (path.equals("/v1/config")) {
-            JsonAnswer.send(call.call(), 200, mApi.config(), out);
+        if (message instanceof ConfigMessage.StatusAsk ask) {
+            mStatus.handle(from, ask, nowNanos, mOut);
+        } else if (message instanceof ConfigMessage.StatusAnswer answer) {
+            mStatus.handle(from, answer, nowNanos, mOut);
         } else {
-            throw ProxyException.of(ErrorKind.NOT_FOUND, "no such path: " + path);
+            mOrders.handle(from, message, nowNanos, mOut);
         }
     }
 
-    private void authenticate(Input.HttpCall call) throws ProxyException {
-        Optional<String> key =
-                call.headers().stream()
-                        .filter(h -> h.name().equalsIgnoreCase("authorization"))
-                        .map(h -> h.value())
-                        .filter(value -> value.startsWith(BEARER))
-                        .map(value -> value.substring(BEARER.length()).trim())
-                        .findFirst();
-        String digest = mSettings.operatorKeyDigest();
-        if (key.filter(k -> KeyDigest.matches(k, digest)).isEmpty()) {
-            throw ProxyException.of(
-                    ErrorKind.UNAUTHENTICATED, "operators' key is missing or wrong");
-        }
+    private boolean isControlHost(HostId host) {
+        return mSettings.hosts().stream().anyMatch(h -> h.host().equals(host))
+                || mGroups.get(0).isMember(host);
     }
 
-    private void apply(Input.HttpCall call, Effects out) throws ProxyException {
-        Ticket ticket = TicketParser.parse(call.body());
-        byte[] command = new ConfigCommand.ApplyTicket(ticket).encode();
-        mGroup.propose(command, new TicketCompletion(call.call(), out));
+    @Override
+    public void tick(long nowNanos, Effects out) {
+        mOut.begin(out);
+        mStatus.tick(nowNanos, mOut);
+        if (mIsStopping && nowNanos - mNextHandover >= 0) {
+            handOver(nowNanos);
+        }
+        settle(nowNanos);
     }
 
-    /** Answers the operator who sent a ticket. */
-    private static final class TicketCompletion implements Proposer.Completion {
-        private final long mCall;
-        private final Effects mOut;
-
-        TicketCompletion(long call, Effects out) {
-            mCall = call;
-            mOut = out;
+    /** Lets every part act on what the others did, until nothing is left to do in this step. */
+    private void settle(long nowNanos) {
+        boolean isBusy = true;
+        for (int round = 0; round < MAX_ROUNDS && isBusy; round++) {
+            mGroups.forEach(group -> group.tick(nowNanos, mOut));
+            mPublisher.tick(nowNanos, mOut);
+            mLeases.tick(nowNanos, mOut);
+            mOrders.tick(nowNanos, mOut);
+            mGateway.tick(nowNanos, mOut);
+            mJobs.stream()
+                    .filter(jobs -> jobs.nextTickNanos() <= nowNanos)
+                    .forEach(jobs -> jobs.tick(nowNanos, mOut));
+            boolean hasHeard = receiveFromSelf(nowNanos);
+            isBusy = hasHeard || mGroups.stream().anyMatch(group -> group.isDue(nowNanos));
         }
+    }
 
-        @Override
-        public void committed(long index, byte[] result) {
-            try {
-                answer(ConfigResult.verdict(result));
-            } catch (ProxyException e) {
-                Problem.of(ErrorKind.INTERNAL, e.getMessage()).answer(mCall, mOut);
-            }
+    private boolean receiveFromSelf(long nowNanos) {
+        Message message = mOut.pollToSelf();
+        boolean isBusy = message != null;
+        while (message != null) {
+            receive(mSettings.self(), message, nowNanos);
+            message = mOut.pollToSelf();
         }
+        return isBusy;
+    }
 
-        private void answer(Verdict verdict) {
-            String what = "ticket " + verdict.ticket();
-            if (verdict.isAccepted()) {
-                mOut.log(EventCode.TICKET_ACCEPTED, what + ", version " + verdict.version());
-                JsonAnswer.send(mCall, 200, OperatorAnswers.Ticket.of(verdict), mOut);
-            } else {
-                mOut.log(EventCode.TICKET_REFUSED, what + ": " + verdict.detail());
-                Problem.of(verdict.outcome().kind(), verdict.detail()).answer(mCall, mOut);
-            }
-        }
+    @Override
+    public long nextTickNanos() {
+        LongStream groups = mGroups.stream().mapToLong(group -> group.node().nextTickNanos());
+        LongStream jobs = mJobs.stream().mapToLong(JobService::nextTickNanos);
+        LongStream others =
+                LongStream.of(
+                        mPublisher.nextTickNanos(),
+                        mLeases.nextTickNanos(),
+                        mOrders.nextTickNanos(),
+                        mStatus.nextTickNanos(),
+                        mGateway.nextTickNanos(),
+                        mNextHandover);
+        return LongStream.concat(LongStream.concat(groups, jobs), others).min().orElse(NEVER);
+    }
+
+    private void stop(long nowNanos) {
+        mIsStopping = true;
+        mStopUntil = nowNanos + HANDOVER_NANOS;
+        mApi.stop();
+        mPublisher.stop(mOut);
+        handOver(nowNanos);
+    }
 
-        @Override
-        public void failed(ErrorKind kind) {
-            Problem.of(kind, kind.title()).answer(mCall, mOut);
+    private void handOver(long nowNanos) {
+        boolean isLeading = false;
+        for (Group group : mGroups) {
+            isLeading |= group.node().transferLeadership(nowNanos, mOut);
         }
+        boolean mayRetry = isLeading && nowNanos - mStopUntil < 0;
+        mNextHandover = mayRetry ? nowNanos + HANDOVER_RETRY_NANOS : NEVER;
+    }
+
+    /** Tells whether this host leads a group and no other can. */
+    boolean isLeader(int group, long nowNanos) {
+        return mGroups.get(group).isLeader(nowNanos);
+    }
+
+    @Override
+    public boolean isDrained() {
+        return mIsStopping && mNextHandover == NEVER && mOrders.isEmpty() && mGateway.isDrained();
     }
 }
--- a/src/main/java/org/coltsfootproxy/control/OperatorApi.java
+++ b/src/main/java/org/coltsfootproxy/control/OperatorApi.java
@@ -1,63 +1,237 @@
 package org.coltsfootproxy.control;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.primitives.Longs;
-import java.util.List;
 import java.util.Optional;
-import java.util.function.Supplier;
 import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.ProxyException;
-import org.coltsfootproxy.config.ConfigObject;
-import org.coltsfootproxy.config.ConfigState;
-import org.coltsfootproxy.config.ObjectKind;
+import org.coltsfootproxy.config.ConfigCommand;
+import org.coltsfootproxy.config.ConfigResult;
+import org.coltsfootproxy.config.KeyDigest;
+import org.coltsfootproxy.config.QuorumRead;
+import org.coltsfootproxy.config.Ticket;
+import org.coltsfootproxy.config.TicketParser;
 import org.coltsfootproxy.config.Verdict;
+import org.coltsfootproxy.job.JobGateway;
+import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.JsonAnswer;
+import org.coltsfootproxy.node.Problem;
 
-/** Writes the configuration and its tickets as operators see them. */
+/**
+ * The operators' HTTP interface of a control host.
+ *
+ * <p>Everything but the health pages needs the operators' key. Pages on the configuration are
+ * confirmed through a quorum, so that what one host has accepted shows on all; {@code local=true}
+ * in the query leaves that out, for use behind a cut.
+ */
 final class OperatorApi {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String BEARER = "Bearer ";
+    private static final String TICKETS = "/v1/tickets";
+    private static final int OK = 200;
 
-    /** Most tickets in one list: the latest ones. */
-    private static final int MAX_LISTED = 1_000;
+    private final String mKeyDigest;
+    private final Group mGroup;
+    private final ConfigMachine mMachine;
+    private final ConfigPages mPages;
+    private final Orders mOrders;
+    private final MemberOrders mMembers;
+    private final StatusBoard mStatus;
+    private final JobGateway mJobs;
+    private boolean mIsStopping;
 
-    private final ConfigState mState;
+    OperatorApi(
+            String keyDigest,
+            Group group,
+            ConfigMachine machine,
+            Orders orders,
+            MemberOrders members,
+            StatusBoard status,
+            JobGateway jobs) {
+        mKeyDigest = keyDigest;
+        mGroup = group;
+        mMachine = machine;
+        mPages = new ConfigPages(machine.config());
+        mOrders = orders;
+        mMembers = members;
+        mStatus = status;
+        mJobs = jobs;
+    }
 
-    OperatorApi(ConfigState state) {
-        mState = state;
+    /** Refuses further orders from now on. */
+    void stop() {
+        mIsStopping = true;
     }
 
-    OperatorAnswers.Tickets tickets() {
-        List<Verdict> accepted = mState.accepted().toList();
-        int skipped = Math.max(0, accepted.size() - MAX_LISTED);
-        return new OperatorAnswers.Tickets(
-                mState.version(),
-                mState.floor(),
-                accepted.stream().skip(skipped).map(OperatorAnswers.Ticket::of).toList());
+    /** Answers a call, now or later. */
+    void handle(Input.HttpCall call, long nowNanos, Effects out) {
+        try {
+            answer(call, nowNanos, out);
+        } catch (ProxyException e) {
+            Problem.from(e).answer(call.call(), out);
+        }
     }
 
-    OperatorAnswers.TicketDetail ticket(String text) throws ProxyException {
-        Long number = Longs.tryParse(text);
-        Supplier<ProxyException> missing =
-                () -> ProxyException.of(ErrorKind.NOT_FOUND, "no accepted ticket '" + text + "'");
-        Verdict verdict =
-                Optional.ofNullable(number).flatMap(mState::accepted).orElseThrow(missing);
-        List<String> inForce = mState.setBy(number).map(Object::toString).toList();
-        return new OperatorAnswers.TicketDetail(number, "accepted", verdict.version(), inForce);
+    private void answer(Input.HttpCall call, long nowNanos, Effects out) throws ProxyException {
+        String path = call.path().split("\\?", 2)[0];
+        if (path.equals("/healthz")) {
+            JsonAnswer.send(call.call(), OK, new OperatorAnswers.Health("ok", ""), out);
+        } else if (path.equals("/readyz")) {
+            ready(call.call(), nowNanos, out);
+        } else {
+            authenticate(call);
+            if (call.method().equals("GET")) {
+                show(call, path, nowNanos, out);
+            } else {
+                order(call, path, nowNanos, out);
+            }
+        }
     }
 
-    ObjectNode config() {
-        ObjectNode json = MAPPER.createObjectNode();
-        json.put("version", mState.version());
-        for (ObjectKind kind : ObjectKind.values()) {
-            json.putArray(kind.plural());
+    private void ready(long call, long nowNanos, Effects out) throws ProxyException {
+        if (mIsStopping) {
+            throw ProxyException.of(ErrorKind.STOPPING, "this host is stopping");
+        }
+        if (mGroup.status(nowNanos).diskFull()) {
+            throw ProxyException.of(ErrorKind.STORAGE_FULL, "the data folder's disk is full");
+        }
+        if (mGroup.leader().isEmpty()) {
+            throw ProxyException.of(ErrorKind.NO_LEADER, "no control host leads");
         }
-        mState.objects().forEach(object -> add(json, object));
-        return json;
+        JsonAnswer.send(call, OK, new OperatorAnswers.Health("ready", ""), out);
     }
 
-    private void add(ObjectNode json, ConfigObject object) {
-        ObjectNode node = MAPPER.valueToTree(object);
-        node.put("ticket", mState.ticketOf(object.objectName()));
-        json.withArray("/" + object.objectName().kind().plural()).add(node);
+    private void authenticate(Input.HttpCall call) throws ProxyException {
+        Optional<String> key =
+                call.headers().stream()
+                        .filter(h -> h.name().equalsIgnoreCase("authorization"))
+                        .map(h -> h.value())
+                        .filter(v -> v.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+                        .map(value -> value.substring(BEARER.length()).trim())
+                        .findFirst();
+        if (key.filter(k -> KeyDigest.matches(k, mKeyDigest)).isEmpty()) {
+            throw ProxyException.of(
+                    ErrorKind.UNAUTHENTICATED, "the operators' key is missing or wrong");
+        }
+    }
+
+    private void show(Input.HttpCall call, String path, long nowNanos, Effects out)
+            throws ProxyException {
+        if (path.equals("/v1/status")) {
+            mStatus.answer(call.call(), nowNanos, out);
+        } else if (JobGateway.servesOperators(call.path())) {
+            mJobs.operatorCall(call, mMachine.config().view(), nowNanos, out);
+        } else if (path.equals(TICKETS)
+                || path.startsWith(TICKETS + "/")
+                || path.equals("/v1/config")) {
+            showConfig(call, path, out);
+        } else if (path.equals("/v1/members")) {
+            throw ProxyException.of(ErrorKind.METHOD_NOT_ALLOWED, "members are in /v1/status");
+        } else {
+            throw ProxyException.of(ErrorKind.NOT_FOUND, "no such page: " + path);
+        }
+    }
+
+    private void showConfig(Input.HttpCall call, String path, Effects out) {
+        if (call.path().endsWith("?local=true")) {
+            sendPage(call.call(), path, out);
+            return;
+        }
+        mGroup.read(
+                new QuorumRead.Done() {
+                    @Override
+                    public void confirmed() {
+                        sendPage(call.call(), path, out);
+                    }
+
+                    @Override
+                    public void failed() {
+                        String detail = "no quorum confirms this page; try ?local=true";
+                        Problem.of(ErrorKind.NO_LEADER, detail).answer(call.call(), out);
+                    }
+                });
+    }
+
+    private void sendPage(long call, String path, Effects out) {
+        try {
+            Object page =
+                    path.equals("/v1/config")
+                            ? mPages.config()
+                            : path.equals(TICKETS)
+                                    ? mPages.tickets()
+                                    : mPages.ticket(path.substring(TICKETS.length() + 1));
+            JsonAnswer.send(call, OK, page, out);
+        } catch (ProxyException e) {
+            Problem.from(e).answer(call, out);
+        }
+    }
+
+    private void order(Input.HttpCall call, String path, long nowNanos, Effects out)
+            throws ProxyException {
+        boolean isOrder = path.equals(TICKETS) || path.equals("/v1/members");
+        boolean isJobs = JobGateway.servesOperators(call.path());
+        if (!isOrder && !isJobs) {
+            throw ProxyException.of(ErrorKind.NOT_FOUND, "no such page: " + path);
+        }
+        if (mIsStopping) {
+            throw ProxyException.of(ErrorKind.STOPPING, "this host is stopping; use another one");
+        }
+        if (isJobs) {
+            mJobs.operatorCall(call, mMachine.config().view(), nowNanos, out);
+        } else if (!call.method().equals("POST")) {
+            throw ProxyException.of(ErrorKind.METHOD_NOT_ALLOWED, path + " takes GET and POST");
+        } else if (path.equals(TICKETS)) {
+            apply(call, nowNanos, out);
+        } else {
+            mMembers.handle(call.call(), call.body(), nowNanos, out);
+        }
+    }
+
+    private void apply(Input.HttpCall call, long nowNanos, Effects out) throws ProxyException {
+        Ticket ticket = TicketParser.parse(call.body());
+        byte[] command = new ConfigCommand.ApplyTicket(ticket).encode();
+        mOrders.command(
+                0,
+                ConfigMachine.configCommand(command),
+                new TicketOutcome(call.call(), ticket.number(), out),
+                nowNanos,
+                out);
+    }
+
+    /** Answers the operator who sent a ticket. */
+    private static final class TicketOutcome implements Orders.Outcome {
+        private final long mCall;
+        private final String mWhat;
+        private final Effects mOut;
+
+        TicketOutcome(long call, long ticket, Effects out) {
+            mCall = call;
+            mWhat = "ticket " + ticket;
+            mOut = out;
+        }
+
+        @Override
+        public void done(byte[] result) {
+            try {
+                answer(ConfigResult.verdict(result));
+            } catch (ProxyException e) {
+                Problem.of(ErrorKind.INTERNAL, e.getMessage()).answer(mCall, mOut);
+            }
+        }
+
+        private void answer(Verdict verdict) {
+            if (verdict.isAccepted()) {
+                mOut.log(EventCode.TICKET_ACCEPTED, mWhat + ", version " + verdict.version());
+                JsonAnswer.send(mCall, OK, OperatorAnswers.Ticket.of(verdict), mOut);
+            } else {
+                mOut.log(EventCode.TICKET_REFUSED, mWhat + ": " + verdict.detail());
+                Problem.of(verdict.outcome().kind(), verdict.detail()).answer(mCall, mOut);
+            }
+        }
+
+        @Override
+        public void failed(ErrorKind kind) {
+            mOut.log(EventCode.TICKET_REFUSED, mWhat + ": " + kind.label());
+            Problem.of(kind, mWhat + ": " + kind.title()).answer(mCall, mOut);
+        }
     }
 }
--- a/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
@@ -101,6 +101,14 @@
     @WireCode(321)
     record ProposeResult(long id, ErrorKind kind, byte[] result) implements ConfigMessage {}
 
+    /**
+     * Control to leading control host: change the members of a group.
+     *
+     * @param add whether the host joins; if not, it leaves
+     */
+    @WireCode(324)
+    record ChangeMember(long id, int group, boolean add, HostId host) implements ConfigMessage {}
+
     /** Control to control: tell me about your subscribers. */
     @WireCode(322)
     record StatusAsk(long id) implements ConfigMessage {}
--- a/src/test/java/org/coltsfootproxy/node/VirtualFleet.java
+++ b/src/test/java/org/coltsfootproxy/node/VirtualFleet.java
@@ -32,6 +32,7 @@
     }
 
     private static final long LINK_NANOS = 1_500_000;
+    private static final long SYNC_NANOS = 200_000;
     private static final long DETECT_NANOS = 1_500_000_000;
 
     private record Step(long time, long sequence, Runnable action) {}
@@ -54,6 +55,7 @@
                             .thenComparingLong(Step::sequence));
     private final Map<HostId, Member> mMembers = new HashMap<>();
     private final Set<Pair> mConnected = new HashSet<>();
+    private final Map<HostId, List<Effect.Persist>> mStored = new HashMap<>();
     private final Set<Pair> mCut = new HashSet<>();
     private final Random mRandom;
     private final Outside mOutside;
@@ -158,11 +160,27 @@
     private void carryOut(HostId host, Effect effect) {
         if (effect instanceof Effect.Send send) {
             send(host, send);
+        } else if (effect instanceof Effect.Persist persist) {
+            Member life = mMembers.get(host);
+            after(SYNC_NANOS, () -> persisted(host, life, persist));
         } else {
             mOutside.carryOut(host, effect, mNow);
         }
     }
 
+    /** A write that a crash overtakes is lost. */
+    private void persisted(HostId host, Member life, Effect.Persist persist) {
+        if (mMembers.get(host) == life) {
+            mStored.computeIfAbsent(host, h -> new ArrayList<>()).add(persist);
+            deliver(host, new Input.Persisted(persist.group(), persist.token()));
+        }
+    }
+
+    /** Returns what a host has synced, in order. */
+    public List<Effect.Persist> stored(HostId host) {
+        return List.copyOf(mStored.getOrDefault(host, List.of()));
+    }
+
     private void send(HostId from, Effect.Send send) {
         Pair pair = Pair.of(from, send.to());
         if (mCut.contains(pair) || !mMembers.containsKey(send.to())) {
