Add the load and experiment tool

Cause: each decision is to be chosen by a figure, and the promises are to be checked from outside. Change: LoadTool sends by a seeded schedule that no answer can hold back and counts latency from the intended time; it runs batch jobs and faults of the stand-in targets beside the online streams, compares what callers saw with what targets ran, and writes the report as text, JSON and one page with inline plots. Conclusion: the tool runs against stand-ins alone so far; the whole system comes next.

--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/load/LoadReport.java
@@ -0,0 +1,118 @@
+package org.coltsfootproxy.load;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.ProxyException;
+
+/**
+ * What one run of the load tool showed. Latencies are milliseconds from when a request should have
+ * been sent.
+ *
+ * @param scenario name of the scenario
+ * @param seed seed of the scenario
+ * @param seconds time in which requests were sent
+ * @param streams figures of each online stream
+ * @param organisations figures of each organisation
+ * @param timeline figures of each second
+ * @param jobs figures of each batch job
+ * @param findings what the run shows about each promise
+ */
+public record LoadReport(
+        String scenario,
+        long seed,
+        int seconds,
+        List<StreamFigures> streams,
+        List<OrganisationFigures> organisations,
+        List<Second> timeline,
+        List<JobFigures> jobs,
+        List<Finding> findings) {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    /** Latency at some percentiles, in milliseconds. */
+    public record Latency(double p50, double p95, double p99, double max, List<Point> curve) {}
+
+    /** One point of a latency curve. */
+    public record Point(double percentile, double millis) {}
+
+    /**
+     * Figures of one online stream.
+     *
+     * @param firstByte time to the first byte of whole answers
+     * @param whole time to the end of whole answers
+     */
+    public record StreamFigures(
+            String name,
+            String organisation,
+            long sent,
+            long answered,
+            long refused,
+            long broken,
+            Latency firstByte,
+            Latency whole) {}
+
+    /**
+     * Figures of one organisation.
+     *
+     * @param refusedWithinRate refusals for the rate although a bucket of that rate, which sees
+     *     requests as they were sent, would have passed them
+     * @param refusals refusals by error kind
+     */
+    public record OrganisationFigures(
+            String id,
+            double ratePerSecond,
+            double sentPerSecond,
+            double answeredPerSecond,
+            long refusedWithinRate,
+            Map<String, Long> refusals) {}
+
+    /** Figures of one second, by the time at which requests should have been sent. */
+    public record Second(int second, long sent, long answered, long refused, long broken) {}
+
+    /**
+     * Figures of one batch job.
+     *
+     * @param seconds time from submission to the end, or 0 if the end wasn't seen
+     */
+    public record JobFigures(String id, String state, int items, long done, double seconds) {}
+
+    /** Tells whether no promise was broken. */
+    @JsonIgnore
+    public boolean isKept() {
+        return findings.stream().noneMatch(f -> f.verdict() == Finding.Verdict.BROKEN);
+    }
+
+    /** Returns the report as JSON in UTF-8. */
+    public byte[] toJson() {
+        try {
+            return MAPPER.writeValueAsBytes(this);
+        } catch (IOException e) {
+            throw new IllegalStateException("can't write the report", e);
+        }
+    }
+
+    /**
+     * Writes {@code report.txt}, {@code report.json} and {@code report.html} into a folder, which
+     * is made if need be.
+     *
+     * @throws ProxyException of kind {@link ErrorKind#SETTINGS_INVALID} if they can't be written
+     */
+    public void write(Path folder) throws ProxyException {
+        try {
+            Files.createDirectories(folder);
+            Files.writeString(folder.resolve("report.txt"), TextReport.of(this));
+            Files.write(folder.resolve("report.json"), toJson());
+            Files.writeString(folder.resolve("report.html"), HtmlReport.of(this));
+        } catch (IOException e) {
+            throw ProxyException.of(
+                    ErrorKind.SETTINGS_INVALID, "can't write the report to " + folder, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/load/SvgPlot.java
@@ -0,0 +1,202 @@
+package org.coltsfootproxy.load;
+
+import com.google.common.html.HtmlEscapers;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Draws plots as inline SVG. */
+final class SvgPlot {
+    private static final int WIDTH = 860;
+    private static final int HEIGHT = 300;
+    private static final int LEFT = 70;
+    private static final int RIGHT = 180;
+    private static final int TOP = 16;
+    private static final int BOTTOM = 44;
+    private static final int TICKS = 5;
+    private static final int BAR_HEIGHT = 22;
+    private static final String[] COLOURS = {
+        "#1f6f8b", "#d1495b", "#edae49", "#3b7a57", "#7b5ea7", "#8d6e63", "#444444", "#e07a5f"
+    };
+
+    private SvgPlot() {}
+
+    /** One line of a plot; {@code y} has a value for each label of the horizontal axis. */
+    record Line(String name, List<Double> y) {}
+
+    /** One bar with parts, from left to right. */
+    record Bar(String name, List<Double> parts) {}
+
+    /** Returns a plot of lines over labelled places. */
+    static String lines(String unit, List<String> labels, List<Line> lines) {
+        double top =
+                lines.stream().flatMap(l -> l.y().stream()).mapToDouble(v -> v).max().orElse(0);
+        double high = nice(top);
+        String curves =
+                IntStream.range(0, lines.size())
+                        .mapToObj(i -> curve(lines.get(i), i, labels.size(), high))
+                        .collect(Collectors.joining());
+        return svg(HEIGHT, grid(unit, high) + places(labels) + curves);
+    }
+
+    private static String svg(int height, String content) {
+        return String.format(
+                Locale.ROOT,
+                "<svg viewBox=\"0 0 %d %d\" width=\"%d\" height=\"%d\" role=\"img\">%s</svg>",
+                WIDTH,
+                height,
+                WIDTH,
+                height,
+                content);
+    }
+
+    /** Returns the least of 1, 2, 2.5 and 5 times a power of ten that isn't below a value. */
+    private static double nice(double value) {
+        if (value <= 0) {
+            return 1;
+        }
+        double power = Math.pow(10, Math.floor(Math.log10(value)));
+        return List.of(1.0, 2.0, 2.5, 5.0, 10.0).stream()
+                .map(f -> f * power)
+                .filter(v -> v >= value)
+                .findFirst()
+                .orElse(value);
+    }
+
+    private static double x(int place, int places) {
+        return LEFT + (WIDTH - LEFT - RIGHT) * (places < 2 ? 0 : (double) place / (places - 1));
+    }
+
+    private static double y(double value, double high) {
+        return HEIGHT - BOTTOM - (HEIGHT - TOP - BOTTOM) * value / high;
+    }
+
+    private static String grid(String unit, double high) {
+        String ticks =
+                IntStream.rangeClosed(0, TICKS)
+                        .mapToObj(i -> tick(high * i / TICKS, high))
+                        .collect(Collectors.joining());
+        return ticks + text(LEFT, TOP - 4, "start", unit);
+    }
+
+    private static String tick(double value, double high) {
+        double y = y(value, high);
+        String line =
+                String.format(
+                        Locale.ROOT,
+                        "<line x1=\"%d\" y1=\"%.1f\" x2=\"%d\" y2=\"%.1f\" class=\"grid\"/>",
+                        LEFT,
+                        y,
+                        WIDTH - RIGHT,
+                        y);
+        return line + text(LEFT - 8, y + 4, "end", number(value));
+    }
+
+    private static String number(double value) {
+        return value == Math.rint(value)
+                ? String.format(Locale.ROOT, "%.0f", value)
+                : String.format(Locale.ROOT, "%.2f", value);
+    }
+
+    private static String places(List<String> labels) {
+        int step = Math.max(1, (labels.size() + 11) / 12);
+        return IntStream.range(0, labels.size())
+                .filter(i -> i % step == 0)
+                .mapToObj(
+                        i ->
+                                text(
+                                        x(i, labels.size()),
+                                        HEIGHT - BOTTOM + 18,
+                                        "middle",
+                                        labels.get(i)))
+                .collect(Collectors.joining());
+    }
+
+    private static String curve(Line line, int index, int places, double high) {
+        String points =
+                IntStream.range(0, line.y().size())
+                        .mapToObj(
+                                i ->
+                                        String.format(
+                                                Locale.ROOT,
+                                                "%.1f,%.1f",
+                                                x(i, places),
+                                                y(line.y().get(i), high)))
+                        .collect(Collectors.joining(" "));
+        String drawn =
+                String.format(
+                        "<polyline points=\"%s\" fill=\"none\" stroke=\"%s\" stroke-width=\"2\"/>",
+                        points, colour(index));
+        return drawn + legend(line.name(), index, TOP + 10 + index * 18);
+    }
+
+    private static String legend(String name, int index, int y) {
+        int x = WIDTH - RIGHT + 14;
+        String box =
+                String.format(
+                        "<rect x=\"%d\" y=\"%d\" width=\"12\" height=\"4\" fill=\"%s\"/>",
+                        x, y - 5, colour(index));
+        return box + text(x + 18, y, "start", name);
+    }
+
+    private static String colour(int index) {
+        return COLOURS[index % COLOURS.length];
+    }
+
+    private static String text(double x, double y, String anchor, String text) {
+        return String.format(
+                Locale.ROOT,
+                "<text x=\"%.1f\" y=\"%.1f\" text-anchor=\"%s\">%s</text>",
+                x,
+                y,
+                anchor,
+                HtmlEscapers.htmlEscaper().escape(text));
+    }
+
+    /** Returns horizontal bars whose parts are named in {@code legend}. */
+    static String bars(List<String> legend, List<Bar> bars) {
+        double high =
+                bars.stream()
+                        .mapToDouble(b -> b.parts().stream().mapToDouble(v -> v).sum())
+                        .max()
+                        .orElse(1);
+        String rows =
+                IntStream.range(0, bars.size())
+                        .mapToObj(i -> bar(bars.get(i), i, Math.max(high, 1e-9)))
+                        .collect(Collectors.joining());
+        String names =
+                IntStream.range(0, legend.size())
+                        .mapToObj(i -> legend(legend.get(i), i, TOP + 10 + i * 18))
+                        .collect(Collectors.joining());
+        int rowsHeight = Math.max(bars.size() * (BAR_HEIGHT + 6), legend.size() * 18) + 2 * TOP;
+        return svg(rowsHeight, rows + names);
+    }
+
+    private static String bar(Bar bar, int row, double high) {
+        int labels = LEFT + 90;
+        int y = TOP + row * (BAR_HEIGHT + 6);
+        double width = WIDTH - RIGHT - labels - 60;
+        StringBuilder svg = new StringBuilder(text(labels - 8, y + 15, "end", bar.name()));
+        double x = labels;
+        for (int i = 0; i < bar.parts().size(); i++) {
+            double w = width * bar.parts().get(i) / high;
+            svg.append(
+                    String.format(
+                            Locale.ROOT,
+                            "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"/>",
+                            x,
+                            y,
+                            w,
+                            BAR_HEIGHT,
+                            colour(i)));
+            x += w;
+        }
+        String values = bar.parts().stream().map(SvgPlot::brief).collect(Collectors.joining(" + "));
+        return svg.append(text(x + 6, y + 15, "start", values)).toString();
+    }
+
+    private static String brief(double value) {
+        return String.format(Locale.ROOT, value >= 100 || value == 0 ? "%.0f" : "%.1f", value);
+    }
+}
