--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ProxyException;
@@ -11,11 +12,14 @@
 import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.Route;
+import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.Limiter;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LimitMessage;
 import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.message.OwnerMessage;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
@@ -38,6 +42,8 @@
     private final AgentPool mAgents;
     private final OnlineRequests mRequests;
     private final Limiter mLimiter;
+    private final LimitOwnership mOwnership;
+    private final JobGateway mJobs;
     private long mNextWatch;
     private boolean mStopping;
     private long mRefuseFrom;
@@ -47,9 +53,11 @@
             EntrySettings settings,
             ConfigSubscriber config,
             EntryPolicies policies,
+            JobGateway jobs,
             RandomGenerator random) {
         mSettings = checkNotNull(settings, "settings");
         mConfig = checkNotNull(config, "config");
+        mJobs = checkNotNull(jobs, "jobs");
         mAgents = AgentPool.create(policies.choosers());
         RetryPolicy retries =
                 RetryPolicy.of(
@@ -57,20 +65,23 @@
         mRequests = OnlineRequests.create(settings, random.nextLong(), mAgents, retries);
         mLimiter = policies.limiters().create(mRequests::decided);
         mRequests.limitedBy(mLimiter);
+        mOwnership = policies.ownership();
     }
 
     /**
      * Returns the node of an entry host.
      *
      * @param config subscriber that was not started yet
+     * @param jobs gateway without open calls
      * @param random source of the request ids' random part, which no two lives may share
      */
     public static EntryNode create(
             EntrySettings settings,
             ConfigSubscriber config,
             EntryPolicies policies,
+            JobGateway jobs,
             RandomGenerator random) {
-        return new EntryNode(settings, config, policies, random);
+        return new EntryNode(settings, config, policies, jobs, random);
     }
 
     /** Returns the configuration in force here. */
@@ -81,6 +92,7 @@
     @Override
     public void start(long nowNanos, Effects out) {
         mConfig.start(nowNanos, out);
+        mOwnership.start(nowNanos, out);
         mNextWatch = nowNanos + WATCH_NANOS;
     }
 
@@ -90,6 +102,7 @@
             httpCall(call, nowNanos, out);
         } else if (input instanceof Input.HttpGone gone) {
             mRequests.gone(gone.call(), nowNanos, out);
+            mJobs.gone(gone.call());
         } else if (input instanceof Input.FromPeer peer) {
             fromPeer(peer.from(), peer.message(), nowNanos, out);
         } else if (input instanceof Input.PeerUp up) {
@@ -115,6 +128,13 @@
 
     private void accept(Input.HttpCall call, long now, Effects out) throws ProxyException {
         ConfigView view = mConfig.view();
+        String path = call.path().split("\\?", 2)[0];
+        if (JobGateway.serves(path)) {
+            Organisation owner =
+                    CallerCheck.organisation(view, mConfig.isFresh(now), call.headers());
+            mJobs.call(call, owner.id(), view, now, out);
+            return;
+        }
         Route route = CallerCheck.route(view, call.path());
         if (route.open()) {
             mRequests.begin(call, route, OpenCallers.ORGANISATION, now, out);
@@ -131,10 +151,15 @@
             if (mConfig.handle(from, config, now, out)) {
                 configure(now, out);
             }
+            mOwnership.handle(from, config, now, out);
+        } else if (message instanceof OwnerMessage owner) {
+            mOwnership.handle(from, owner);
         } else if (message instanceof CallMessage.AgentState state) {
             mAgents.report(from, state, now);
         } else if (message instanceof CallMessage call) {
             mRequests.handle(from, call, now, out);
+        } else if (message instanceof JobMessage job) {
+            mJobs.handle(from, job, now, out);
         } else if (message instanceof LimitMessage limit) {
             mLimiter.handle(from, limit, now, out);
         }
@@ -148,6 +173,7 @@
     }
 
     private void peerUp(Input.PeerUp up, long now, Effects out) {
+        mOwnership.peerUp(up.host(), now, out);
         if (mAgents.isWatched(up.host())) {
             mAgents.up(up.host(), up.incarnation());
             mAgents.watch(up.host(), out);
@@ -157,6 +183,7 @@
 
     private void peerLost(HostId host, long now, Effects out) {
         mConfig.peerLost(host, now, out);
+        mOwnership.peerLost(host, now, out);
         mAgents.down(host);
         mRequests.agentLost(host, now, out);
     }
@@ -164,8 +191,10 @@
     @Override
     public void tick(long nowNanos, Effects out) {
         mConfig.tick(nowNanos, out);
+        mOwnership.tick(nowNanos, out);
         mLimiter.tick(nowNanos, out);
         mRequests.tick(nowNanos, out);
+        mJobs.tick(nowNanos, out);
         if (nowNanos - mNextWatch >= 0) {
             mNextWatch = nowNanos + WATCH_NANOS;
             mAgents.watchSilent(out);
@@ -173,18 +202,27 @@
         if (mStopping && !mRefusing && nowNanos - mRefuseFrom >= 0) {
             mRefusing = true;
             mLimiter.stop(nowNanos, out);
+            mOwnership.stop(nowNanos, out);
         }
     }
 
     @Override
     public long nextTickNanos() {
-        long soonest = Math.min(mConfig.nextTickNanos(), mLimiter.nextTickNanos());
-        long next = Math.min(soonest, Math.min(mRequests.nextTickNanos(), mNextWatch));
+        long next =
+                LongStream.of(
+                                mConfig.nextTickNanos(),
+                                mLimiter.nextTickNanos(),
+                                mOwnership.nextTickNanos(),
+                                mRequests.nextTickNanos(),
+                                mJobs.nextTickNanos(),
+                                mNextWatch)
+                        .min()
+                        .getAsLong();
         return mStopping && !mRefusing ? Math.min(next, mRefuseFrom) : next;
     }
 
     @Override
     public boolean isDrained() {
-        return mRefusing && mRequests.isEmpty();
+        return mRefusing && mRequests.isEmpty() && mJobs.isDrained();
     }
 }
