--- a/src/main/java/org/coltsfootproxy/runtime/ControlRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/ControlRoleParts.java
@@ -21,7 +21,7 @@
 import org.coltsfootproxy.storage.FileDisk;
 import org.coltsfootproxy.storage.LogStore;
 
-/** The parts of a control host: the node and the disk that its state lasts on. */
+/** The parts of a control host. */
 final class ControlRoleParts implements Role {
     private final DataFolder mFolder;
     private final Node mNode;
@@ -37,17 +37,7 @@
             throws ProxyException {
         Settings.ControlRole role = settings.controlRole().orElseThrow();
         DataFolder folder = DataFolder.open(FileDisk.open(role.dataFolder()), random);
-        ControlSettings control =
-                new ControlSettings(
-                        settings.host(),
-                        settings.dataCentre(),
-                        folder.incarnation(),
-                        Role.controlHosts(settings),
-                        ConfigTiming.DEFAULT,
-                        role.operatorKeyDigest(),
-                        settings.jobGroups(),
-                        role.replaceEmpty(),
-                        JobSettings.defaults());
+        ControlSettings control = controlSettings(settings, role, folder.incarnation());
         Map<Integer, LogStore> stores = new HashMap<>();
         List<RecoveredState> recovered = new ArrayList<>();
         for (int group = 0; group < control.groups(); group++) {
@@ -61,6 +51,20 @@
         return new ControlRoleParts(folder, node, disk);
     }
 
+    private static ControlSettings controlSettings(
+            Settings settings, Settings.ControlRole role, Incarnation incarnation) {
+        return new ControlSettings(
+                settings.host(),
+                settings.dataCentre(),
+                incarnation,
+                Role.controlHosts(settings),
+                ConfigTiming.DEFAULT,
+                role.operatorKeyDigest(),
+                settings.jobGroups(),
+                role.replaceEmpty(),
+                JobSettings.defaults());
+    }
+
     @Override
     public Node node() {
         return mNode;
