--- a/src/main/java/org/coltsfootproxy/cli/Commands.java
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -14,7 +14,8 @@
                         FakeTargetCommand.all(),
                         KeyCommands.all(),
                         ControlCommands.all(),
-                        JobCommands.all())
+                        JobCommands.all(),
+                        LoadCommand.all())
                 .flatMap(List::stream)
                 .toList();
     }
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/cli/LoadCommand.java
@@ -0,0 +1,48 @@
+package org.coltsfootproxy.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.load.LoadReport;
+import org.coltsfootproxy.load.LoadScenario;
+import org.coltsfootproxy.load.LoadTool;
+
+/** Sends load by a scenario to a fleet on loopback and checks the promises. */
+final class LoadCommand {
+    private LoadCommand() {}
+
+    static List<Command> all() {
+        Options options =
+                new Options()
+                        .addOption(
+                                Option.builder("r")
+                                        .longOpt("report")
+                                        .hasArg()
+                                        .argName("FOLDER")
+                                        .desc("folder for the report as text, JSON and a page")
+                                        .get());
+        return List.of(
+                new SimpleCommand(
+                        "load",
+                        "SCENARIO",
+                        "send load by a scenario and check the promises; ends with 70 if one broke",
+                        options,
+                        LoadCommand::run));
+    }
+
+    private static void run(CommandLine line, Output out) throws ProxyException {
+        LoadScenario scenario = LoadScenario.read(Path.of(Arguments.only(line, "SCENARIO")));
+        LoadReport report = LoadTool.run(scenario, out.progress());
+        if (line.hasOption("report")) {
+            report.write(Path.of(line.getOptionValue("report")));
+        }
+        out.onlyJson(report.toJson());
+        if (!report.isKept()) {
+            throw ProxyException.of(ErrorKind.INTERNAL, "a promise was broken");
+        }
+    }
+}
--- a/src/main/java/org/coltsfootproxy/cli/Output.java
+++ b/src/main/java/org/coltsfootproxy/cli/Output.java
@@ -34,6 +34,18 @@
         return mOut;
     }
 
+    /** Returns where people see progress; programs read only the one value. */
+    PrintStream progress() {
+        return mJson ? System.err : mOut;
+    }
+
+    /** Writes an answer for programs whose text for people was written before. */
+    void onlyJson(byte[] json) throws ProxyException {
+        if (mJson) {
+            document(json);
+        }
+    }
+
     /** Writes a line for people; programs don't see it. */
     void line(String text) {
         if (!mJson) {
