--- a/src/main/java/org/coltsfootproxy/limit/Bucket.java
+++ b/src/main/java/org/coltsfootproxy/limit/Bucket.java
@@ -16,6 +16,7 @@
  */
 final class Bucket {
     private static final double SECOND_NANOS = 1e9;
+    private static final int FILLS_TO_RECOVER = 3;
     private static final long BACKLOG_NANOS = 4_000_000_000L;
 
     /** Names one entry's life. */
@@ -161,7 +162,7 @@
      */
     boolean isRecovering(long now) {
         double fillNanos = mBurst / mRate * SECOND_NANOS;
-        return !mWasFull && now - mOwnedSince < fillNanos + BACKLOG_NANOS;
+        return !mWasFull && now - mOwnedSince < FILLS_TO_RECOVER * fillNanos + BACKLOG_NANOS;
     }
 
     /** Tells whether entries other than one hold tokens. */
--- a/src/main/java/org/coltsfootproxy/limit/Holding.java
+++ b/src/main/java/org/coltsfootproxy/limit/Holding.java
@@ -12,6 +12,7 @@
     /** Share of a grant's life that is left unused, as the two clocks may drift apart. */
     private static final long DRIFT_DIVISOR = 500;
 
+    private static final int MAX_DOUBLINGS = 2;
     private static final double SECOND_NANOS = 1e9;
     private static final double RATE_SPAN_NANOS = 5e8;
 
@@ -26,7 +27,6 @@
     private long mGranted;
     private long mUsed;
     private long mReturned;
-    private long mReported;
     private long mExpiresAt = Long.MIN_VALUE;
     private long mLastUse = Long.MIN_VALUE / 2;
     private double mDemand;
@@ -67,7 +67,6 @@
         mGranted = 0;
         mUsed = 0;
         mReturned = 0;
-        mReported = 0;
         mExpiresAt = Long.MIN_VALUE;
     }
 
@@ -92,14 +91,6 @@
         return mReturned;
     }
 
-    boolean isReported() {
-        return mReported == mUsed && tokens() == 0;
-    }
-
-    void reported() {
-        mReported = mUsed;
-    }
-
     void use(long now) {
         mUsed++;
         mLastUse = now;
@@ -146,13 +137,12 @@
         mAskTries = mAskOpen ? mAskTries + 1 : 0;
         mAskedAt = Math.max(mAskedAt + 1, now);
         mAskOpen = true;
-        mReported = mUsed;
         return mAskedAt;
     }
 
     /** Returns when an open ask is to be repeated. */
     long repeatAt(long timeout) {
-        return mAskedAt + (timeout << Math.min(mAskTries, 4));
+        return mAskedAt + (timeout << Math.min(mAskTries, MAX_DOUBLINGS));
     }
 
     long notBefore() {
--- a/src/main/java/org/coltsfootproxy/limit/LimitClient.java
+++ b/src/main/java/org/coltsfootproxy/limit/LimitClient.java
@@ -18,7 +18,8 @@
 /**
  * The entry's side of the limiter: uses granted tokens, asks the owner before it refuses.
  *
- * <p>A request without a token waits until an ask that was sent after it came is answered.
+ * <p>A request without a token waits until an ask that was sent after it came is answered. What was
+ * used is told with the next ask; when the owner runs short before that, it calls for it.
  */
 final class LimitClient {
     private static final double SECOND_NANOS = 1e9;
@@ -163,7 +164,6 @@
 
     private void giveBack(OrganisationId organisation, Holding holding, long now, Effects out) {
         holding.giveBack(holding.tokens());
-        holding.reported();
         out.send(
                 holding.owner().host(),
                 new Return(
@@ -199,7 +199,7 @@
         boolean isWaiting = !holding.waiters().isEmpty();
         if (isWaiting && (isUnanswered || !holding.isAskOpen() && now >= holding.notBefore())) {
             ask(organisation, holding, now, out);
-        } else if (holding.idleNanos(now) >= mSettings.idleNanos() && !holding.isReported()) {
+        } else if (holding.idleNanos(now) >= mSettings.idleNanos() && holding.tokens() > 0) {
             giveBack(organisation, holding, now, out);
         }
         scheduleOrForget(organisation, holding, now);
@@ -231,10 +231,11 @@
             long soon = holding.owner() == null ? now + mSettings.askTimeoutNanos() : retry;
             return Math.max(now + 1, Math.min(soon, giveUpAt(holding)));
         }
-        if (holding.isReported() && holding.idleNanos(now) >= mSettings.grantLifeNanos()) {
+        boolean isHolding = holding.tokens() > 0;
+        if (!isHolding && holding.idleNanos(now) >= mSettings.grantLifeNanos()) {
             return NO_WAIT;
         }
-        long pause = holding.isReported() ? mSettings.grantLifeNanos() : mSettings.idleNanos();
+        long pause = isHolding ? mSettings.idleNanos() : mSettings.grantLifeNanos();
         return Math.max(now + 1, now - holding.idleNanos(now) + pause);
     }
 
@@ -249,7 +250,7 @@
     void stop(long now, Effects out) {
         mHoldings.forEach(
                 (organisation, holding) -> {
-                    if (holding.owner() != null && !holding.isReported()) {
+                    if (holding.owner() != null && holding.tokens() > 0) {
                         giveBack(organisation, holding, now, out);
                     }
                 });
--- a/src/main/java/org/coltsfootproxy/limit/LimitSettings.java
+++ b/src/main/java/org/coltsfootproxy/limit/LimitSettings.java
@@ -7,8 +7,8 @@
  *
  * @param grantLifeNanos longest time that granted tokens may be used
  * @param aheadNanos time for whose expected demand an entry asks ahead; 0 to ask for each request
- * @param idleNanos time without use after which an entry gives its tokens back
- * @param askTimeoutNanos time after which an ask is repeated, doubled each time
+ * @param idleNanos time without use after which an entry gives tokens back
+ * @param askTimeoutNanos time after which an ask is repeated, doubled up to four times that
  * @param maxWaitNanos longest time that a request waits for the owner's answer
  * @param recallWaitNanos longest time that the owner waits for tokens called back
  * @param spacingNanos least time between two recalls, and between two asks after a refusal
--- a/src/test/java/org/coltsfootproxy/limit/LimitWorld.java
+++ b/src/test/java/org/coltsfootproxy/limit/LimitWorld.java
@@ -11,9 +11,11 @@
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.RecordCodec;
 import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.message.LimitMessage;
+import org.coltsfootproxy.message.Message;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 
@@ -23,6 +25,7 @@
     static final long SECOND = 1_000 * MILLI;
     private static final long LEASE = 2 * SECOND;
     private static final long RENEW = SECOND / 2;
+    private static final RecordCodec<Message> CODEC = RecordCodec.of(Message.class);
     private static final double DRIFT = 0.0005;
 
     /** Makes the limiter of an entry's life. */
@@ -194,6 +197,8 @@
     private double mDriftScale = 1;
     long mNow = SECOND;
     long mMessages;
+    long mBytes;
+    boolean mCountBytes;
     double mLoss;
     double mDouble;
     long mDelay = 1_500_000;
@@ -241,6 +246,7 @@
 
     private void deliver(Node from, HostId to, LimitMessage message) {
         mMessages++;
+        mBytes += mCountBytes ? CODEC.encode(message).length : 0;
         Node target = mNodes.stream().filter(n -> n.mHost.equals(to)).findFirst().orElseThrow();
         int copies = mRandom.nextDouble() < mDouble ? 2 : 1;
         for (int i = 0; i < copies; i++) {
