Make good all the refill that late reports of use cost

Change: the bucket keeps the recent times at which refill was lost and gives each moment back once, the oldest first; entries tell use after an idle time again, also when they hold nothing.

--- a/src/main/java/org/coltsfootproxy/limit/Bucket.java
+++ b/src/main/java/org/coltsfootproxy/limit/Bucket.java
@@ -25,24 +25,25 @@
     private final OrganisationId mOrganisation;
     private final long mFencing;
     private final long mOwnedSince;
+    private final long mKeepNanos;
     private final Map<Holder, Grantee> mGrantees = new HashMap<>();
+    private final LostRefill mLost = new LostRefill();
     private double mRate;
     private double mBurst;
     private double mLevel;
     private long mFilledAt;
-    private long mFullSince;
     private boolean mWasFull;
     private long mRecalledAt;
 
-    private Bucket(Organisation rates, OwnerLease.Held lease, long now, long recalledAt) {
+    private Bucket(Organisation rates, OwnerLease.Held lease, long keepNanos) {
         mOrganisation = rates.id();
         mFencing = lease.fencing();
         mOwnedSince = lease.sinceNanos();
         mRate = rates.ratePerSecond();
         mBurst = rates.burst();
         mFilledAt = lease.sinceNanos();
-        mFullSince = now;
-        mRecalledAt = recalledAt;
+        mRecalledAt = Long.MIN_VALUE / 2;
+        mKeepNanos = keepNanos;
     }
 
     /**
@@ -50,9 +51,11 @@
      *
      * <p>Whatever earlier owners granted ended with their leases, so it was empty at worst when
      * this lease began.
+     *
+     * @param keepNanos longest time until a use is reported
      */
-    static Bucket create(Organisation rates, OwnerLease.Held lease, long now) {
-        Bucket bucket = new Bucket(rates, lease, now, Long.MIN_VALUE / 2);
+    static Bucket create(Organisation rates, OwnerLease.Held lease, long keepNanos, long now) {
+        Bucket bucket = new Bucket(rates, lease, keepNanos);
         bucket.fill(now);
         return bucket;
     }
@@ -89,11 +92,10 @@
         double room = Math.max(0, mBurst - outstanding());
         double missing = Math.max(0, room - mLevel);
         double added = mRate * (now - mFilledAt) / SECOND_NANOS;
-        if (added < missing) {
-            mFullSince = now;
-        } else {
+        if (added >= missing) {
             long fullAt = mFilledAt + (long) Math.ceil(missing / mRate * SECOND_NANOS);
-            mFullSince = missing > 0 ? Math.min(now, fullAt) : mFullSince;
+            mLost.add(fullAt, now);
+            mLost.forgetBefore(now - mKeepNanos);
             mWasFull = true;
         }
         mLevel = Math.min(mLevel + added, room);
@@ -102,6 +104,7 @@
 
     /** Takes other rates into force after {@link #fill}. */
     void change(Organisation rates) {
+        mLost.clear();
         mRate = rates.ratePerSecond();
         mBurst = rates.burst();
         mLevel = Math.max(0, Math.min(mLevel, mBurst - outstanding()));
@@ -126,11 +129,7 @@
     void settle(Grantee grantee, long used, long returned, long idleNanos, long now) {
         long newlyUsed = grantee.used(used);
         long newlyReturned = grantee.returned(returned);
-        long lost = Math.max(0, Math.min(idleNanos, now - mFullSince));
-        double credit = Math.min(newlyUsed, mRate * lost / SECOND_NANOS);
-        if (credit > 0) {
-            mFullSince = now;
-        }
+        double credit = mLost.take(newlyUsed, now - Math.max(0, idleNanos), mRate);
         mLevel = Math.min(mLevel + newlyReturned + credit, Math.max(0, mBurst - outstanding()));
     }
 
--- a/src/main/java/org/coltsfootproxy/limit/Holding.java
+++ b/src/main/java/org/coltsfootproxy/limit/Holding.java
@@ -27,6 +27,7 @@
     private long mGranted;
     private long mUsed;
     private long mReturned;
+    private long mReported;
     private long mExpiresAt = Long.MIN_VALUE;
     private long mLastUse = Long.MIN_VALUE / 2;
     private double mDemand;
@@ -67,6 +68,7 @@
         mGranted = 0;
         mUsed = 0;
         mReturned = 0;
+        mReported = 0;
         mExpiresAt = Long.MIN_VALUE;
     }
 
@@ -91,13 +93,20 @@
         return mReturned;
     }
 
+    /** Tells whether there is something to tell the owner after an idle time. */
+    boolean wantsReturn() {
+        return tokens() > 0 || mUsed > mReported;
+    }
+
     void use(long now) {
         mUsed++;
         mLastUse = now;
     }
 
-    void giveBack(long tokens) {
-        mReturned += tokens;
+    /** Gives all tokens back and tells what was used. */
+    void giveBack() {
+        mReturned += tokens();
+        mReported = mUsed;
     }
 
     /** Takes a grant; one that came after its life is void, as the owner has counted it as used. */
@@ -137,6 +146,7 @@
         mAskTries = mAskOpen ? mAskTries + 1 : 0;
         mAskedAt = Math.max(mAskedAt + 1, now);
         mAskOpen = true;
+        mReported = mUsed;
         return mAskedAt;
     }
 
--- a/src/main/java/org/coltsfootproxy/limit/LimitClient.java
+++ b/src/main/java/org/coltsfootproxy/limit/LimitClient.java
@@ -19,7 +19,8 @@
  * The entry's side of the limiter: uses granted tokens, asks the owner before it refuses.
  *
  * <p>A request without a token waits until an ask that was sent after it came is answered. What was
- * used is told with the next ask; when the owner runs short before that, it calls for it.
+ * used is told with the next ask or after an idle time; when the owner runs short before that, it
+ * calls for it.
  */
 final class LimitClient {
     private static final double SECOND_NANOS = 1e9;
@@ -163,7 +164,7 @@
     }
 
     private void giveBack(OrganisationId organisation, Holding holding, long now, Effects out) {
-        holding.giveBack(holding.tokens());
+        holding.giveBack();
         out.send(
                 holding.owner().host(),
                 new Return(
@@ -199,7 +200,7 @@
         boolean isWaiting = !holding.waiters().isEmpty();
         if (isWaiting && (isUnanswered || !holding.isAskOpen() && now >= holding.notBefore())) {
             ask(organisation, holding, now, out);
-        } else if (holding.idleNanos(now) >= mSettings.idleNanos() && holding.tokens() > 0) {
+        } else if (holding.idleNanos(now) >= mSettings.idleNanos() && holding.wantsReturn()) {
             giveBack(organisation, holding, now, out);
         }
         scheduleOrForget(organisation, holding, now);
@@ -231,7 +232,7 @@
             long soon = holding.owner() == null ? now + mSettings.askTimeoutNanos() : retry;
             return Math.max(now + 1, Math.min(soon, giveUpAt(holding)));
         }
-        boolean isHolding = holding.tokens() > 0;
+        boolean isHolding = holding.wantsReturn();
         if (!isHolding && holding.idleNanos(now) >= mSettings.grantLifeNanos()) {
             return NO_WAIT;
         }
--- a/src/main/java/org/coltsfootproxy/limit/LimitOwner.java
+++ b/src/main/java/org/coltsfootproxy/limit/LimitOwner.java
@@ -201,7 +201,7 @@
         }
         Bucket known = mBuckets.get(organisation);
         if (known == null || known.fencing() != fencing) {
-            known = Bucket.create(rates.get(), lease.get(), now);
+            known = Bucket.create(rates.get(), lease.get(), mSettings.grantLifeNanos(), now);
             mBuckets.put(organisation, known);
             mParked.remove(organisation);
         }
--- a/src/test/java/org/coltsfootproxy/limit/LimitMeasure.java
+++ b/src/test/java/org/coltsfootproxy/limit/LimitMeasure.java
@@ -167,7 +167,8 @@
         waits.sort(null);
         long requests = waits.size();
         System.out.printf(
-                "| %s | %s | %d | %d | %d | %d | %.1f | %.1f | %.1f | %.0f | %.0f | %.2f | %.1f |%n",
+                "| %s | %s | %d | %d | %d | %d | %.1f | %.1f | %.1f | %.0f | %.0f | %.2f |"
+                        + " %.1f |%n",
                 load,
                 policy,
                 passed,
