Give hosts that the platform lists as leaving no new work

Cause: the platform's list of live and leaving hosts was parsed but nobody read it. Change: a duty reads the list (file or HTTP) once a second and tells the node when it changed; an entry sends nothing new to agents listed as leaving, and keeps to what runs there. Absence changes nothing. Figures: a leaving host finishes its requests, none of 8 later ones goes there; a host absent from the list goes on to serve. Conclusion: a leaving target gets no new work after about a second plus the list's own lag.

--- a/src/main/java/org/coltsfootproxy/entry/AgentPool.java
+++ b/src/main/java/org/coltsfootproxy/entry/AgentPool.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.HostId;
@@ -23,13 +24,20 @@
     private final Supplier<AgentChooser> mNewChooser;
     private final Map<ServiceId, AgentChooser> mChoosers = new HashMap<>();
     private final Set<HostId> mWatched = new HashSet<>();
+    private final Predicate<HostId> mLeaving;
 
-    private AgentPool(Supplier<AgentChooser> newChooser) {
+    private AgentPool(Supplier<AgentChooser> newChooser, Predicate<HostId> leaving) {
         mNewChooser = newChooser;
+        mLeaving = leaving;
     }
 
-    static AgentPool create(Supplier<AgentChooser> newChooser) {
-        return new AgentPool(newChooser);
+    /**
+     * Returns a pool without agents.
+     *
+     * @param leaving tells the hosts that the platform is about to take away
+     */
+    static AgentPool create(Supplier<AgentChooser> newChooser, Predicate<HostId> leaving) {
+        return new AgentPool(newChooser, leaving);
     }
 
     /** Takes a version of the configuration into use. */
@@ -47,7 +55,7 @@
 
     private void configure(Service service, Effects out) {
         AgentChooser chooser = mChoosers.computeIfAbsent(service.id(), id -> mNewChooser.get());
-        chooser.targets(service.targets());
+        chooser.targets(service.targets().stream().filter(t -> !mLeaving.test(t.agent())).toList());
         Set<HostId> subset = new HashSet<>(chooser.subset());
         service.targets().stream()
                 .filter(target -> subset.contains(target.agent()))
--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -14,6 +14,8 @@
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.Limiter;
+import org.coltsfootproxy.membership.HostListing;
+import org.coltsfootproxy.membership.HostView;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.ConfigMessage;
 import org.coltsfootproxy.message.JobMessage;
@@ -39,6 +41,7 @@
 
     private final EntrySettings mSettings;
     private final ConfigSubscriber mConfig;
+    private final HostView mHosts = HostView.create();
     private final AgentPool mAgents;
     private final OnlineRequests mRequests;
     private final Limiter mLimiter;
@@ -58,7 +61,7 @@
         mSettings = checkNotNull(settings, "settings");
         mConfig = checkNotNull(config, "config");
         mJobs = checkNotNull(jobs, "jobs");
-        mAgents = AgentPool.create(policies.choosers());
+        mAgents = AgentPool.create(policies.choosers(), mHosts::isLeaving);
         RetryPolicy retries =
                 RetryPolicy.of(
                         MAX_TRIES, MIN_LEFT_NANOS, RetryBudget.of(RETRY_RATIO, MOST_RETRIES_SAVED));
@@ -109,6 +112,11 @@
             peerUp(up, nowNanos, out);
         } else if (input instanceof Input.PeerLost lost) {
             peerLost(lost.host(), nowNanos, out);
+        } else if (input instanceof Input.HostsListed listed) {
+            mHosts.update(new HostListing(listed.version(), listed.hosts()), out);
+            mAgents.configure(mConfig.view(), out);
+        } else if (input instanceof Input.HostsUnreadable unreadable) {
+            mHosts.unreadable(unreadable.detail(), out);
         } else if (input instanceof Input.PlannedStop) {
             mStopping = true;
             mRefuseFrom = nowNanos + mSettings.lameDuckNanos();
@@ -177,8 +185,8 @@
         if (mAgents.isWatched(up.host())) {
             mAgents.up(up.host(), up.incarnation());
             mAgents.watch(up.host(), out);
-            mRequests.agentUp(up.host(), now, out);
         }
+        mRequests.agentUp(up.host(), now, out);
     }
 
     private void peerLost(HostId host, long now, Effects out) {
--- a/src/main/java/org/coltsfootproxy/membership/HostListing.java
+++ b/src/main/java/org/coltsfootproxy/membership/HostListing.java
@@ -10,6 +10,7 @@
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.config.PlacedNode;
 import org.coltsfootproxy.config.TicketCheck;
+import org.coltsfootproxy.node.HostEntry;
 
 /**
  * One reading of the platform's list of hosts.
--- a/src/main/java/org/coltsfootproxy/membership/HostView.java
+++ b/src/main/java/org/coltsfootproxy/membership/HostView.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.HostEntry;
 
 /**
  * What the platform's list means for the choice of hosts.
--- a/src/main/java/org/coltsfootproxy/membership/HostEntry.java
+++ b/src/main/java/org/coltsfootproxy/node/HostEntry.java
@@ -1,4 +1,4 @@
-package org.coltsfootproxy.membership;
+package org.coltsfootproxy.node;
 
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
--- a/src/main/java/org/coltsfootproxy/node/Input.java
+++ b/src/main/java/org/coltsfootproxy/node/Input.java
@@ -53,6 +53,21 @@
     /** A write failed and nothing after it was kept. */
     record PersistFailed(int group, long token, ErrorKind kind, String detail) implements Input {}
 
+    /**
+     * The platform's list of hosts was read; it lags and may miss hosts.
+     *
+     * @param version number that grows with each change of the list, or 0 if there is none
+     */
+    record HostsListed(long version, List<HostEntry> hosts) implements Input {
+        /** Copies the list. */
+        public HostsListed {
+            hosts = List.copyOf(hosts);
+        }
+    }
+
+    /** The platform's list of hosts could not be read. */
+    record HostsUnreadable(String detail) implements Input {}
+
     /** A planned stop begins: take no new work, finish what runs. */
     record PlannedStop() implements Input {}
 }
--- a/src/main/java/org/coltsfootproxy/runtime/HostProcess.java
+++ b/src/main/java/org/coltsfootproxy/runtime/HostProcess.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.EventCode;
@@ -34,6 +35,7 @@
     private final HttpFront mAdmin;
     private final Role mRole;
     private final NodeDuty mDuty;
+    private final Optional<HostListDuty> mHostList;
     private volatile boolean mReady;
 
     /** Reports what happens to sockets. */
@@ -74,6 +76,10 @@
                         mRole.disk().orElse(null));
         Node node = mRole.node();
         mDuty = NodeDuty.create(settings.host() + "-decisions", node, effects, mRole::observe);
+        mHostList =
+                settings.hostList()
+                        .map(HostListDuty::listAt)
+                        .map(list -> HostListDuty.create(settings.host().value(), list, toNode));
     }
 
     /**
@@ -118,6 +124,7 @@
     private void start() throws ProxyException {
         mRole.start();
         mDuty.start();
+        mHostList.ifPresent(HostListDuty::start);
         mPeers.start();
         InetSocketAddress admin = mAdmin.start();
         mReady = true;
@@ -147,6 +154,9 @@
 
     /** Closes at once, as a crash would. */
     public void close() throws InterruptedException {
+        if (mHostList.isPresent()) {
+            mHostList.get().stop();
+        }
         mDuty.stop();
         mRole.close();
         mAdmin.close();
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,7 +28,7 @@
  * @param peerAddress where peers connect
  * @param adminAddress where operators connect: metrics, health, and on control hosts the tickets
  * @param control the control hosts
- * @param hostList file of the platform's list of hosts, if there is one
+ * @param hostList file or HTTP address of the platform's list of hosts, if there is one
  * @param jobGroups number of groups that batch jobs are spread over; the same on all hosts
  * @param stopSeconds longest time that a planned stop waits for what runs
  * @param entry settings of the entry role, if the host has it
@@ -41,7 +42,7 @@
         String peerAddress,
         String adminAddress,
         List<Peer> control,
-        Optional<Path> hostList,
+        Optional<URI> hostList,
         int jobGroups,
         long stopSeconds,
         Optional<EntryRole> entry,
@@ -167,7 +168,7 @@
                         in.address("peerAddress"),
                         in.address("adminAddress"),
                         in.children("control", Settings::readPeer),
-                        in.optionalText("hostList").map(Path::of),
+                        in.optionalUri("hostList"),
                         (int) in.number("jobGroups", 1, 1, MAX_JOB_GROUPS),
                         in.number("stopSeconds", DEFAULT_STOP_SECONDS, 1, MAX_STOP_SECONDS),
                         in.optionalChild("entry", Settings::readEntry),
--- a/src/main/java/org/coltsfootproxy/runtime/SettingsReader.java
+++ b/src/main/java/org/coltsfootproxy/runtime/SettingsReader.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import java.net.URI;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -81,6 +83,17 @@
         return Optional.empty();
     }
 
+    /** Reads an HTTP address or the path of a file, which may be left out. */
+    Optional<URI> optionalUri(String name) {
+        Optional<String> text = optionalText(name);
+        try {
+            return text.map(t -> t.startsWith("http://") ? URI.create(t) : Path.of(t).toUri());
+        } catch (IllegalArgumentException e) {
+            fault(name, "the path of a file or an address such as http://10.1.2.3:80/hosts");
+            return Optional.empty();
+        }
+    }
+
     /** Reads a text of at least {@code minLength} characters. */
     String text(String name, int minLength) {
         JsonNode value = get(name);
--- a/src/test/java/org/coltsfootproxy/entry/OnlineFaultsTest.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlineFaultsTest.java
@@ -9,8 +9,11 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.HostEntry;
+import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.VirtualFleet;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -231,12 +234,7 @@
         path.fleet().run(10_000_000);
         OnlinePath.AGENTS.stream()
                 .limit(1)
-                .forEach(
-                        a ->
-                                path.fleet()
-                                        .deliver(
-                                                a,
-                                                new org.coltsfootproxy.node.Input.PlannedStop()));
+                .forEach(a -> path.fleet().deliver(a, new Input.PlannedStop()));
         List<Long> later =
                 IntStream.range(0, 20)
                         .mapToObj(i -> path.call("POST", "/rota/chairs", OnlinePath.KEY))
@@ -247,4 +245,44 @@
         later.forEach(call -> assertEquals(path.answer(call).status(), 200));
         later.forEach(call -> assertEquals(path.runs(call), 1));
     }
+
+    @Test
+    public void aHostListedAsLeavingFinishesWhatRunsAndGetsNothingNew() {
+        OnlinePath path = new OnlinePath(1);
+        HostId leaving = OnlinePath.AGENTS.get(0);
+        List<Long> before =
+                IntStream.range(0, 4)
+                        .mapToObj(i -> path.call("POST", "/rota/chairs", OnlinePath.KEY))
+                        .toList();
+        path.fleet().run(10_000_000);
+        HostEntry entry =
+                new HostEntry(
+                        leaving,
+                        DataCentre.of("solway"),
+                        HostEntry.State.LEAVING,
+                        "127.0.0.1:7001");
+        path.fleet().deliver(OnlinePath.ENTRY, new Input.HostsListed(1, List.of(entry)));
+        int runsBefore = path.runsAt(leaving);
+        List<Long> after =
+                IntStream.range(0, 8)
+                        .mapToObj(i -> path.call("POST", "/rota/chairs", OnlinePath.KEY))
+                        .toList();
+        path.fleet().run(REST_NANOS);
+
+        before.forEach(call -> assertEquals(path.answer(call).status(), 200));
+        after.forEach(call -> assertEquals(path.answer(call).status(), 200));
+        assertTrue(runsBefore > 0, "the leaving host had requests");
+        assertEquals(path.runsAt(leaving), runsBefore);
+    }
+
+    @Test
+    public void absenceFromThePlatformsListKillsNoHealthyHost() {
+        OnlinePath path = new OnlinePath(1);
+        path.fleet().deliver(OnlinePath.ENTRY, new Input.HostsListed(1, List.of()));
+
+        long call = path.call("GET", "/rota/chairs", OnlinePath.KEY);
+        path.fleet().run(REST_NANOS);
+
+        assertEquals(path.answer(call).status(), 200);
+    }
 }
--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -106,6 +106,7 @@
     private final VirtualFleet mFleet;
     private final Map<Long, Answer> mAnswers = new HashMap<>();
     private final Map<String, Integer> mRuns = new HashMap<>();
+    private final Map<HostId, Integer> mRunsAt = new HashMap<>();
     private final List<Header> mTargetHeaders = new ArrayList<>();
     private final Map<HostId, Integer> mLives = new HashMap<>();
     private final Map<HostId, List<Long>> mCancelled = new HashMap<>();
@@ -216,6 +217,11 @@
         return mRuns.getOrDefault(Long.toString(call), 0);
     }
 
+    /** Returns how many runs the target beside an agent has seen. */
+    int runsAt(HostId agent) {
+        return mRunsAt.getOrDefault(agent, 0);
+    }
+
     List<Header> targetHeaders() {
         return mTargetHeaders;
     }
@@ -266,6 +272,7 @@
                         .orElseThrow()
                         .value();
         mRuns.merge(id, 1, Integer::sum);
+        mRunsAt.merge(agent, 1, Integer::sum);
         toAgent(agent, 1, new Input.TargetHead(call.call(), 200, List.of()), call.call());
         for (int i = 0; i < CHUNKS; i++) {
             byte[] bytes = (id + "/" + i + ";").getBytes(StandardCharsets.UTF_8);
