Test the online path with the limiter that serves it

Cause: the fault matrix ran with fixed shares, while hosts run with leased grants. Change: the matrix uses grants under leases of the control host. Conclusion: admission by lease takes part in the faults.

--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -25,7 +25,8 @@
 import org.coltsfootproxy.control.ControlSettings;
 import org.coltsfootproxy.job.EpochClock;
 import org.coltsfootproxy.job.JobGateway;
-import org.coltsfootproxy.limit.FixedShareLimiter;
+import org.coltsfootproxy.limit.GrantLimiter;
+import org.coltsfootproxy.limit.LimitSettings;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.message.Message;
@@ -167,6 +168,14 @@
     }
 
     void startEntry() {
+        Incarnation life = newLife(ENTRY);
+        LimitOwnership ownership =
+                LimitOwnership.create(
+                        ENTRY,
+                        life,
+                        List.of(ControlHost.of(ENTRY, SOLWAY, "127.0.0.1:7009")),
+                        List.of(CONTROL),
+                        new Random(mFleet.random().nextLong()));
         EntryPolicies policies =
                 new EntryPolicies(
                         () ->
@@ -175,8 +184,14 @@
                                         SOLWAY,
                                         ChooserSettings.defaults(),
                                         new Random(mFleet.random().nextLong())),
-                        listener -> FixedShareLimiter.create(() -> 1),
-                        LimitOwnership.none(ENTRY));
+                        listener ->
+                                GrantLimiter.create(
+                                        ENTRY,
+                                        life.value(),
+                                        LimitSettings.defaults(),
+                                        ownership,
+                                        listener),
+                        ownership);
         EntryNode node =
                 EntryNode.create(
                         EntrySettings.of(ENTRY, SOLWAY),
@@ -185,7 +200,7 @@
                         JobGateway.create(
                                 List.of(CONTROL), 1, 1, EpochClock.of(0, 1_700_000_000_000L)),
                         new Random(mFleet.random().nextLong()));
-        mFleet.start(ENTRY, newLife(ENTRY), node);
+        mFleet.start(ENTRY, life, node);
     }
 
     void applyTicket(String yaml) {
