--- a/src/main/java/org/coltsfootproxy/base/RendezvousHash.java
+++ b/src/main/java/org/coltsfootproxy/base/RendezvousHash.java
@@ -33,6 +33,16 @@
         return (int) Math.floorMod(hash(key), (long) buckets);
     }
 
+    /** Returns the fixed hash of a host for {@link #score(long, long)}. */
+    public static long hashOf(HostId host) {
+        return hash(host.value());
+    }
+
+    /** Returns the rank of a host for a key, both given by their hashes; the highest is best. */
+    public static long score(long hostHash, long keyHash) {
+        return Hashing.murmur3_128().newHasher().putLong(hostHash).putLong(keyHash).hash().asLong();
+    }
+
     private static long score(String key, HostId host) {
         return hash(host.value() + '\n' + key);
     }
--- a/src/main/java/org/coltsfootproxy/routing/Candidate.java
+++ b/src/main/java/org/coltsfootproxy/routing/Candidate.java
@@ -3,10 +3,12 @@
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.RendezvousHash;
 
 /** What an entry knows about one agent. */
 final class Candidate {
     private final HostId mAgent;
+    private final long mHash;
     private DataCentre mDataCentre;
     private Incarnation mIncarnation = Incarnation.UNKNOWN;
     private boolean mUp;
@@ -21,6 +23,7 @@
 
     Candidate(HostId agent, DataCentre dataCentre) {
         mAgent = agent;
+        mHash = RendezvousHash.hashOf(agent);
         mDataCentre = dataCentre;
     }
 
@@ -28,6 +31,11 @@
         return mAgent;
     }
 
+    /** Returns the rank of the agent for a prompt prefix; the highest is best. */
+    long affinity(long prefixHash) {
+        return RendezvousHash.score(mHash, prefixHash);
+    }
+
     DataCentre dataCentre() {
         return mDataCentre;
     }
--- a/src/main/java/org/coltsfootproxy/routing/LeastLoadedChooser.java
+++ b/src/main/java/org/coltsfootproxy/routing/LeastLoadedChooser.java
@@ -25,6 +25,8 @@
 final class LeastLoadedChooser implements AgentChooser {
     private static final double SATURATED = 1.0;
 
+    private record Ranked(Candidate candidate, long rank) {}
+
     private final HostId mEntry;
     private final DataCentre mOwn;
     private final ChooserSettings mSettings;
@@ -147,11 +149,11 @@
     }
 
     private Stream<Candidate> affine(List<Candidate> from, long prefixHash) {
-        Map<HostId, Candidate> byAgent =
-                from.stream().collect(Collectors.toMap(Candidate::agent, c -> c));
-        return RendezvousHash.rank(Long.toHexString(prefixHash), byAgent.keySet()).stream()
+        return from.stream()
+                .map(candidate -> new Ranked(candidate, candidate.affinity(prefixHash)))
+                .sorted(Comparator.comparingLong(Ranked::rank).reversed())
                 .limit(mSettings.affinityCandidates())
-                .map(byAgent::get);
+                .map(Ranked::candidate);
     }
 
     private Collection<Candidate> sample(List<Candidate> from) {
