--- a/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
@@ -99,11 +99,6 @@
         sweep(nowNanos);
     }
 
-    /** Tells whether a tick would publish a version or confirm renewals now. */
-    public boolean mayHaveNews() {
-        return mPublished != mState.version() || mConfirmations.hasConfirmed();
-    }
-
     /** Returns the time of the next due tick. */
     public long nextTickNanos() {
         long next = Math.min(mNextSweep, mConfirmations.nextTickNanos());
--- a/src/main/java/org/coltsfootproxy/config/ConfigView.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigView.java
@@ -74,7 +74,7 @@
         var keys = new Table<>(mKeys);
         var digests = new Table<>(mKeysByDigest);
         var services = new Table<>(mServices);
-        var routes = new Table<>(index(mRoutes.stream(), Route::objectName));
+        var routes = new Table<>(touchesRoutes(changes) ? routesByName() : Map.of());
         changes.forEach(
                 change -> {
                     switch (change.objectName().kind()) {
@@ -101,6 +101,14 @@
                 routes.isTouched() ? longestFirst(routes.result().values().stream()) : mRoutes);
     }
 
+    private static boolean touchesRoutes(Collection<ConfigChange> changes) {
+        return changes.stream().anyMatch(c -> c.objectName().kind() == ObjectKind.ROUTE);
+    }
+
+    private Map<ObjectName, Route> routesByName() {
+        return index(mRoutes.stream(), Route::objectName);
+    }
+
     private static void setKey(
             Table<KeyId, Key> keys, Table<String, Key> digests, ConfigChange change) {
         KeyId id = KeyId.of(change.objectName().id());
--- a/src/main/java/org/coltsfootproxy/config/QuorumBatch.java
+++ b/src/main/java/org/coltsfootproxy/config/QuorumBatch.java
@@ -65,11 +65,6 @@
         return mStartedAt + (mIsRunning ? mPatienceNanos : mIntervalNanos);
     }
 
-    /** Tells whether renewals were confirmed and not taken yet. */
-    public boolean hasConfirmed() {
-        return !mConfirmed.isEmpty();
-    }
-
     /** Takes the renewals that were confirmed since the last call. */
     public List<T> takeConfirmed() {
         List<T> taken = List.copyOf(mConfirmed);
--- a/src/main/java/org/coltsfootproxy/membership/LeaseGranter.java
+++ b/src/main/java/org/coltsfootproxy/membership/LeaseGranter.java
@@ -219,15 +219,6 @@
         return mIsOpen ? Math.min(next, mNextSweep) : next;
     }
 
-    /** Tells whether a tick would act on a change of leadership or a commit now. */
-    public boolean mayHaveNews(long nowNanos) {
-        return mMustBeginExpiry
-                || mRenewals.hasConfirmed()
-                || !mOutbox.isEmpty()
-                || mLeadership.isLeader(nowNanos) && mTerm != mLeadership.term()
-                || !mLeadership.isLeader(nowNanos) && mIsOpen;
-    }
-
     private void settle(long nowNanos, Effects out) {
         followLeadership(nowNanos);
         if (mMustBeginExpiry) {
@@ -364,10 +355,6 @@
             mEnded.add(lease);
         }
 
-        boolean isEmpty() {
-            return mGrants.isEmpty() && mEnded.isEmpty();
-        }
-
         void clear() {
             mGrants.clear();
             mEnded.clear();
--- a/src/test/java/org/coltsfootproxy/config/FakeFleet.java
+++ b/src/test/java/org/coltsfootproxy/config/FakeFleet.java
@@ -192,9 +192,7 @@
         }
 
         private void tick() {
-            if (mPublisher.nextTickNanos() <= mNow || mPublisher.mayHaveNews()) {
-                mPublisher.tick(mNow, effects());
-            }
+            mPublisher.tick(mNow, effects());
         }
 
         private Effects effects() {
--- a/src/test/java/org/coltsfootproxy/control/ControlFleet.java
+++ b/src/test/java/org/coltsfootproxy/control/ControlFleet.java
@@ -201,11 +201,17 @@
     static final class Subscriber implements Node {
         private final ConfigSubscriber mDecisions;
         private long mHighest;
+        private long mChangedAt;
 
         Subscriber(ConfigSubscriber decisions) {
             mDecisions = decisions;
         }
 
+        /** Returns when the version in force came. */
+        long changedAt() {
+            return mChangedAt;
+        }
+
         ConfigSubscriber decisions() {
             return mDecisions;
         }
@@ -227,6 +233,7 @@
             if (version < mHighest) {
                 throw new AssertionError("back to " + version + " from " + mHighest);
             }
+            mChangedAt = version > mHighest ? nowNanos : mChangedAt;
             mHighest = version;
         }
 
