--- a/src/main/java/org/coltsfootproxy/cli/Commands.java
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -9,7 +9,9 @@
 
     static List<Command> all() {
         return Stream.of(
+                        DemoCommand.all(),
                         ServeCommands.all(),
+                        FakeTargetCommand.all(),
                         KeyCommands.all(),
                         ControlCommands.all(),
                         JobCommands.all())
