Bring orders to a new leader as soon as one is known

An order that waited for a silent leader was tried again only after 2 s, so with the leader frozen a ticket took 3.3 s (three processes on loopback). Now a known change of leader is enough. The test cuts the leader off and expects the answer 0.2 s after another host leads.

--- a/src/main/java/org/coltsfootproxy/control/Orders.java
+++ b/src/main/java/org/coltsfootproxy/control/Orders.java
@@ -217,12 +217,19 @@
         for (Order order : new ArrayList<>(mOpen.values())) {
             if (nowNanos - order.mEndNanos >= 0) {
                 fail(order, ErrorKind.NO_LEADER);
-            } else if (nowNanos - order.mTryNanos >= 0) {
+            } else if (nowNanos - order.mTryNanos >= 0 || hasNewLeader(order)) {
                 tryAgain(order, nowNanos, out);
             }
         }
     }
 
+    /** Tells whether a repeatable order waits for a host that no longer leads. */
+    private static boolean hasNewLeader(Order order) {
+        return order.mIsUnderWay
+                && order.mMayRepeat
+                && order.mGroup.leader().filter(l -> !l.equals(order.mAsked)).isPresent();
+    }
+
     private void tryAgain(Order order, long nowNanos, Effects out) {
         if (order.mIsUnderWay && !order.mMayRepeat) {
             fail(order, ErrorKind.COMMIT_UNKNOWN);
--- a/src/test/java/org/coltsfootproxy/control/ControlNodeTest.java
+++ b/src/test/java/org/coltsfootproxy/control/ControlNodeTest.java
@@ -138,6 +138,21 @@
         assertEquals(local.mStatus, 200);
     }
 
+    @Test
+    public void aTicketGoesToTheNewLeaderAsSoonAsThereIsOne() {
+        var fleet = new ControlFleet(3, 0, 6);
+        HostId leader = fleet.awaitLeader();
+        fleet.fleet().run(SECOND);
+        HostId contact = follower(leader);
+        fleet.fleet().hosts().forEach(h -> fleet.fleet().cut(leader, h));
+        ControlFleet.Answer answer = fleet.apply(contact, 1, "solway", 1);
+        for (int i = 0; i < 100 && fleet.leader().filter(l -> !l.equals(leader)).isEmpty(); i++) {
+            fleet.fleet().run(SECOND / 20);
+        }
+        fleet.fleet().run(SECOND / 5);
+        assertAccepted(answer, 1);
+    }
+
     @Test
     public void aPlannedStopHandsLeadershipOverAndCutsNothing() {
         var fleet = new ControlFleet(3, 3, 4);
