Ask for fewer leases and look at them only when one is due

Cause: 64 leases of 4 s cost the leading control host 64 renewals a second, about 10 KB/s against a budget of 5; each entry looked at all of them five times a second. Change: 16 shards; holders are looked at when their own timers are due.

--- a/src/main/java/org/coltsfootproxy/entry/LimitOwnership.java
+++ b/src/main/java/org/coltsfootproxy/entry/LimitOwnership.java
@@ -41,16 +41,12 @@
     /** Time between two announcements without a change, in nanoseconds. */
     private static final long ANNOUNCE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-    /** Time between two looks at who should ask for which lease, in nanoseconds. */
-    private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
     private final HostId mSelf;
     private final List<ControlHost> mEntries;
     private final List<Shard> mShards;
     private final Set<HostId> mReachable = new HashSet<>();
     private Map<Integer, Long> mAnnounced = Map.of();
     private long mNextAnnouncement;
-    private long mNextLook = Node.NEVER;
     private boolean mStopping;
 
     /** What is known of one shard. */
@@ -135,8 +131,8 @@
 
     void start(long now, Effects out) {
         others().forEach(e -> out.add(new Effect.PeerAddress(e.host(), e.address())));
-        mNextAnnouncement = now;
-        mNextLook = mShards.isEmpty() ? Node.NEVER : now;
+        mNextAnnouncement = mShards.isEmpty() ? Node.NEVER : now + ANNOUNCE_NANOS;
+        look(now, out);
     }
 
     private List<ControlHost> others() {
@@ -197,7 +193,8 @@
         mShards.stream()
                 .filter(shard -> shard.noteHeld(mSelf, now))
                 .forEach(shard -> held.put(shard.mNumber, shard.mHeldFencing));
-        if (!held.equals(mAnnounced) || now - mNextAnnouncement >= 0) {
+        boolean isDue = mNextAnnouncement != Node.NEVER && now - mNextAnnouncement >= 0;
+        if (isDue || !held.equals(mAnnounced)) {
             mAnnounced = held;
             mNextAnnouncement = now + ANNOUNCE_NANOS;
             OwnerMessage message = announcement(now);
@@ -221,14 +218,16 @@
     }
 
     void tick(long now, Effects out) {
-        if (now - mNextLook >= 0) {
-            mNextLook = now + LOOK_NANOS;
-            look(now, out);
-        }
+        mShards.stream()
+                .filter(shard -> shard.mHolder.nextTickNanos() <= now)
+                .forEach(shard -> shard.mHolder.tick(now, out));
+        announceChanges(now, out);
     }
 
     long nextTickNanos() {
-        return mNextLook;
+        return mShards.stream()
+                .mapToLong(shard -> shard.mHolder.nextTickNanos())
+                .reduce(mNextAnnouncement, Math::min);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/limit/Shards.java
+++ b/src/main/java/org/coltsfootproxy/limit/Shards.java
@@ -9,7 +9,7 @@
 /** Divides organisations into a fixed number of shards, each with one lease of its buckets. */
 public final class Shards {
     /** Number of shards; the same in every process of a fleet. */
-    public static final int COUNT = 64;
+    public static final int COUNT = 16;
 
     private Shards() {}
 
