--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/docs/LayersTest.java
@@ -0,0 +1,79 @@
+package org.coltsfootproxy.docs;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Holds the packages to their order: each imports only those to its left. */
+public final class LayersTest {
+    private static final List<String> ORDER =
+            List.of(
+                    "base",
+                    "message",
+                    "node",
+                    "consensus",
+                    "storage",
+                    "config",
+                    "membership",
+                    "limit",
+                    "routing",
+                    "admission",
+                    "idempotency",
+                    "job",
+                    "entry",
+                    "agent",
+                    "control",
+                    "net",
+                    "runtime",
+                    "fake",
+                    "load",
+                    "cli");
+    private static final Path ROOT = Path.of("src/main/java/org/coltsfootproxy");
+    private static final Pattern IMPORT =
+            Pattern.compile("import (?:static )?org\\.coltsfootproxy\\.(\\w+)\\.");
+
+    @Test
+    public void eachPackageImportsOnlyPackagesToItsLeft() throws IOException {
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            List<String> wrong =
+                    files.filter(file -> file.toString().endsWith(".java"))
+                            .flatMap(LayersTest::wrongImports)
+                            .toList();
+
+            assertEquals(wrong, List.of());
+        }
+    }
+
+    @Test
+    public void everyPackageHasItsPlaceInTheOrder() throws IOException {
+        try (Stream<Path> folders = Files.list(ROOT)) {
+            folders.map(folder -> folder.getFileName().toString())
+                    .forEach(name -> assertTrue(ORDER.contains(name), name));
+        }
+    }
+
+    private static Stream<String> wrongImports(Path file) {
+        int own = ORDER.indexOf(file.getParent().getFileName().toString());
+        return IMPORT.matcher(read(file))
+                .results()
+                .map(MatchResult::group)
+                .filter(line -> ORDER.indexOf(line.replaceAll(".*\\.(\\w+)\\.$", "$1")) > own)
+                .map(line -> file + ": " + line);
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
