--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/idempotency/OnceLedger.java
@@ -0,0 +1,162 @@
+package org.coltsfootproxy.idempotency;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.RequestId;
+import org.coltsfootproxy.consensus.StateMachine;
+
+/**
+ * The record of requests that may not be repeated, by the caller's idempotency key.
+ *
+ * <p>A key is claimed before its request runs. A resend through any entry learns the stored answer,
+ * that it still runs, that it may have run, or that its content differs. A claimant that is lost
+ * leaves its claim running until its deadline and as perhaps run from then on; nobody runs it
+ * again. Keys are forgotten in the order of their claims, when their time is over and never to make
+ * room. The ledger's clock is the latest time seen in a command.
+ */
+public final class OnceLedger implements StateMachine {
+    private final OnceLimits mLimits;
+    private final LinkedHashMap<OnceKey, OnceEntry> mEntries = new LinkedHashMap<>();
+    private final Map<OrganisationId, Integer> mCounts = new HashMap<>();
+    private long mNow;
+
+    private OnceLedger(OnceLimits limits) {
+        mLimits = checkNotNull(limits, "limits");
+    }
+
+    /** Returns an empty ledger. */
+    public static OnceLedger create(OnceLimits limits) {
+        return new OnceLedger(limits);
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        OnceResult result;
+        try {
+            result = apply(OnceCommand.CODEC.decode(command));
+        } catch (ProxyException e) {
+            result = new OnceResult.Ignored();
+        }
+        return OnceResult.CODEC.encode(result);
+    }
+
+    private OnceResult apply(OnceCommand command) {
+        mNow = Math.max(mNow, command.nowMillis());
+        forget();
+        if (command instanceof OnceCommand.Claim claim) {
+            return claim(claim);
+        }
+        if (command instanceof OnceCommand.Finish finish) {
+            return finish(finish);
+        }
+        if (command instanceof OnceCommand.Settle settle) {
+            return settle(settle);
+        }
+        return new OnceResult.Done();
+    }
+
+    private OnceResult claim(OnceCommand.Claim claim) {
+        OnceEntry known = mEntries.get(claim.key());
+        if (known == null) {
+            return isFull(claim.key().organisation()) ? new OnceResult.Full() : add(claim);
+        }
+        if (!known.digest().equals(claim.digest())) {
+            return new OnceResult.Conflict();
+        }
+        OnceResult result = known.resultAt(mNow);
+        boolean isOwn = known.request().equals(claim.request());
+        return isOwn && result instanceof OnceResult.Running ? new OnceResult.Claimed() : result;
+    }
+
+    private boolean isFull(OrganisationId organisation) {
+        return mEntries.size() >= mLimits.maxKeys()
+                || mCounts.getOrDefault(organisation, 0) >= mLimits.maxKeysOfOne();
+    }
+
+    private OnceResult add(OnceCommand.Claim claim) {
+        put(
+                new OnceEntry(
+                        claim.key(),
+                        claim.digest(),
+                        claim.request(),
+                        null,
+                        false,
+                        claim.deadlineMillis(),
+                        mNow + mLimits.keepMillis()));
+        return new OnceResult.Claimed();
+    }
+
+    private void put(OnceEntry entry) {
+        mEntries.put(entry.key(), entry);
+        mCounts.merge(entry.key().organisation(), 1, Integer::sum);
+    }
+
+    private OnceResult finish(OnceCommand.Finish finish) {
+        OnceEntry known = mEntries.get(finish.key());
+        if (!isOpen(known, finish.request())) {
+            return new OnceResult.Ignored();
+        }
+        StoredAnswer answer = finish.answer().boundedTo(mLimits.maxAnswerBytes());
+        mEntries.put(known.key(), known.answered(answer));
+        return new OnceResult.Done();
+    }
+
+    private OnceResult settle(OnceCommand.Settle settle) {
+        OnceEntry known = mEntries.get(settle.key());
+        if (!isOpen(known, settle.request())) {
+            return new OnceResult.Ignored();
+        }
+        if (settle.mayHaveRun()) {
+            mEntries.put(known.key(), known.lost());
+        } else {
+            remove(known.key());
+        }
+        return new OnceResult.Done();
+    }
+
+    private static boolean isOpen(OnceEntry entry, RequestId request) {
+        return entry != null && entry.request().equals(request) && entry.answer() == null;
+    }
+
+    private void forget() {
+        expired().forEach(entry -> remove(entry.key()));
+    }
+
+    private List<OnceEntry> expired() {
+        return mEntries.values().stream().takeWhile(entry -> entry.forgetMillis() <= mNow).toList();
+    }
+
+    private void remove(OnceKey key) {
+        mEntries.remove(key);
+        mCounts.computeIfPresent(key.organisation(), (id, count) -> count == 1 ? null : count - 1);
+    }
+
+    /** Returns the number of keys kept. */
+    public int size() {
+        return mEntries.size();
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return OnceImage.CODEC.encode(new OnceImage.Whole(mNow, List.copyOf(mEntries.values())));
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        try {
+            OnceImage.Whole image = (OnceImage.Whole) OnceImage.CODEC.decode(snapshot);
+            mEntries.clear();
+            mCounts.clear();
+            mNow = image.nowMillis();
+            image.entries().forEach(this::put);
+        } catch (ProxyException e) {
+            throw new IllegalStateException("the snapshot of the once ledger is damaged", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/idempotency/OnceLedgerTest.java
@@ -0,0 +1,134 @@
+package org.coltsfootproxy.idempotency;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.RequestId;
+import org.testng.annotations.Test;
+
+/** The ledger against what callers were promised. */
+public final class OnceLedgerTest {
+    private static final int RUNS = 100;
+    private static final int STEPS = 300;
+    private static final long DEADLINE = 50;
+    private static final OnceLimits LIMITS = new OnceLimits(20, 12, 8, 1_000);
+
+    private long mIndex;
+
+    private OnceResult apply(OnceLedger ledger, OnceCommand command) {
+        try {
+            return OnceResult.CODEC.decode(
+                    ledger.apply(++mIndex, OnceCommand.CODEC.encode(command)));
+        } catch (ProxyException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static OnceKey key(int index) {
+        return OnceKey.of(OrganisationId.of("org-" + index % 2), "key-" + index);
+    }
+
+    private static StoredAnswer answer(int size) {
+        return new StoredAnswer(200, "text/plain", new byte[size], true);
+    }
+
+    private OnceResult claim(OnceLedger ledger, int key, String digest, long request, long now) {
+        RequestId id = RequestId.of(1, request);
+        return apply(ledger, new OnceCommand.Claim(key(key), digest, id, now, now + DEADLINE));
+    }
+
+    @Test
+    public void aResendLearnsTheStoredAnswerAndOtherContentIsAConflict() {
+        OnceLedger ledger = OnceLedger.create(LIMITS);
+        RequestId first = RequestId.of(1, 1);
+        assertEquals(claim(ledger, 0, "a", 1, 0), new OnceResult.Claimed());
+        assertEquals(claim(ledger, 0, "a", 1, 1), new OnceResult.Claimed());
+        assertEquals(claim(ledger, 0, "a", 2, 1), new OnceResult.Running());
+        assertEquals(claim(ledger, 0, "b", 3, 1), new OnceResult.Conflict());
+        apply(ledger, new OnceCommand.Finish(key(0), first, answer(3), 2));
+        OnceResult.Answered again = (OnceResult.Answered) claim(ledger, 0, "a", 4, 3);
+
+        assertEquals(again.answer().body().length, 3);
+        assertTrue(again.answer().isWhole());
+    }
+
+    @Test
+    public void aLostClaimantLeavesItsRequestAsPerhapsRun() {
+        OnceLedger ledger = OnceLedger.create(LIMITS);
+        claim(ledger, 0, "a", 1, 0);
+
+        assertEquals(claim(ledger, 0, "a", 2, DEADLINE), new OnceResult.Running());
+        assertEquals(claim(ledger, 0, "a", 2, DEADLINE + 1), new OnceResult.Lost());
+    }
+
+    @Test
+    public void anAnswerTooLargeToKeepIsStillKnownToHaveRun() {
+        OnceLedger ledger = OnceLedger.create(LIMITS);
+        claim(ledger, 0, "a", 1, 0);
+        RequestId first = RequestId.of(1, 1);
+        apply(ledger, new OnceCommand.Finish(key(0), first, answer(9), 2));
+        OnceResult.Answered again = (OnceResult.Answered) claim(ledger, 0, "a", 2, 3);
+
+        assertTrue(!again.answer().isWhole());
+    }
+
+    @Test
+    public void aRequestThatDidNotRunFreesItsKey() {
+        OnceLedger ledger = OnceLedger.create(LIMITS);
+        claim(ledger, 0, "a", 1, 0);
+        apply(ledger, new OnceCommand.Settle(key(0), RequestId.of(1, 1), false, 1));
+
+        assertEquals(claim(ledger, 0, "a", 2, 2), new OnceResult.Claimed());
+    }
+
+    /** Each key runs at most once within its time, whatever comes when; a copy follows by image. */
+    @Test
+    public void noKeyIsClaimedByTwoRequestsUnlessTheFirstDidNotRun() {
+        for (int seed = 1; seed <= RUNS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            OnceLedger ledger = OnceLedger.create(LIMITS);
+            Map<Integer, Long> claimedAt = new HashMap<>();
+            Map<Integer, Long> claimant = new HashMap<>();
+            long now = 0;
+            for (int step = 1; step <= STEPS; step++) {
+                now += random.nextInt(20);
+                int key = random.nextInt(30);
+                long owner = claimant.getOrDefault(key, 0L);
+                RequestId id = RequestId.of(1, random.nextBoolean() ? owner : step);
+                boolean isOwner = id.sequence() == owner;
+                switch (random.nextInt(5)) {
+                    case 0 -> apply(ledger, new OnceCommand.Finish(key(key), id, answer(1), now));
+                    case 1 -> apply(ledger, new OnceCommand.Settle(key(key), id, true, now));
+                    case 2 -> {
+                        OnceCommand settle = new OnceCommand.Settle(key(key), id, false, now);
+                        if (apply(ledger, settle).equals(new OnceResult.Done())) {
+                            assertTrue(isOwner, "freed by a stranger");
+                            claimedAt.remove(key);
+                        }
+                    }
+                    default -> {
+                        OnceResult result = claim(ledger, key, "a", step, now);
+                        if (result.equals(new OnceResult.Claimed())) {
+                            Long before = claimedAt.put(key, now);
+                            boolean isFree = before == null || now - before >= LIMITS.keepMillis();
+                            assertTrue(isFree, "seed " + seed + " ran twice");
+                            claimant.put(key, (long) step);
+                        }
+                    }
+                }
+                assertTrue(ledger.size() <= LIMITS.maxKeys());
+                if (random.nextInt(10) == 0) {
+                    OnceLedger copy = OnceLedger.create(LIMITS);
+                    copy.restore(ledger.snapshot());
+                    assertEquals(copy.snapshot(), ledger.snapshot());
+                    ledger = copy;
+                }
+            }
+        }
+    }
+}
