Show waiting batch work in status, and test what orders say

The leader of the jobs' log measures the backlog by organisation; status at any control host now shows it.

--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -46,6 +46,7 @@
 
     private final ControlSettings mSettings;
     private final Random mRandom;
+    private final JobBoard mBoard = new JobBoard();
     private final StepEffects mOut;
     private final ConfigMachine mMachine = new ConfigMachine();
     private final List<Group> mGroups = new ArrayList<>();
@@ -67,7 +68,7 @@
             Random random) {
         mSettings = settings;
         mRandom = random;
-        mOut = new StepEffects(settings.self());
+        mOut = new StepEffects(settings.self(), mBoard);
         Group config = new Group(0, mMachine, recovered.get(0));
         mGroups.add(config);
         IntStream.range(1, recovered.size()).forEach(g -> addJobs(g, recovered.get(g), clock));
@@ -88,6 +89,7 @@
                         mGroups,
                         mMachine,
                         mPublisher,
+                        mBoard,
                         random.nextLong());
         mGateway = JobGateway.create(hosts, settings.jobGroups(), random.nextLong(), clock);
         mApi =
@@ -230,6 +232,9 @@
     @Override
     public void tick(long nowNanos, Effects out) {
         mOut.begin(out);
+        if (mJobs.stream().noneMatch(JobService::isLeading)) {
+            mBoard.clear();
+        }
         mStatus.tick(nowNanos, mOut);
         if (mIsStopping && nowNanos - mNextHandover >= 0) {
             handOver(nowNanos);
--- a/src/main/java/org/coltsfootproxy/control/OperatorAnswers.java
+++ b/src/main/java/org/coltsfootproxy/control/OperatorAnswers.java
@@ -5,6 +5,7 @@
 import org.coltsfootproxy.config.Verdict;
 import org.coltsfootproxy.consensus.RaftStatus;
 import org.coltsfootproxy.membership.Lease;
+import org.coltsfootproxy.message.ConfigMessage;
 
 /** The JSON bodies that operators get. */
 final class OperatorAnswers {
@@ -41,6 +42,7 @@
      * @param configVersion version of the configuration on this host
      * @param oldestVersion oldest version in force at a subscriber
      * @param silent control hosts that didn't answer; their subscribers are missing
+     * @param backlogs batch work that waits, by organisation
      */
     record Status(
             String host,
@@ -49,7 +51,8 @@
             List<GroupStatus> groups,
             List<Subscriber> subscribers,
             List<String> silent,
-            List<LeaseStatus> leases) {}
+            List<LeaseStatus> leases,
+            List<ConfigMessage.BacklogState> backlogs) {}
 
     /**
      * One replicated log.
--- a/src/main/java/org/coltsfootproxy/control/StatusBoard.java
+++ b/src/main/java/org/coltsfootproxy/control/StatusBoard.java
@@ -15,7 +15,7 @@
 import org.coltsfootproxy.node.JsonAnswer;
 import org.coltsfootproxy.node.Node;
 
-/** Answers for the state of the fleet: asks the other control hosts for their subscribers. */
+/** Answers for the state of the fleet: asks the other control hosts for theirs. */
 final class StatusBoard {
     private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int MAX_OPEN = 64;
@@ -26,6 +26,7 @@
     private final List<Group> mGroups;
     private final ConfigMachine mMachine;
     private final ConfigPublisher mPublisher;
+    private final JobBoard mJobs;
     private final Map<Long, Question> mOpen = new HashMap<>();
     private long mLastId;
 
@@ -34,6 +35,7 @@
         private final long mEndNanos;
         private final Set<HostId> mMissing;
         private final List<OperatorAnswers.Subscriber> mSubscribers = new ArrayList<>();
+        private final List<ConfigMessage.BacklogState> mBacklogs = new ArrayList<>();
 
         Question(long call, long endNanos, List<HostId> asked) {
             mCall = call;
@@ -48,12 +50,14 @@
             List<Group> groups,
             ConfigMachine machine,
             ConfigPublisher publisher,
+            JobBoard jobs,
             long firstId) {
         mSelf = self;
         mOthers = others;
         mGroups = groups;
         mMachine = machine;
         mPublisher = publisher;
+        mJobs = jobs;
         mLastId = firstId;
     }
 
@@ -63,6 +67,7 @@
         List<HostId> asked = mOpen.size() < MAX_OPEN ? mOthers : List.of();
         var question = new Question(call, nowNanos + PATIENCE_NANOS, asked);
         mPublisher.subscribers(nowNanos).forEach(s -> add(question, mSelf, s));
+        mJobs.backlogs().forEach(question.mBacklogs::add);
         mOpen.put(mLastId, question);
         asked.forEach(host -> out.send(host, new ConfigMessage.StatusAsk(mLastId)));
         finishIfComplete(mLastId, nowNanos, out);
@@ -85,7 +90,8 @@
                 new ConfigMessage.StatusAnswer(
                         ask.id(),
                         mMachine.config().version(),
-                        mPublisher.subscribers(nowNanos).toList()));
+                        mPublisher.subscribers(nowNanos).toList(),
+                        mJobs.backlogs().toList()));
     }
 
     /** Takes another control host's answer. */
@@ -93,6 +99,7 @@
         Question question = mOpen.get(answer.id());
         if (question != null && question.mMissing.remove(from)) {
             answer.subscribers().forEach(s -> add(question, from, s));
+            question.mBacklogs.addAll(answer.backlogs());
             finishIfComplete(answer.id(), nowNanos, out);
         }
     }
@@ -137,7 +144,8 @@
                                 .toList(),
                         subscribers,
                         question.mMissing.stream().map(HostId::value).sorted().toList(),
-                        mMachine.leases().leases().map(OperatorAnswers.LeaseStatus::of).toList());
+                        mMachine.leases().leases().map(OperatorAnswers.LeaseStatus::of).toList(),
+                        question.mBacklogs);
         JsonAnswer.send(question.mCall, OK, status, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/control/StepEffects.java
+++ b/src/main/java/org/coltsfootproxy/control/StepEffects.java
@@ -9,15 +9,18 @@
 
 /**
  * The effects of whatever step is under way, so that completions told in a later step reach it;
- * messages of the host to itself are kept for it to handle.
+ * messages of the host to itself are kept for it to handle, and measurements of batch work for its
+ * status.
  */
 final class StepEffects implements Effects {
     private final HostId mSelf;
+    private final JobBoard mBoard;
     private final Deque<Message> mToSelf = new ArrayDeque<>();
     private Effects mOut = effect -> {};
 
-    StepEffects(HostId self) {
+    StepEffects(HostId self, JobBoard board) {
         mSelf = self;
+        mBoard = board;
     }
 
     /** Begins a step. */
@@ -27,6 +30,9 @@
 
     @Override
     public void add(Effect effect) {
+        if (effect instanceof Effect.Measure measure) {
+            mBoard.note(measure);
+        }
         if (effect instanceof Effect.Send send && send.to().equals(mSelf)) {
             mToSelf.add(send.message());
         } else {
--- a/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
@@ -113,11 +113,21 @@
     @WireCode(322)
     record StatusAsk(long id) implements ConfigMessage {}
 
-    /** Control to control: the subscribers of a host. */
+    /** Control to control: the subscribers of a host, and the backlogs that it measures. */
     @WireCode(323)
-    record StatusAnswer(long id, long version, List<SubscriberState> subscribers)
+    record StatusAnswer(
+            long id, long version, List<SubscriberState> subscribers, List<BacklogState> backlogs)
             implements ConfigMessage {}
 
+    /**
+     * Batch work that waits.
+     *
+     * @param oldestSeconds time since the oldest job of it was accepted
+     * @param jobsAtRisk jobs that are expected to end past their deadline
+     */
+    record BacklogState(
+            String organisation, long itemsWaiting, double oldestSeconds, long jobsAtRisk) {}
+
     /**
      * A subscriber as its control host sees it.
      *
--- a/src/test/java/org/coltsfootproxy/control/ControlNodeTest.java
+++ b/src/test/java/org/coltsfootproxy/control/ControlNodeTest.java
@@ -153,6 +153,60 @@
         assertAccepted(answer, 1);
     }
 
+    @Test
+    public void anOrderThatMayHaveBeenTakenIsNeverCalledNotRun() {
+        var fleet = new ControlFleet(3, 0, 7);
+        HostId leader = fleet.awaitLeader();
+        fleet.fleet().run(SECOND);
+        HostId contact = follower(leader);
+        ControlFleet.Answer answer = fleet.apply(contact, 1, "solway", 1);
+        fleet.fleet().run(LINK + LINK / 10);
+        fleet.fleet().hosts().forEach(h -> fleet.fleet().cut(contact, h));
+        fleet.fleet().run(12 * SECOND);
+        assertRefused(answer, 503, "commit-unknown");
+        assertTrue(answer.body().contains("\"ran\":\"maybe\""), answer.body());
+        ControlFleet.Answer shown = fleet.call(leader, "GET", "/v1/tickets/1", "");
+        fleet.fleet().run(SECOND);
+        assertEquals(shown.mStatus, 200, "the ticket was taken after all");
+    }
+
+    @Test
+    public void aTicketAtDeposedLeaderIsTriedAgainUntilItsOutcomeIsKnown() {
+        var fleet = new ControlFleet(3, 0, 8);
+        HostId leader = fleet.awaitLeader();
+        fleet.fleet().run(SECOND);
+        fleet.fleet().hosts().forEach(h -> fleet.fleet().cut(leader, h));
+        ControlFleet.Answer answer = fleet.apply(leader, 1, "solway", 1);
+        fleet.fleet().run(4 * SECOND);
+        assertFalse(answer.mIsWhole, answer.body());
+        fleet.fleet().hosts().forEach(h -> fleet.fleet().heal(leader, h));
+        fleet.fleet().run(4 * SECOND);
+        assertAccepted(answer, 1);
+    }
+
+    @Test
+    public void statusShowsWaitingBatchWorkWhicheverHostIsAsked() {
+        var fleet = new ControlFleet(3, 0, 9);
+        HostId leader = fleet.awaitLeader();
+        fleet.apply(leader, 1, "solway", 1);
+        fleet.fleet().run(SECOND);
+        String service =
+                "ticket: 2\nservices: [{id: rota, concurrency: 1}]\nroutes:\n"
+                        + "  - {id: rota, pathPrefix: /rota, service: rota}";
+        fleet.call(leader, "POST", "/v1/tickets", service);
+        fleet.fleet().run(SECOND);
+        String path =
+                "/v1/organisations/solway/v1/jobs?id=night&service-path=/rota" + "&deadline=3600";
+        ControlFleet.Answer job = fleet.call(leader, "POST", path, "{\"body\":1}\n{\"body\":2}\n");
+        fleet.fleet().run(12 * SECOND);
+        assertEquals(job.mStatus, 202, job.body());
+        ControlFleet.Answer status = fleet.call(follower(leader), "GET", "/v1/status", "");
+        fleet.fleet().run(SECOND);
+        assertTrue(
+                status.body().contains("\"organisation\":\"solway\",\"itemsWaiting\":2"),
+                status.body());
+    }
+
     @Test
     public void aPlannedStopHandsLeadershipOverAndCutsNothing() {
         var fleet = new ControlFleet(3, 3, 4);
--- a/src/test/java/org/coltsfootproxy/membership/LeaseTest.java
+++ b/src/test/java/org/coltsfootproxy/membership/LeaseTest.java
@@ -114,6 +114,19 @@
         assertTrue(second.isHeld());
     }
 
+    @Test
+    public void ofTwoGrantsThatReplaceTheSameOnlyOneTakesEffect() {
+        LeaseTable table = LeaseTable.create();
+        for (String host : List.of("holder-1", "holder-2")) {
+            HostId id = HostId.of(host);
+            var grant = new LeaseCommand.Grant(NAME, id, Incarnation.of(1), 0, 1000);
+            table.apply(1, grant.encode());
+        }
+        assertEquals(table.lease(NAME).orElseThrow().host(), HostId.of("holder-1"));
+        table.apply(2, new LeaseCommand.End(NAME, 99).encode());
+        assertTrue(table.lease(NAME).isPresent(), "ended under another number");
+    }
+
     private record Event(long at, long order, Runnable action) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
