--- a/src/main/java/org/coltsfootproxy/entry/OnlineRequests.java
+++ b/src/main/java/org/coltsfootproxy/entry/OnlineRequests.java
@@ -1,6 +1,5 @@
 package org.coltsfootproxy.entry;
 
-import com.google.common.hash.Hashing;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +17,6 @@
 import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.Route;
-import org.coltsfootproxy.config.Service;
 import org.coltsfootproxy.limit.Decision;
 import org.coltsfootproxy.limit.Limiter;
 import org.coltsfootproxy.message.CallMessage;
@@ -134,8 +132,8 @@
      */
     private void send(Request request, Failure otherwise, long now, Effects out) {
         Optional<AgentChooser> chooser = mAgents.chooser(request.route().service());
-        Optional<HostId> agent =
-                chooser.flatMap(c -> c.choose(prefixHash(request), request.tried(), now));
+        OptionalLong prefix = ForwardMessages.prefixHash(request, mView);
+        Optional<HostId> agent = chooser.flatMap(c -> c.choose(prefix, request.tried(), now));
         Optional<Incarnation> incarnation =
                 agent.flatMap(a -> chooser.flatMap(c -> c.incarnation(a)));
         if (incarnation.isEmpty()) {
@@ -144,36 +142,10 @@
         }
         chooser.get().sent(agent.get(), now);
         request.sentTo(agent.get(), incarnation.get(), now);
-        out.send(agent.get(), forward(request, now));
+        out.send(agent.get(), ForwardMessages.of(request, now));
         mTimers.set(request.id(), now + mSettings.receiptNanos());
     }
 
-    private CallMessage.Forward forward(Request request, long now) {
-        Organisation organisation = request.organisation();
-        Input.HttpCall call = request.call();
-        return new CallMessage.Forward(
-                request.id(),
-                request.incarnation(),
-                organisation.id(),
-                organisation.weight(),
-                request.route().service(),
-                request.isRepeatable(),
-                request.deadline() - now,
-                call.method(),
-                call.path(),
-                ForwardedHeaders.of(call.headers(), organisation.id(), request.id()),
-                call.body());
-    }
-
-    private OptionalLong prefixHash(Request request) {
-        int bytes = mView.service(request.route().service()).map(Service::affinityBytes).orElse(0);
-        byte[] body = request.call().body();
-        int length = Math.min(bytes, body.length);
-        return length == 0
-                ? OptionalLong.empty()
-                : OptionalLong.of(Hashing.murmur3_128().hashBytes(body, 0, length).asLong());
-    }
-
     /** Handles what an agent says about a request. */
     void handle(HostId agent, CallMessage message, long now, Effects out) {
         Request request = mRequests.get(message.request());
