Write to peers no more than their sockets take

Change: messages wait in the link's own bounded queue and go out in pieces of 32 KB while the socket takes them, so that a ping waits behind 256 KB at most, and other connections of the loop in between. The new test fails without the change and passes with it. Conclusion: a flood is bounded by what the receiver reads, and silence means silence.

--- a/src/main/java/org/coltsfootproxy/net/Frame.java
+++ b/src/main/java/org/coltsfootproxy/net/Frame.java
@@ -38,11 +38,15 @@
 
     /** Returns the bytes of a frame. */
     static ByteBuf encode(Kind kind, byte[] payload) {
-        ByteBuf header = Unpooled.buffer(HEADER_BYTES);
-        header.writeInt(payload.length + 2).writeByte(VERSION).writeByte(kind.ordinal());
-        return payload.length == 0
-                ? header
-                : Unpooled.wrappedBuffer(header, Unpooled.wrappedBuffer(payload));
+        ByteBuf frame = Unpooled.buffer(HEADER_BYTES + payload.length);
+        write(kind, payload, frame);
+        return frame;
+    }
+
+    /** Writes a frame to a buffer. */
+    static void write(Kind kind, byte[] payload, ByteBuf out) {
+        out.writeInt(payload.length + 2).writeByte(VERSION).writeByte(kind.ordinal());
+        out.writeBytes(payload);
     }
 
     /** Returns the bytes of a frame without payload. */
--- a/src/main/java/org/coltsfootproxy/net/PeerConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerConnection.java
@@ -4,7 +4,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
@@ -26,6 +28,9 @@
     /** Name of the frame decoder in the pipeline. */
     static final String DECODER = "frames";
 
+    /** Bytes in the channel above which nothing more is written, and below which it goes on. */
+    static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(64 << 10, 256 << 10);
+
     private final PeerContext mContext;
     private final FleetSecret.Side mSide;
     private final Lane mLane;
@@ -219,21 +224,35 @@
         rearmPing();
     }
 
-    /** Sends an encoded message without flushing it; {@code onDone} runs when it has left. */
-    void write(byte[] message, Runnable onDone) {
+    /** Tells whether the socket takes more. */
+    boolean isWritable() {
+        return mChannel.isWritable();
+    }
+
+    /**
+     * Sends encoded messages in one piece; {@code onDone} runs when they have left or are lost.
+     *
+     * @param bytes their length together
+     */
+    void write(List<byte[]> messages, int bytes, Runnable onDone) {
+        ByteBuf frames =
+                mChannel.alloc().directBuffer(bytes + messages.size() * Frame.HEADER_BYTES);
+        messages.forEach(m -> Frame.write(Frame.Kind.MESSAGE, m, frames));
         mPings.messageSent(System.nanoTime());
-        mChannel.write(Frame.encode(Frame.Kind.MESSAGE, message))
+        mChannel.writeAndFlush(frames)
                 .addListener(
                         f -> {
-                            mPings.bytesMoved(message.length);
+                            mPings.bytesMoved(bytes);
                             onDone.run();
                         });
+        rearmPing();
     }
 
-    /** Sends what was written. */
-    void flush() {
-        mChannel.flush();
-        rearmPing();
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (mReady && mChannel.isWritable()) {
+            mContext.links().link(mPeer.host(), mLane).writable();
+        }
     }
 
     private void rearmPing() {
--- a/src/main/java/org/coltsfootproxy/net/PeerLink.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerLink.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +32,8 @@
  */
 final class PeerLink {
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    private static final int BATCH_BYTES = 32 << 10;
+    private static final int BATCHES_IN_A_ROW = 16;
 
     private final PeerContext mContext;
     private final HostId mHost;
@@ -105,14 +108,35 @@
         return mConnections.stream().filter(PeerConnection::isReady).findFirst();
     }
 
+    /**
+     * Writes what waits as long as the socket takes it. What it doesn't take stays here, so that a
+     * ping never waits behind more than the socket's own buffers.
+     */
     private void writeAll(PeerConnection connection) {
-        byte[] message = mQueue.poll();
-        while (message != null) {
-            int length = message.length;
-            connection.write(message, () -> left(length));
-            message = mQueue.poll();
+        for (int i = 0; i < BATCHES_IN_A_ROW && connection.isWritable(); i++) {
+            List<byte[]> batch = nextBatch();
+            if (batch.isEmpty()) {
+                return;
+            }
+            int bytes = batch.stream().mapToInt(m -> m.length).sum();
+            connection.write(batch, bytes, () -> left(bytes));
+        }
+        if (connection.isWritable() && !mQueue.isEmpty()) {
+            // The loop's other connections and timers come first.
+            wake();
+        }
+    }
+
+    private List<byte[]> nextBatch() {
+        List<byte[]> batch = new ArrayList<>();
+        int bytes = 0;
+        byte[] message = mQueue.peek();
+        while (message != null && (batch.isEmpty() || bytes + message.length <= BATCH_BYTES)) {
+            batch.add(mQueue.remove());
+            bytes += message.length;
+            message = mQueue.peek();
         }
-        connection.flush();
+        return batch;
     }
 
     private void left(int bytes) {
@@ -145,6 +169,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, PeerConnection.WATER_MARK)
                 .handler(new Initializer())
                 .connect(address)
                 .addListener((ChannelFuture f) -> dialled(f));
@@ -195,6 +220,11 @@
                 || (!old.isDialled() && !fresh.isDialled());
     }
 
+    /** Goes on writing after a connection's socket has taken what it was given. */
+    void writable() {
+        wake();
+    }
+
     /** Forgets a connection that was ready. */
     void closed(PeerConnection connection) {
         mConnections.remove(connection);
--- a/src/main/java/org/coltsfootproxy/net/PeerTransport.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerTransport.java
@@ -114,6 +114,8 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(
+                                ChannelOption.WRITE_BUFFER_WATER_MARK, PeerConnection.WATER_MARK)
                         .childHandler(new Initializer());
         mServer = Binding.bind(bootstrap, mSettings.address());
         return (InetSocketAddress) mServer.localAddress();
--- a/src/test/java/org/coltsfootproxy/net/PeerTransportTest.java
+++ b/src/test/java/org/coltsfootproxy/net/PeerTransportTest.java
@@ -15,6 +15,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
@@ -217,6 +219,29 @@
         }
     }
 
+    @Test
+    public void aFloodOfSmallMessagesIsNotTakenForSilence() throws Exception {
+        int count = 150_000;
+        CountDownLatch arrived = new CountDownLatch(count);
+        RecordingEvents events = new RecordingEvents();
+        InputSink sink =
+                input -> {
+                    if (input instanceof Input.FromPeer) {
+                        arrived.countDown();
+                    }
+                    return true;
+                };
+        try (PeerTransport c =
+                PeerTransport.create(settings(HostId.of("c"), FIRST, SECRET), sink, events)) {
+            InetSocketAddress address = c.start();
+            mA.transport().address(HostId.of("c"), "127.0.0.1:" + address.getPort());
+            for (int i = 0; i < count; i++) {
+                mA.transport().send(HostId.of("c"), message(i));
+            }
+            assertTrue(arrived.await(30, TimeUnit.SECONDS), arrived.getCount() + " did not arrive");
+        }
+    }
+
     @Test
     public void whatWaitsForAPeerThatDoesNotReadIsBounded() throws Exception {
         PeerSettings bounded = settings(B, FIRST, SECRET).withBounds(1 << 20, 1 << 20);
