--- a/src/main/java/org/coltsfootproxy/cli/Commands.java
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -9,10 +9,13 @@
 
     static List<Command> all() {
         return Stream.of(
+                        DemoCommand.all(),
                         ServeCommands.all(),
+                        FakeTargetCommand.all(),
                         KeyCommands.all(),
                         ControlCommands.all(),
-                        JobCommands.all())
+                        JobCommands.all(),
+                        LoadCommand.all())
                 .flatMap(List::stream)
                 .toList();
     }
--- a/src/main/java/org/coltsfootproxy/limit/Holding.java
+++ b/src/main/java/org/coltsfootproxy/limit/Holding.java
@@ -12,6 +12,7 @@
     /** Share of a grant's life that is left unused, as the two clocks may drift apart. */
     private static final long DRIFT_DIVISOR = 500;
 
+    private static final int MAX_DOUBLINGS = 2;
     private static final double SECOND_NANOS = 1e9;
     private static final double RATE_SPAN_NANOS = 5e8;
 
@@ -92,12 +93,9 @@
         return mReturned;
     }
 
-    boolean isReported() {
-        return mReported == mUsed && tokens() == 0;
-    }
-
-    void reported() {
-        mReported = mUsed;
+    /** Tells whether there is something to tell the owner after an idle time. */
+    boolean wantsReturn() {
+        return tokens() > 0 || mUsed > mReported;
     }
 
     void use(long now) {
@@ -105,8 +103,10 @@
         mLastUse = now;
     }
 
-    void giveBack(long tokens) {
-        mReturned += tokens;
+    /** Gives all tokens back and tells what was used. */
+    void giveBack() {
+        mReturned += tokens();
+        mReported = mUsed;
     }
 
     /** Takes a grant; one that came after its life is void, as the owner has counted it as used. */
@@ -152,7 +152,7 @@
 
     /** Returns when an open ask is to be repeated. */
     long repeatAt(long timeout) {
-        return mAskedAt + (timeout << Math.min(mAskTries, 4));
+        return mAskedAt + (timeout << Math.min(mAskTries, MAX_DOUBLINGS));
     }
 
     long notBefore() {
--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -25,7 +25,8 @@
 import org.coltsfootproxy.control.ControlSettings;
 import org.coltsfootproxy.job.EpochClock;
 import org.coltsfootproxy.job.JobGateway;
-import org.coltsfootproxy.limit.FixedShareLimiter;
+import org.coltsfootproxy.limit.GrantLimiter;
+import org.coltsfootproxy.limit.LimitSettings;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.message.Message;
@@ -106,6 +107,7 @@
     private final VirtualFleet mFleet;
     private final Map<Long, Answer> mAnswers = new HashMap<>();
     private final Map<String, Integer> mRuns = new HashMap<>();
+    private final Map<HostId, Integer> mRunsAt = new HashMap<>();
     private final List<Header> mTargetHeaders = new ArrayList<>();
     private final Map<HostId, Integer> mLives = new HashMap<>();
     private final Map<HostId, List<Long>> mCancelled = new HashMap<>();
@@ -166,6 +168,14 @@
     }
 
     void startEntry() {
+        Incarnation life = newLife(ENTRY);
+        LimitOwnership ownership =
+                LimitOwnership.create(
+                        ENTRY,
+                        life,
+                        List.of(ControlHost.of(ENTRY, SOLWAY, "127.0.0.1:7009")),
+                        List.of(CONTROL),
+                        new Random(mFleet.random().nextLong()));
         EntryPolicies policies =
                 new EntryPolicies(
                         () ->
@@ -174,8 +184,14 @@
                                         SOLWAY,
                                         ChooserSettings.defaults(),
                                         new Random(mFleet.random().nextLong())),
-                        listener -> FixedShareLimiter.create(() -> 1),
-                        LimitOwnership.none(ENTRY));
+                        listener ->
+                                GrantLimiter.create(
+                                        ENTRY,
+                                        life.value(),
+                                        LimitSettings.defaults(),
+                                        ownership,
+                                        listener),
+                        ownership);
         EntryNode node =
                 EntryNode.create(
                         EntrySettings.of(ENTRY, SOLWAY),
@@ -184,7 +200,7 @@
                         JobGateway.create(
                                 List.of(CONTROL), 1, 1, EpochClock.of(0, 1_700_000_000_000L)),
                         new Random(mFleet.random().nextLong()));
-        mFleet.start(ENTRY, newLife(ENTRY), node);
+        mFleet.start(ENTRY, life, node);
     }
 
     void applyTicket(String yaml) {
@@ -216,6 +232,11 @@
         return mRuns.getOrDefault(Long.toString(call), 0);
     }
 
+    /** Returns how many runs the target beside an agent has seen. */
+    int runsAt(HostId agent) {
+        return mRunsAt.getOrDefault(agent, 0);
+    }
+
     List<Header> targetHeaders() {
         return mTargetHeaders;
     }
@@ -266,6 +287,7 @@
                         .orElseThrow()
                         .value();
         mRuns.merge(id, 1, Integer::sum);
+        mRunsAt.merge(agent, 1, Integer::sum);
         toAgent(agent, 1, new Input.TargetHead(call.call(), 200, List.of()), call.call());
         for (int i = 0; i < CHUNKS; i++) {
             byte[] bytes = (id + "/" + i + ";").getBytes(StandardCharsets.UTF_8);
