--- a/src/main/java/org/coltsfootproxy/load/HtmlReport.java
+++ b/src/main/java/org/coltsfootproxy/load/HtmlReport.java
@@ -142,7 +142,7 @@
                 streams.stream()
                         .map(s -> new SvgPlot.Line(s.name(), values(latency.apply(s))))
                         .toList();
-        return SvgPlot.lines("ms", labels, lines);
+        return SvgPlot.lines("ms", SvgPlot.Scale.LOGARITHMIC, labels, lines);
     }
 
     private static List<Double> values(LoadReport.Latency latency) {
@@ -156,6 +156,7 @@
                 "Requests a second",
                 SvgPlot.lines(
                         "requests/s",
+                        SvgPlot.Scale.LINEAR,
                         labels,
                         List.of(
                                 line("sent", seconds, LoadReport.Second::sent),
--- a/src/main/java/org/coltsfootproxy/load/SvgPlot.java
+++ b/src/main/java/org/coltsfootproxy/load/SvgPlot.java
@@ -28,16 +28,45 @@
     /** One bar with parts, from left to right. */
     record Bar(String name, List<Double> parts) {}
 
+    /** How values are placed on the vertical axis. */
+    enum Scale {
+        /** From 0 to the highest value. */
+        LINEAR,
+        /** By powers of ten, from 1 on. */
+        LOGARITHMIC
+    }
+
+    /** The vertical axis of a plot. */
+    private record Axis(Scale scale, double high) {
+        /** Returns the place of a value, from 0 at the bottom to 1 at the top. */
+        double share(double value) {
+            return scale == Scale.LINEAR
+                    ? value / high
+                    : Math.log10(Math.max(1, value)) / Math.log10(high);
+        }
+
+        List<Double> ticks() {
+            return scale == Scale.LINEAR
+                    ? IntStream.rangeClosed(0, TICKS).mapToObj(i -> high * i / TICKS).toList()
+                    : IntStream.rangeClosed(0, (int) Math.round(Math.log10(high)))
+                            .mapToObj(i -> Math.pow(10, i))
+                            .toList();
+        }
+    }
+
     /** Returns a plot of lines over labelled places. */
-    static String lines(String unit, List<String> labels, List<Line> lines) {
+    static String lines(String unit, Scale scale, List<String> labels, List<Line> lines) {
         double top =
                 lines.stream().flatMap(l -> l.y().stream()).mapToDouble(v -> v).max().orElse(0);
-        double high = nice(top);
+        Axis axis =
+                scale == Scale.LINEAR
+                        ? new Axis(scale, nice(top))
+                        : new Axis(scale, Math.pow(10, Math.ceil(Math.log10(Math.max(10, top)))));
         String curves =
                 IntStream.range(0, lines.size())
-                        .mapToObj(i -> curve(lines.get(i), i, labels.size(), high))
+                        .mapToObj(i -> curve(lines.get(i), i, labels.size(), axis))
                         .collect(Collectors.joining());
-        return svg(HEIGHT, grid(unit, high) + places(labels) + curves);
+        return svg(HEIGHT, grid(unit, axis) + places(labels) + curves);
     }
 
     private static String svg(int height, String content) {
@@ -51,13 +80,13 @@
                 content);
     }
 
-    /** Returns the least of 1, 2, 2.5 and 5 times a power of ten that isn't below a value. */
+    /** Returns the least of 1, 2, 3, 4 and 5 times a power of ten that isn't below a value. */
     private static double nice(double value) {
         if (value <= 0) {
             return 1;
         }
         double power = Math.pow(10, Math.floor(Math.log10(value)));
-        return List.of(1.0, 2.0, 2.5, 5.0, 10.0).stream()
+        return List.of(1.0, 2.0, 3.0, 4.0, 5.0, 10.0).stream()
                 .map(f -> f * power)
                 .filter(v -> v >= value)
                 .findFirst()
@@ -68,20 +97,17 @@
         return LEFT + (WIDTH - LEFT - RIGHT) * (places < 2 ? 0 : (double) place / (places - 1));
     }
 
-    private static double y(double value, double high) {
-        return HEIGHT - BOTTOM - (HEIGHT - TOP - BOTTOM) * value / high;
+    private static double y(double value, Axis axis) {
+        return HEIGHT - BOTTOM - (HEIGHT - TOP - BOTTOM) * axis.share(value);
     }
 
-    private static String grid(String unit, double high) {
-        String ticks =
-                IntStream.rangeClosed(0, TICKS)
-                        .mapToObj(i -> tick(high * i / TICKS, high))
-                        .collect(Collectors.joining());
+    private static String grid(String unit, Axis axis) {
+        String ticks = axis.ticks().stream().map(v -> tick(v, axis)).collect(Collectors.joining());
         return ticks + text(LEFT, TOP - 4, "start", unit);
     }
 
-    private static String tick(double value, double high) {
-        double y = y(value, high);
+    private static String tick(double value, Axis axis) {
+        double y = y(value, axis);
         String line =
                 String.format(
                         Locale.ROOT,
@@ -113,7 +139,7 @@
                 .collect(Collectors.joining());
     }
 
-    private static String curve(Line line, int index, int places, double high) {
+    private static String curve(Line line, int index, int places, Axis axis) {
         String points =
                 IntStream.range(0, line.y().size())
                         .mapToObj(
@@ -122,7 +148,7 @@
                                                 Locale.ROOT,
                                                 "%.1f,%.1f",
                                                 x(i, places),
-                                                y(line.y().get(i), high)))
+                                                y(line.y().get(i), axis)))
                         .collect(Collectors.joining(" "));
         String drawn =
                 String.format(
