Fuzz the replicated log, and mend what it found

The fuzz found: a read at a leader that hands over made it ask to be ticked forever; a member that missed its own removal could not ask to be let in again; removing a live member while another's disk was lost left a list without a quorum. Now reads start while handing over, a long silent voter asks too, and a change is refused if the voters left have no quorum that answers.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -22,7 +22,7 @@
     STORAGE_WRITE_REFUSED(205, Level.WARN, "the disk is full; the write will be tried again"),
     STORAGE_FAILED(206, Level.ERROR, "the disk failed; this member takes no part any more"),
     LEADERSHIP_GIVEN_UP(207, Level.INFO, "this host handed leadership over"),
-    HOST_WITHOUT_STATE(208, Level.WARN, "a host without state asked to join"),
+    HOST_ASKS_TO_JOIN(208, Level.WARN, "a host that is no member asked to join"),
 
     // 300-399: configuration, membership and leases
     TICKET_ACCEPTED(300, Level.INFO, "a change ticket was accepted"),
--- a/src/main/java/org/coltsfootproxy/consensus/Group.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Group.java
@@ -169,7 +169,12 @@
 
     /** Tells whether a promise to a leader, possibly of a former life, may still hold. */
     boolean isPromised(long nowNanos) {
-        return nowNanos - mHeardNanos < mSettings.electionTimeoutNanos();
+        return silenceNanos(nowNanos) < mSettings.electionTimeoutNanos();
+    }
+
+    /** Returns how long no leader was heard, or since the start. */
+    long silenceNanos(long nowNanos) {
+        return nowNanos - mHeardNanos;
     }
 
     /** Has the term and vote written. */
--- a/src/main/java/org/coltsfootproxy/consensus/Leadership.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Leadership.java
@@ -78,11 +78,11 @@
             bestVoter().ifPresent(target -> askToTakeOver(target, step));
             return true;
         }
+        startReads(step);
         if (mHandover.isPresent()) {
             return advance(mHandover.get(), step);
         }
         appendWaiting(step);
-        startReads(step);
         return false;
     }
 
--- a/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
+++ b/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
@@ -57,18 +57,19 @@
         if (pending || !replication.isTermCommitted()) {
             return Optional.empty();
         }
-        return asked().or(() -> promotion(replication, nowNanos))
+        return asked(replication, nowNanos)
+                .or(() -> promotion(replication, nowNanos))
                 .or(() -> replacement(replication, nowNanos));
     }
 
-    private Optional<Next> asked() {
+    private Optional<Next> asked(Replication replication, long nowNanos) {
         Optional<Asked> asked = mAsked;
         mAsked = Optional.empty();
         return asked.flatMap(
                 wish ->
                         wish.change() instanceof MemberChange.Add
                                 ? add(wish)
-                                : remove(wish.change().host(), wish.done()));
+                                : remove(wish, replication, nowNanos));
     }
 
     private Optional<Next> add(Asked wish) {
@@ -84,19 +85,33 @@
         return Optional.of(new Next(members.withLearner(joining.get()), Optional.of(wish.done())));
     }
 
-    private Optional<Next> remove(HostId host, Proposer.Completion done) {
+    private Optional<Next> remove(Asked wish, Replication replication, long nowNanos) {
         Members members = mGroup.members();
-        Optional<Member> leaving =
+        HostId host = wish.change().host();
+        Optional<Members> changed =
                 members.learners().stream()
                         .filter(member -> member.host().equals(host))
                         .findFirst()
-                        .or(() -> members.voter(host));
-        boolean last = leaving.isPresent() && members.without(leaving.get()).voters().isEmpty();
-        if (leaving.isEmpty() || last) {
-            done.failed(last ? ErrorKind.CONFLICT : ErrorKind.NOT_FOUND);
+                        .or(() -> members.voter(host))
+                        .map(members::without);
+        boolean able = changed.isPresent() && canCommit(changed.get(), replication, nowNanos);
+        if (!able) {
+            wish.done().failed(changed.isEmpty() ? ErrorKind.NOT_FOUND : ErrorKind.CONFLICT);
             return Optional.empty();
         }
-        return Optional.of(new Next(members.without(leaving.get()), Optional.of(done)));
+        return changed.map(left -> new Next(left, Optional.of(wish.done())));
+    }
+
+    /** Tells whether a quorum of a list was heard lately, so that the list can be committed. */
+    private boolean canCommit(Members members, Replication replication, long nowNanos) {
+        long limit = mGroup.settings().electionTimeoutNanos();
+        return members.isQuorum(
+                voter ->
+                        voter.equals(mGroup.self())
+                                || replication
+                                        .progress(voter)
+                                        .filter(p -> nowNanos - p.answeredNanos() < limit)
+                                        .isPresent());
     }
 
     /** Goes on with a learner that has caught up. */
@@ -110,6 +125,7 @@
                                 members.voter(learner.host())
                                         .map(members::without)
                                         .orElseGet(() -> members.withVoter(learner)))
+                .filter(changed -> canCommit(changed, replication, nowNanos))
                 .map(changed -> new Next(changed, Optional.empty()));
     }
 
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -26,6 +26,9 @@
  * due at once while any wait. Completions are called from within such a call and may propose again.
  */
 public final class RaftNode implements Proposer {
+    /** Election timeouts without a leader after which a voter asks whether it still is one. */
+    private static final int LONG_SILENCE_TIMEOUTS = 4;
+
     private final Group mGroup;
     private final Election mElection;
     private final Founding mFounding;
@@ -158,9 +161,14 @@
         mElection.tick(step);
     }
 
-    /** Tells whether this host is no voter and no leader feeds it. */
+    /**
+     * Tells whether this host may be outside the group: no leader feeds it, and it is no voter or
+     * has missed its own removal.
+     */
     private boolean isOutside(long nowNanos) {
-        return !mGroup.members().isVoter(mGroup.self()) && !mGroup.isPromised(nowNanos);
+        boolean voter = mGroup.members().isVoter(mGroup.self());
+        int timeouts = voter ? LONG_SILENCE_TIMEOUTS : 1;
+        return mGroup.silenceNanos(nowNanos) >= timeouts * mGroup.settings().electionTimeoutNanos();
     }
 
     /** Returns the time of the next due {@link #tick}, or {@link Node#NEVER}. */
@@ -236,8 +244,9 @@
      * @param done told once: committed when the change is in the log for good (a host that joins
      *     votes later, once it has caught up); failed with {@link ErrorKind#NOT_FOUND} if the host
      *     has not asked to join or is no member, {@link ErrorKind#CONFLICT} if it is a member
-     *     already or the last one, {@link ErrorKind#OVERLOADED} if another change waits, {@link
-     *     ErrorKind#NO_LEADER} or {@link ErrorKind#COMMIT_UNKNOWN}
+     *     already or the voters that would be left have no quorum that answers, {@link
+     *     ErrorKind#OVERLOADED} if another change waits, {@link ErrorKind#NO_LEADER} or {@link
+     *     ErrorKind#COMMIT_UNKNOWN}
      */
     public void proposeMembers(MemberChange change, Completion done) {
         checkNotNull(change, "change is missing");
@@ -434,8 +443,8 @@
 
     private void receive(HostId from, RaftMessage.Probe probe, Step step) {
         Member member = Member.of(from, probe.from());
-        if (mChanges.joining(member) && !mGroup.is(MemberState.BLANK)) {
-            mGroup.log(step, EventCode.HOST_WITHOUT_STATE, member.toString());
+        if (mChanges.joining(member) && !mGroup.members().contains(member)) {
+            mGroup.log(step, EventCode.HOST_ASKS_TO_JOIN, member.toString());
         }
         mFounding.answer(from, probe, step);
     }
--- a/src/test/java/org/coltsfootproxy/consensus/RaftNodeTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftNodeTest.java
@@ -19,7 +19,7 @@
     }
 
     @Test(dataProvider = "sizes")
-    public void aGroupFoundsItselfElectsALeaderAndCommits(int size) {
+    public void groupsFoundThemselvesElectLeadersAndCommit(int size) {
         TestCluster cluster = cluster(1, size);
         for (int i = 0; i < 10; i++) {
             cluster.commitOne();
@@ -29,7 +29,7 @@
     }
 
     @Test(dataProvider = "sizes")
-    public void everythingAcknowledgedOutlivesARestartOfAllAfter500Changes(int size) {
+    public void everythingAcknowledgedOutlivesRestartOfAllHostsAfter500Changes(int size) {
         TestCluster cluster = cluster(2, size);
         TestHost leader = cluster.awaitLeader();
         for (int i = 0; i < 500; i++) {
--- a/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -28,6 +28,9 @@
     private static final long DISK_NANOS = Duration.ofMillis(2).toNanos();
     private static final RecordCodec<Message> CODEC = RecordCodec.of(Message.class);
 
+    /** Most events at one moment; more means that a node asks to be ticked forever. */
+    private static final int MAX_STILL = 100_000;
+
     private record Event(long timeNanos, long order, Runnable action) {}
 
     private record Link(HostId from, HostId to) {}
@@ -47,6 +50,7 @@
     private long mJitterNanos = NETWORK_NANOS;
     private long mTimeNanos = Duration.ofHours(1).toNanos();
     private long mOrder;
+    private int mStill;
     private int mCommands;
     private long mMessages;
     private long mBytes;
@@ -197,6 +201,24 @@
         tickLater(host, mTimeNanos);
     }
 
+    /** Asks for a change of members; whether it is made is seen in the members. */
+    void changeMembers(TestHost leader, MemberChange change) {
+        leader.node()
+                .proposeMembers(
+                        change,
+                        new Proposer.Completion() {
+                            @Override
+                            public void committed(long index, byte[] result) {
+                                assertTrue(index > 0, "no index");
+                            }
+
+                            @Override
+                            public void failed(ErrorKind kind) {
+                                // Refused or unknown: seen in the members.
+                            }
+                        });
+    }
+
     private void at(long timeNanos, Runnable action) {
         mEvents.add(new Event(timeNanos, mOrder++, action));
     }
@@ -326,6 +348,8 @@
                 return condition.getAsBoolean();
             }
             mEvents.poll();
+            mStill = next.timeNanos() > mTimeNanos ? 0 : mStill + 1;
+            assertTrue(mStill < MAX_STILL, "time stands still");
             mTimeNanos = Math.max(mTimeNanos, next.timeNanos());
             next.action().run();
         }
@@ -369,11 +393,22 @@
         mHosts.forEach(host -> host.disk().setFreeBytes(Long.MAX_VALUE));
         mHosts.stream().filter(host -> !host.isUp()).forEach(this::start);
         commitOne();
-        boolean agreed = runUntil(Duration.ofSeconds(60), this::haveAllApplied);
+        boolean agreed = false;
+        for (int i = 0; i < 20 && !agreed; i++) {
+            leader().ifPresent(this::addMissing);
+            agreed = runUntil(Duration.ofSeconds(5), this::haveAllApplied);
+        }
         assertTrue(agreed, mHosts.stream().map(this::status).toList().toString());
         mOracle.finish(mHosts.stream().mapToLong(h -> h.machine().index()).min().orElseThrow());
     }
 
+    private void addMissing(TestHost leader) {
+        Members members = status(leader).members();
+        mHosts.stream()
+                .filter(host -> members.all().noneMatch(m -> m.host().equals(host.id())))
+                .forEach(host -> changeMembers(leader, new MemberChange.Add(host.id())));
+    }
+
     private boolean haveAllApplied() {
         Optional<TestHost> leader = leader();
         return leader.isPresent()
