--- a/src/main/java/org/coltsfootproxy/consensus/Election.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Election.java
@@ -45,7 +45,7 @@
             return;
         }
         resetDeadline(step.nowNanos());
-        if (mGroup.members().isVoter(mGroup.self()) && !mGroup.journal().isFull()) {
+        if (mGroup.isElectable() && !mGroup.journal().isFull()) {
             askFirst(step);
         }
     }
--- a/src/main/java/org/coltsfootproxy/consensus/Group.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Group.java
@@ -108,6 +108,18 @@
         return mHistory.current();
     }
 
+    /**
+     * Tells whether this host may lead: it votes, or voted before a list that may not be committed.
+     *
+     * <p>Without the second, a member whose removal reached only itself would keep a later log than
+     * the others, and nobody could be elected.
+     */
+    boolean isElectable() {
+        long index = mHistory.currentIndex();
+        boolean before = index > mCommitIndex && mHistory.at(index - 1).isVoter(mSelf);
+        return before || members().isVoter(mSelf);
+    }
+
     Journal journal() {
         return mJournal;
     }
--- a/src/main/java/org/coltsfootproxy/consensus/LogReceiver.java
+++ b/src/main/java/org/coltsfootproxy/consensus/LogReceiver.java
@@ -14,7 +14,7 @@
     private final Applier mApplier;
     private Optional<SnapshotAssembly> mAssembly = Optional.empty();
     private boolean mInstalling;
-    private boolean mHeard;
+    private long mTerm;
     private long mVerifiedIndex;
     private long mRetryIndex;
     private long mSentAtNanos;
@@ -24,14 +24,6 @@
         mApplier = applier;
     }
 
-    /** Forgets what was known of the former term's leader. */
-    void newTerm() {
-        mHeard = false;
-        mVerifiedIndex = 0;
-        mRetryIndex = 0;
-        mAssembly = Optional.empty();
-    }
-
     /** Forgets a snapshot whose write failed. */
     void abort() {
         mInstalling = false;
@@ -47,9 +39,17 @@
         answer(step);
     }
 
+    /** Notes a message; what was verified against a former term's leader doesn't hold any more. */
     private void heard(long sentAtNanos) {
-        mSentAtNanos = mHeard ? Math.max(mSentAtNanos, sentAtNanos) : sentAtNanos;
-        mHeard = true;
+        if (mTerm == mGroup.term()) {
+            mSentAtNanos = Math.max(mSentAtNanos, sentAtNanos);
+            return;
+        }
+        mTerm = mGroup.term();
+        mSentAtNanos = sentAtNanos;
+        mVerifiedIndex = 0;
+        mRetryIndex = 0;
+        mAssembly = Optional.empty();
     }
 
     private void take(RaftMessage.Append append, Step step) {
@@ -86,7 +86,7 @@
 
     /** Tells the leader what is synced here, or which entry to try next. */
     void answer(Step step) {
-        if (mHeard && mGroup.journal().syncedTerm() >= mGroup.term()) {
+        if (mTerm == mGroup.term() && mGroup.journal().syncedTerm() >= mGroup.term()) {
             mGroup.leader().ifPresent(leader -> answer(leader, step));
         }
     }
--- a/src/main/java/org/coltsfootproxy/consensus/Progress.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Progress.java
@@ -60,10 +60,11 @@
 
     /** Notes that the entry before the next is missing; tells whether to try an earlier one. */
     boolean missed(long retryIndex) {
-        if (retryIndex >= mNextIndex || retryIndex <= mMatchIndex) {
+        long next = Math.max(retryIndex, mMatchIndex + 1);
+        if (next >= mNextIndex) {
             return false;
         }
-        mNextIndex = retryIndex;
+        mNextIndex = next;
         mProbing = true;
         mInFlight.clear();
         return true;
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -426,7 +426,7 @@
         boolean meant = order.to().equals(mGroup.incarnation()) && order.term() == mGroup.term();
         boolean able =
                 mGroup.is(MemberState.FOLLOWER)
-                        && mGroup.members().isVoter(mGroup.self())
+                        && mGroup.isElectable()
                         && !mGroup.journal().isFull();
         if (meant && able) {
             mElection.campaign(true, step);
@@ -457,7 +457,6 @@
         if (term > mGroup.term()) {
             mGroup.setVote(term, Optional.empty());
             mGroup.writeVote(step, later -> {});
-            mReceiver.newTerm();
         }
         mGroup.setLeader(leader);
         if (leader.isPresent()) {
--- a/src/main/java/org/coltsfootproxy/consensus/ReadBarriers.java
+++ b/src/main/java/org/coltsfootproxy/consensus/ReadBarriers.java
@@ -34,11 +34,15 @@
     private final Deque<Round> mRounds = new ArrayDeque<>();
     private final List<Ready> mReady = new ArrayList<>();
     private final List<Proposer.Completion> mAsked = new ArrayList<>();
+
+    /** Random at the start, so that late answers to a former life of the process don't match. */
     private long mNumber;
+
     private long mAskedUntilNanos = Node.NEVER;
 
     ReadBarriers(Group group) {
         mGroup = group;
+        mNumber = group.random().nextLong();
     }
 
     void add(Proposer.Completion done) {
--- a/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -51,6 +51,7 @@
     private long mTimeNanos = Duration.ofHours(1).toNanos();
     private long mOrder;
     private int mStill;
+    private long mChangeNanos;
     private int mCommands;
     private long mMessages;
     private long mBytes;
@@ -91,6 +92,11 @@
         return mTimeNanos;
     }
 
+    /** Returns how long ago a change of members was asked for. */
+    long sinceChangeNanos() {
+        return mTimeNanos - mChangeNanos;
+    }
+
     long messages() {
         return mMessages;
     }
@@ -203,6 +209,7 @@
 
     /** Asks for a change of members; whether it is made is seen in the members. */
     void changeMembers(TestHost leader, MemberChange change) {
+        mChangeNanos = mTimeNanos;
         leader.node()
                 .proposeMembers(
                         change,
