--- a/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigPublisher.java
@@ -31,7 +31,7 @@
 
     private final ConfigState mState;
     private final ConfigTiming mTiming;
-    private final ConfirmationBatch mConfirmations;
+    private final QuorumBatch<Renewal> mConfirmations;
     private final Map<HostId, Subscription> mSubscriptions = new TreeMap<>();
     private final Deque<Subscription> mPaced = new ArrayDeque<>();
     private List<ConfigMessage.Update> mWhole = List.of();
@@ -40,10 +40,13 @@
     private long mPublished = -1;
     private boolean mIsStopped;
 
+    /** A renewal that waits for its confirmation. */
+    private record Renewal(HostId host, long sequence) {}
+
     private ConfigPublisher(ConfigState state, QuorumRead quorum, ConfigTiming timing) {
         mState = state;
         mTiming = timing;
-        mConfirmations = new ConfirmationBatch(quorum, timing);
+        mConfirmations = QuorumBatch.create(quorum, timing);
     }
 
     /** Returns a publisher without subscribers. */
@@ -67,13 +70,13 @@
         Subscription known = mSubscriptions.get(from);
         Subscription subscription = known != null ? known : new Subscription(from);
         mSubscriptions.put(from, subscription);
-        subscription.seen(subscribe.version(), nowNanos);
+        boolean isLost = subscription.seen(subscribe.version(), nowNanos);
         boolean isAhead = subscribe.version() > subscription.sentVersion();
-        if (known == null || isAhead || subscription.isLost(nowNanos, mTiming.renewNanos() / 2)) {
+        if (known == null || isAhead || isLost) {
             subscription.beginAt(subscribe.version());
         }
-        serve(subscription, new HashMap<>(), nowNanos, out);
-        mConfirmations.add(new ConfirmationBatch.Renewal(from, subscribe.sequence()));
+        serve(subscription, new HashMap<>(), out);
+        mConfirmations.add(new Renewal(from, subscribe.sequence()));
     }
 
     /** Forgets a subscriber whose connection was lost. */
@@ -88,7 +91,7 @@
     public void tick(long nowNanos, Effects out) {
         if (mPublished != mState.version()) {
             mPublished = mState.version();
-            publish(nowNanos, out);
+            publish(out);
         }
         mConfirmations.tick(nowNanos);
         mConfirmations.takeConfirmed().forEach(renewal -> confirm(renewal, out));
@@ -96,12 +99,14 @@
         sweep(nowNanos);
     }
 
+    /** Tells whether a tick would publish a version or confirm renewals now. */
+    public boolean mayHaveNews() {
+        return mPublished != mState.version() || mConfirmations.hasConfirmed();
+    }
+
     /** Returns the time of the next due tick. */
     public long nextTickNanos() {
-        long next = mNextSweep;
-        if (mConfirmations.isWaiting()) {
-            next = Math.min(next, mConfirmations.nextTickNanos());
-        }
+        long next = Math.min(mNextSweep, mConfirmations.nextTickNanos());
         return mPaced.isEmpty() ? next : Math.min(next, mNextPaced);
     }
 
@@ -124,9 +129,9 @@
                                         TimeUnit.NANOSECONDS.toMillis(nowNanos - s.seenAt())));
     }
 
-    private void publish(long nowNanos, Effects out) {
+    private void publish(Effects out) {
         Map<Long, List<ConfigMessage.Update>> updates = new HashMap<>();
-        mSubscriptions.values().forEach(s -> serve(s, updates, nowNanos, out));
+        mSubscriptions.values().forEach(s -> serve(s, updates, out));
     }
 
     /**
@@ -135,16 +140,13 @@
      * @param updates the updates made in this step by the version that they start from
      */
     private void serve(
-            Subscription subscription,
-            Map<Long, List<ConfigMessage.Update>> updates,
-            long nowNanos,
-            Effects out) {
+            Subscription subscription, Map<Long, List<ConfigMessage.Update>> updates, Effects out) {
         if (subscription.isBusy() || subscription.sentVersion() >= mState.version()) {
             return;
         }
         subscription.enqueue(updates.computeIfAbsent(subscription.sentVersion(), this::updateFrom));
         if (updates.get(subscription.sentVersion()).size() == 1) {
-            out.send(subscription.host(), subscription.next(nowNanos));
+            out.send(subscription.host(), subscription.next());
         } else {
             mPaced.add(subscription);
         }
@@ -169,22 +171,22 @@
         for (int sent = 0; sent < PACE_PARTS && !mPaced.isEmpty(); ) {
             Subscription subscription = mPaced.peek();
             if (subscription.isBusy()) {
-                out.send(subscription.host(), subscription.next(nowNanos));
+                out.send(subscription.host(), subscription.next());
                 sent++;
             } else {
                 mPaced.remove();
-                serveKnown(subscription, nowNanos, out);
+                serveKnown(subscription, out);
             }
         }
     }
 
-    private void serveKnown(Subscription subscription, long nowNanos, Effects out) {
+    private void serveKnown(Subscription subscription, Effects out) {
         if (mSubscriptions.get(subscription.host()) == subscription) {
-            serve(subscription, new HashMap<>(), nowNanos, out);
+            serve(subscription, new HashMap<>(), out);
         }
     }
 
-    private void confirm(ConfirmationBatch.Renewal renewal, Effects out) {
+    private void confirm(Renewal renewal, Effects out) {
         Subscription subscription = mSubscriptions.get(renewal.host());
         if (subscription != null && subscription.version() <= mState.version()) {
             out.send(
--- a/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryPolicies.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Supplier;
 import org.coltsfootproxy.limit.Limiter;
-import org.coltsfootproxy.limit.RateSource;
 import org.coltsfootproxy.routing.AgentChooser;
 
 /**
@@ -10,12 +9,14 @@
  *
  * @param choosers makes the chooser of a service
  * @param limiters makes the limiter of organisations' rates
+ * @param ownership who owns token buckets, as far as the limiter needs to know
  */
-public record EntryPolicies(Supplier<AgentChooser> choosers, LimiterFactory limiters) {
+public record EntryPolicies(
+        Supplier<AgentChooser> choosers, LimiterFactory limiters, LimitOwnership ownership) {
     /** Makes the limiter of an entry. */
     @FunctionalInterface
     public interface LimiterFactory {
-        /** Returns a limiter that reads rates from {@code rates} and tells {@code listener}. */
-        Limiter create(RateSource rates, Limiter.Listener listener);
+        /** Returns a limiter that tells {@code listener}. */
+        Limiter create(Limiter.Listener listener);
     }
 }
--- a/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/ConfigMessage.java
@@ -52,11 +52,17 @@
      * Holder to control: grant or renew a lease.
      *
      * @param fencing fencing number to renew, or 0 to ask for the lease
+     * @param released fencing number up to which the holder has given its grants up
      * @param sequence number that the answer repeats
      */
     @WireCode(310)
     record LeaseRequest(
-            String name, Incarnation holder, long fencing, long durationMillis, long sequence)
+            String name,
+            Incarnation holder,
+            long fencing,
+            long released,
+            long durationMillis,
+            long sequence)
             implements ConfigMessage {}
 
     /**
@@ -95,6 +101,14 @@
     @WireCode(321)
     record ProposeResult(long id, ErrorKind kind, byte[] result) implements ConfigMessage {}
 
+    /**
+     * Control to leading control host: change the members of a group.
+     *
+     * @param add whether the host joins; if not, it leaves
+     */
+    @WireCode(324)
+    record ChangeMember(long id, int group, boolean add, HostId host) implements ConfigMessage {}
+
     /** Control to control: tell me about your subscribers. */
     @WireCode(322)
     record StatusAsk(long id) implements ConfigMessage {}
