--- a/src/main/java/org/coltsfootproxy/consensus/Election.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Election.java
@@ -55,7 +55,7 @@
     }
 
     private void askFirst(Step step) {
-        mGroup.enter(MemberState.PRE_CANDIDATE);
+        mGroup.on(MemberEvent.ASK_FIRST);
         mGroup.setLeader(Optional.empty());
         mVotes.clear();
         if (hasWon(mGroup.self())) {
@@ -94,7 +94,7 @@
         long term = mGroup.term() + 1;
         mTransfer = transfer;
         mVotes.clear();
-        mGroup.enter(MemberState.CANDIDATE);
+        mGroup.on(MemberEvent.CAMPAIGN);
         mGroup.setLeader(Optional.empty());
         mGroup.setVote(term, Optional.of(mGroup.self()));
         resetDeadline(step.nowNanos());
@@ -156,7 +156,7 @@
                         && free
                         && mGroup.log().isUpToDate(request.lastIndex(), request.lastTerm());
         if (granted) {
-            mGroup.enter(MemberState.FOLLOWER);
+            mGroup.on(MemberEvent.FOLLOW);
             mGroup.setVote(term, Optional.of(candidate));
             resetDeadline(step.nowNanos());
             mGroup.writeVote(step, later -> answer(host, false, true, term, later));
--- a/src/main/java/org/coltsfootproxy/consensus/Founding.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Founding.java
@@ -82,7 +82,7 @@
                                 .reduce(mGroup.term(), Math::max);
         Members members = Members.ofVoters(voters);
         LogEntry entry = LogEntry.of(FIRST_INDEX, term, LogEntry.Kind.MEMBERS, members.encode());
-        mGroup.enter(MemberState.FOLLOWER);
+        mGroup.on(MemberEvent.FOLLOW);
         mGroup.setVote(term, Optional.of(mGroup.self()));
         mGroup.add(entry);
         mGroup.journal()
--- a/src/main/java/org/coltsfootproxy/consensus/Group.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Group.java
@@ -7,11 +7,15 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.StateChart;
 import org.coltsfootproxy.message.LogEntry;
 import org.coltsfootproxy.node.StoreWrite;
 
 /** The state of one group that the parts of a member share. */
 final class Group {
+    private static final StateChart<MemberState, MemberEvent> CHART =
+            StateChart.load("member", MemberState.class, MemberEvent.class);
+
     private final RaftSettings mSettings;
     private final Member mSelf;
     private final int mNumber;
@@ -19,7 +23,7 @@
     private final RaftLog mLog = new RaftLog();
     private final MemberHistory mHistory = new MemberHistory();
     private final Journal mJournal;
-    private MemberState mState = MemberState.FOLLOWER;
+    private MemberState mState = CHART.initial();
     private StoreWrite.Vote mVote;
     private Optional<HostId> mLeader = Optional.empty();
     private long mCommitIndex;
@@ -137,8 +141,9 @@
         return mState == state;
     }
 
-    void enter(MemberState state) {
-        mState = state;
+    /** Goes on to the state that the chart names. */
+    void on(MemberEvent event) {
+        mState = CHART.next(mState, event);
     }
 
     long term() {
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -71,7 +71,9 @@
         checkNotNull(machine, "state machine is missing");
         checkArgument(group >= 0, "group %s is negative", group);
         Group state = new Group(settings, self, group, recovered, random, nowNanos);
-        state.enter(recovered.isBlank() ? MemberState.BLANK : MemberState.FOLLOWER);
+        if (!recovered.isBlank()) {
+            state.on(MemberEvent.RECOVER);
+        }
         RaftNode node = new RaftNode(state, machine, nowNanos);
         recovered.snapshot().ifPresent(node.mApplier::restore);
         return node;
@@ -124,7 +126,7 @@
             follow(mGroup.term(), Optional.empty(), step);
         }
         if (!full) {
-            mGroup.enter(MemberState.HALTED);
+            mGroup.on(MemberEvent.DISK_FAILED);
         }
         EventCode event = full ? EventCode.STORAGE_WRITE_REFUSED : EventCode.STORAGE_FAILED;
         mGroup.log(step, event, detail);
@@ -453,7 +455,7 @@
     private void follow(long term, Optional<HostId> leader, Step step) {
         Optional<Leadership> ended = mLeadership;
         mLeadership = Optional.empty();
-        mGroup.enter(MemberState.FOLLOWER);
+        mGroup.on(MemberEvent.FOLLOW);
         if (term > mGroup.term()) {
             mGroup.setVote(term, Optional.empty());
             mGroup.writeVote(step, later -> {});
@@ -473,7 +475,7 @@
     }
 
     private void lead(Step step) {
-        mGroup.enter(MemberState.LEADER);
+        mGroup.on(MemberEvent.WIN);
         mGroup.setLeader(Optional.of(mGroup.self().host()));
         mGroup.log(step, EventCode.LEADER_ELECTED, "");
         Replication replication = new Replication(mGroup, mApplier::snapshot, step);
--- a/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
@@ -97,6 +97,23 @@
                 allowed);
     }
 
+    /** Returns the same settings with another bound on the rates of clocks. */
+    public RaftSettings withMaxClockDrift(double drift) {
+        return new RaftSettings(
+                hosts,
+                heartbeatNanos,
+                electionTimeoutNanos,
+                drift,
+                maxAppendBytes,
+                maxInFlight,
+                maxQueuedBytes,
+                maxCommandBytes,
+                snapshotPieceBytes,
+                snapshotLogBytes,
+                retainedEntries,
+                autoReplace);
+    }
+
     /** Returns the same settings with other bounds on snapshots. */
     public RaftSettings withSnapshots(int logBytes, int pieceBytes, int retained) {
         return new RaftSettings(
--- a/src/test/java/org/coltsfootproxy/consensus/RaftFuzzTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftFuzzTest.java
@@ -17,8 +17,10 @@
     private static final long FIRST_SEED = Long.getLong("fuzz.first", 1);
     private static final long RUNS = Long.getLong("fuzz.runs", 60);
 
-    private static RaftSettings settings(int size) {
+    /** Clocks that differ widely make a lease that neglects them show. */
+    private static RaftSettings settings(int size, double drift) {
         return RaftSettings.of(TestCluster.names(size))
+                .withMaxClockDrift(drift)
                 .withSnapshots(1500, 90, 5)
                 .withBounds(400, 3, 4000);
     }
@@ -37,7 +39,8 @@
     }
 
     private static int run(long seed, int size) {
-        TestCluster cluster = new TestCluster(seed, size, settings(size));
+        TestCluster cluster =
+                new TestCluster(seed, size, settings(size, seed % 2 == 0 ? 0.02 : 0.25));
         cluster.awaitLeader();
         for (int i = 0; i < STEPS; i++) {
             act(cluster);
@@ -76,12 +79,13 @@
         SplittableRandom random = cluster.random();
         int one = cluster.hosts().indexOf(host);
         int other = random.nextInt(cluster.hosts().size());
-        switch (random.nextInt(6)) {
+        switch (random.nextInt(7)) {
             case 0 -> cluster.cut(one, other);
             case 1 -> cluster.cutOff(one);
             case 2 -> cluster.setNetwork(0.1, 0.1, Duration.ofMillis(400).toNanos());
             case 3 -> cluster.setNetwork(0.4, 0.2, Duration.ofMillis(5).toNanos());
-            case 4 -> cluster.setNetwork(0, 0, Duration.ofMillis(2).toNanos());
+            case 4 -> cluster.setNetwork(0.1, 0.3, Duration.ofSeconds(4).toNanos());
+            case 5 -> cluster.setNetwork(0, 0, Duration.ofMillis(2).toNanos());
             default -> cluster.heal();
         }
     }
--- a/src/test/java/org/coltsfootproxy/consensus/RaftNodeTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftNodeTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import org.coltsfootproxy.base.ProxyException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -54,4 +55,101 @@
         cluster.finish();
         assertTrue(cluster.leader().isPresent());
     }
+
+    /** A quorum of disks is lost: the survivor goes on alone and the others join anew. */
+    @Test
+    public void aSurvivorOfLostDisksGoesOnWithWhatItHad() throws ProxyException {
+        TestCluster cluster = cluster(4, 3);
+        cluster.commitOne();
+        cluster.run(Duration.ofSeconds(1));
+        cluster.hosts().forEach(cluster::crash);
+        cluster.host(1).loseDisk();
+        cluster.host(2).loseDisk();
+        cluster.host(0)
+                .reopen(
+                        store ->
+                                SurvivorRecovery.soleVoter(
+                                        store.recovered(), cluster.host(0).member()));
+
+        cluster.hosts().forEach(cluster::start);
+
+        cluster.finish();
+        assertEquals(cluster.oracle().acknowledgedCount(), 2);
+    }
+
+    /** While proposals wait for the disk, more are refused, and those refused never run. */
+    @Test
+    public void tooManyProposalsAreRefusedAndNoneOfThoseRuns() {
+        RaftSettings settings = RaftSettings.of(TestCluster.names(3)).withBounds(200, 2, 300);
+        TestCluster cluster = new TestCluster(5, 3, settings);
+        TestHost leader = cluster.awaitLeader();
+        for (int i = 0; i < 100; i++) {
+            cluster.propose(leader);
+        }
+        cluster.run(Duration.ofSeconds(2));
+        int taken = cluster.oracle().acknowledgedCount();
+        assertTrue(taken > 0 && taken < 100, taken + " taken");
+        cluster.finish();
+    }
+
+    @Test
+    public void aLeaderThatIsCutOffStopsBeforeItsLeaseIsAnothers() {
+        TestCluster cluster = cluster(6, 3);
+        cluster.commitOne();
+        TestHost old = cluster.awaitLeader();
+        cluster.cutOff(cluster.hosts().indexOf(old));
+        cluster.run(Duration.ofSeconds(4));
+
+        assertTrue(cluster.status(old).leader().isEmpty(), cluster.status(old).toString());
+        assertTrue(cluster.awaitLeader() != old);
+        cluster.finish();
+    }
+
+    /** Without permission a new life waits for the operator. */
+    @Test
+    public void anEmptyDiskWaitsForTheOperatorUnlessReplacementIsAutomatic() {
+        RaftSettings settings = RaftSettings.of(TestCluster.names(3)).withAutoReplace(false);
+        TestCluster cluster = new TestCluster(7, 3, settings);
+        cluster.commitOne();
+        TestHost leader = cluster.awaitLeader();
+        TestHost lost = cluster.host((cluster.hosts().indexOf(leader) + 1) % 3);
+        cluster.replaceDiskLater(lost);
+        cluster.run(Duration.ofSeconds(10));
+        Members before = cluster.status(leader).members();
+        assertTrue(before.all().noneMatch(lost.member()::equals), before.toString());
+
+        cluster.changeMembers(leader, new MemberChange.Add(lost.id()));
+        cluster.run(Duration.ofSeconds(10));
+
+        assertTrue(cluster.status(leader).members().isVoter(lost.member()));
+        cluster.finish();
+    }
+
+    @Test
+    public void aHostWhoseDiskFailsTakesNoPartAnyMore() {
+        TestCluster cluster = cluster(8, 3);
+        cluster.commitOne();
+        TestHost leader = cluster.awaitLeader();
+        leader.disk().setFailing(true);
+        cluster.propose(leader);
+        cluster.run(Duration.ofSeconds(4));
+
+        assertEquals(cluster.status(leader).state(), MemberState.HALTED);
+        cluster.crash(leader);
+        leader.disk().setFailing(false);
+        cluster.finish();
+    }
+
+    @Test
+    public void aHostThatWasNotAmongTheFoundersIsAddedByTheOperator() {
+        TestCluster cluster = cluster(9, 3);
+        cluster.commitOne();
+        TestHost added = cluster.addHost("control-9");
+        cluster.run(Duration.ofSeconds(3));
+        cluster.changeMembers(cluster.awaitLeader(), new MemberChange.Add(added.id()));
+        cluster.run(Duration.ofSeconds(5));
+
+        assertTrue(cluster.status(cluster.awaitLeader()).members().isVoter(added.member()));
+        cluster.finish();
+    }
 }
--- a/src/test/java/org/coltsfootproxy/consensus/TestHost.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestHost.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.StoreWrite;
 import org.coltsfootproxy.storage.DataFolder;
 import org.coltsfootproxy.storage.FakeDisk;
 import org.coltsfootproxy.storage.LogStore;
@@ -113,6 +115,13 @@
         mDisk = new FakeDisk();
     }
 
+    /** Writes to the store while the process is stopped. */
+    void reopen(Function<LogStore, StoreWrite> write) throws ProxyException {
+        LogStore store = DataFolder.open(mDisk, new SplittableRandom(1)).openGroup(0);
+        store.apply(write.apply(store));
+        store.sync();
+    }
+
     /** Queues a write; tells whether the disk was idle. */
     boolean write(Effect.Persist write) {
         mWrites.add(write);
