Bound the log that slow followers hold up, and let the tests see early promises

- A leader took proposals without bound while followers answered but did not sync; it now stops at the size of the queue, and counts what a small command costs.
- The fuzz lets all hosts lose their power at once.
- A read at a leader that is cut off is never confirmed; entries of earlier terms are committed only with one of the own term.

--- a/src/main/java/org/coltsfootproxy/consensus/Leadership.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Leadership.java
@@ -52,7 +52,7 @@
     /** Returns when something is due. */
     long nextTickNanos(long nowNanos) {
         boolean reads = mBarriers.hasNew() && mReplication.isTermCommitted();
-        if (reads || mayAppend() && !mProposals.isQueueEmpty()) {
+        if (reads || mayAppend() && mProposals.isReady()) {
             return nowNanos;
         }
         long quorum = mReplication.quorumDeadlineNanos(nowNanos);
@@ -98,7 +98,7 @@
         Optional<MemberChanges.Next> change = mChanges.next(mReplication, step.nowNanos());
         if (change.isPresent()) {
             appendMembers(change.get(), step);
-        } else if (!mProposals.isQueueEmpty()) {
+        } else if (mProposals.isReady()) {
             append(mProposals.take(mGroup.settings().maxAppendBytes()), step);
         }
     }
@@ -115,7 +115,7 @@
         for (Proposals.Proposal proposal : proposals) {
             index++;
             if (proposal.done() != null) {
-                mProposals.entered(index, proposal.done(), step.nowNanos());
+                mProposals.entered(index, proposal, step.nowNanos());
             }
         }
         mReplication.append(proposals, step);
@@ -169,7 +169,7 @@
         }
         if (step.nowNanos() >= handover.deadlineNanos()) {
             mHandover = Optional.empty();
-        } else if (mayAppend() && !mProposals.isQueueEmpty()) {
+        } else if (mayAppend() && mProposals.isReady()) {
             append(mProposals.take(mGroup.settings().maxAppendBytes()), step);
         }
         return false;
--- a/src/main/java/org/coltsfootproxy/consensus/Proposals.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Proposals.java
@@ -13,22 +13,34 @@
 /** Proposals that wait to enter the log, and those in the log that wait for their commit. */
 final class Proposals {
     /** One proposal. */
-    record Proposal(LogEntry.Kind kind, byte[] command, Proposer.Completion done) {}
+    record Proposal(LogEntry.Kind kind, byte[] command, Proposer.Completion done) {
+        /** Returns about how many bytes the proposal takes in memory. */
+        int bytes() {
+            return command.length + OVERHEAD_BYTES;
+        }
+    }
 
     /** A proposal in the log, with the time at which it entered. */
-    record Waiting(Proposer.Completion done, long sinceNanos) {}
+    record Waiting(Proposer.Completion done, int bytes, long sinceNanos) {}
+
+    private static final int OVERHEAD_BYTES = 64;
 
     private final int mMaxBytes;
     private final Deque<Proposal> mQueue = new ArrayDeque<>();
     private final TreeMap<Long, Waiting> mByIndex = new TreeMap<>();
     private int mQueuedBytes;
+    private long mWaitingBytes;
 
     Proposals(int maxBytes) {
         mMaxBytes = maxBytes;
     }
 
-    boolean isQueueEmpty() {
-        return mQueue.isEmpty();
+    /**
+     * Tells whether a queued proposal may enter the log: not while followers that are slow hold up
+     * as much as may be queued, so that the log in memory stays bounded.
+     */
+    boolean isReady() {
+        return !mQueue.isEmpty() && mWaitingBytes < mMaxBytes;
     }
 
     /** Tells whether nothing waits at all. */
@@ -38,11 +50,11 @@
 
     /** Queues a proposal, or returns false if the queue is full. */
     boolean offer(Proposal proposal) {
-        if (mQueuedBytes + proposal.command().length > mMaxBytes && !mQueue.isEmpty()) {
+        if (mQueuedBytes + proposal.bytes() > mMaxBytes && !mQueue.isEmpty()) {
             return false;
         }
         mQueue.add(proposal);
-        mQueuedBytes += proposal.command().length;
+        mQueuedBytes += proposal.bytes();
         return true;
     }
 
@@ -56,20 +68,23 @@
                 break;
             }
             Proposal next = mQueue.poll();
-            mQueuedBytes -= next.command().length;
+            mQueuedBytes -= next.bytes();
             taken.add(next);
         }
         return taken;
     }
 
     /** Notes that a proposal entered the log. */
-    void entered(long index, Proposer.Completion done, long nowNanos) {
-        mByIndex.put(index, new Waiting(done, nowNanos));
+    void entered(long index, Proposal proposal, long nowNanos) {
+        mByIndex.put(index, new Waiting(proposal.done(), proposal.bytes(), nowNanos));
+        mWaitingBytes += proposal.bytes();
     }
 
     /** Returns who waits for the entry at {@code index}, once. */
     Optional<Waiting> committed(long index) {
-        return Optional.ofNullable(mByIndex.remove(index));
+        Optional<Waiting> waiting = Optional.ofNullable(mByIndex.remove(index));
+        mWaitingBytes -= waiting.map(Waiting::bytes).orElse(0);
+        return waiting;
     }
 
     /** Fails all that waits: what is in the log may still be committed. */
@@ -79,6 +94,7 @@
         mQueue.clear();
         mQueuedBytes = 0;
         mByIndex.clear();
+        mWaitingBytes = 0;
         waiting.forEach(entry -> entry.getValue().done().failed(ErrorKind.COMMIT_UNKNOWN));
         queued.forEach(proposal -> proposal.done().failed(queuedKind));
     }
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/consensus/CommitRuleTest.java
@@ -0,0 +1,94 @@
+package org.coltsfootproxy.consensus;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.message.LogEntry;
+import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.StoreWrite;
+import org.testng.annotations.Test;
+
+/** When a leader may count an entry of an earlier term as committed. */
+public final class CommitRuleTest {
+    private static final Member SELF = member("a");
+    private static final Member OTHER = member("b");
+    private static final long LATER = Duration.ofSeconds(10).toNanos();
+
+    private final List<Effect> mEffects = new ArrayList<>();
+
+    private static Member member(String host) {
+        return Member.of(HostId.of(host), Incarnation.of(host.hashCode()));
+    }
+
+    private static RecoveredState state() {
+        byte[] members = Members.ofVoters(List.of(SELF, OTHER, member("c"))).encode();
+        return new RecoveredState(
+                new StoreWrite.Vote(3, Optional.empty()),
+                Optional.empty(),
+                List.of(
+                        LogEntry.of(1, 1, LogEntry.Kind.MEMBERS, members),
+                        LogEntry.of(2, 2, LogEntry.Kind.COMMAND, new byte[0])));
+    }
+
+    private RaftNode elected() {
+        RaftNode node =
+                RaftNode.create(
+                        RaftSettings.of(List.of(SELF.host())),
+                        SELF,
+                        0,
+                        state(),
+                        new ChainMachine(new Oracle()),
+                        new SplittableRandom(1),
+                        0);
+        node.tick(LATER, mEffects::add);
+        vote(node, true);
+        sync(node);
+        vote(node, false);
+        sync(node);
+        return node;
+    }
+
+    private void vote(RaftNode node, boolean pre) {
+        Incarnation from = OTHER.incarnation();
+        RaftMessage answer = new RaftMessage.VoteAnswer(0, from, 4, pre, true);
+        node.receive(OTHER.host(), answer, LATER, mEffects::add);
+    }
+
+    private void acknowledge(RaftNode node, long index) {
+        Incarnation from = OTHER.incarnation();
+        RaftMessage answer = new RaftMessage.AppendAnswer(0, from, 4, true, index, LATER);
+        node.receive(OTHER.host(), answer, LATER, mEffects::add);
+    }
+
+    private void sync(RaftNode node) {
+        long token =
+                mEffects.stream()
+                        .filter(Effect.Persist.class::isInstance)
+                        .mapToLong(effect -> ((Effect.Persist) effect).token())
+                        .max()
+                        .orElseThrow();
+        node.persisted(token, LATER, mEffects::add);
+    }
+
+    /** Another leader might still replace it, although a quorum has it. */
+    @Test
+    public void entriesOfEarlierTermsCommitOnlyWithOneOfTheOwnTerm() {
+        RaftNode node = elected();
+        assertEquals(node.status(LATER).state(), MemberState.LEADER);
+
+        acknowledge(node, 2);
+        assertEquals(node.status(LATER).commitIndex(), 0);
+
+        acknowledge(node, 3);
+        assertEquals(node.status(LATER).commitIndex(), 3);
+        assertEquals(node.status(LATER).appliedIndex(), 3);
+    }
+}
--- a/src/test/java/org/coltsfootproxy/consensus/RaftFuzzTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftFuzzTest.java
@@ -92,7 +92,8 @@
 
     private static void disturbHost(TestCluster cluster, TestHost host) {
         switch (cluster.random().nextInt(8)) {
-            case 0, 1 -> restart(cluster, host);
+            case 0 -> restart(cluster, host);
+            case 1 -> restartAll(cluster);
             case 2 -> stop(cluster, host);
             case 3 -> startAll(cluster);
             case 4 -> loseDisk(cluster, host);
@@ -107,6 +108,14 @@
         cluster.start(host);
     }
 
+    /** All hosts lose their power at once, right after something was asked of them. */
+    private static void restartAll(TestCluster cluster) {
+        use(cluster, cluster.host(0));
+        cluster.run(Duration.ofMillis(cluster.random().nextInt(12)));
+        cluster.hosts().forEach(host -> stop(cluster, host));
+        startAll(cluster);
+    }
+
     /** Starts what is down; a host whose disk is full refuses to start, so there is room first. */
     private static void startAll(TestCluster cluster) {
         List<TestHost> down = cluster.hosts().stream().filter(host -> !host.isUp()).toList();
--- a/src/test/java/org/coltsfootproxy/consensus/RaftNodeTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftNodeTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.node.Effect;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -52,8 +53,8 @@
         cluster.commitOne();
         cluster.hosts().forEach(cluster::read);
         cluster.run(Duration.ofSeconds(1));
+        assertEquals(cluster.reads(), 3);
         cluster.finish();
-        assertTrue(cluster.leader().isPresent());
     }
 
     /** A quorum of disks is lost: the survivor goes on alone and the others join anew. */
@@ -98,8 +99,10 @@
         cluster.commitOne();
         TestHost old = cluster.awaitLeader();
         cluster.cutOff(cluster.hosts().indexOf(old));
+        cluster.read(old);
         cluster.run(Duration.ofSeconds(4));
 
+        assertEquals(cluster.reads(), 0, "a read was confirmed without a quorum");
         assertTrue(cluster.status(old).leader().isEmpty(), cluster.status(old).toString());
         assertTrue(cluster.awaitLeader() != old);
         cluster.finish();
@@ -152,4 +155,26 @@
         assertTrue(cluster.status(cluster.awaitLeader()).members().isVoter(added.member()));
         cluster.finish();
     }
+
+    /** Followers that are alive but never sync hold the log of the leader at its bound. */
+    @Test
+    public void slowFollowersBoundWhatTheLeaderTakes() {
+        RaftSettings settings = RaftSettings.of(TestCluster.names(3)).withBounds(400, 2, 2000);
+        TestCluster cluster = new TestCluster(10, 3, settings);
+        cluster.commitOne();
+        TestHost leader = cluster.awaitLeader();
+        cluster.setObserver((host, effect) -> host != leader && effect instanceof Effect.Persist);
+        for (int i = 0; i < 200; i++) {
+            cluster.propose(leader);
+            cluster.run(Duration.ofMillis(20));
+        }
+
+        RaftStatus status = cluster.status(leader);
+        long held = status.lastIndex() - status.commitIndex();
+        assertEquals(status.state(), MemberState.LEADER);
+        assertTrue(held > 10 && held < 50, held + " entries are held");
+        cluster.setObserver((host, effect) -> false);
+        cluster.hosts().stream().filter(host -> host != leader).forEach(cluster::crash);
+        cluster.finish();
+    }
 }
--- a/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -54,6 +54,7 @@
     private long mOrder;
     private int mStill;
     private long mChangeNanos;
+    private int mReads;
     private int mCommands;
     private long mMessages;
     private long mBytes;
@@ -94,6 +95,11 @@
         return mTimeNanos;
     }
 
+    /** Returns how many reads were confirmed. */
+    int reads() {
+        return mReads;
+    }
+
     /** Returns how long ago a change of members was asked for. */
     long sinceChangeNanos() {
         return mTimeNanos - mChangeNanos;
@@ -275,6 +281,7 @@
                             public void committed(long index, byte[] result) {
                                 long seen = host.machine().index();
                                 assertTrue(seen >= acknowledged, "read " + seen);
+                                mReads++;
                             }
 
                             @Override
@@ -359,6 +366,7 @@
             return;
         }
         if (effect instanceof Effect.Send send) {
+            assertTrue(host.keeps(send), host.id() + " has not synced " + send);
             transmit(host.id(), send);
         } else if (effect instanceof Effect.Persist persist && host.write(persist)) {
             flushLater(host);
--- a/src/test/java/org/coltsfootproxy/consensus/TestHost.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestHost.java
@@ -7,6 +7,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.message.RaftMessage;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.StoreWrite;
 import org.coltsfootproxy.storage.DataFolder;
@@ -26,6 +27,8 @@
     private boolean mUp;
     private int mLife;
     private long mTickNanos = Long.MAX_VALUE;
+    private StoreWrite.Vote mSyncedVote = StoreWrite.Vote.NONE;
+    private long mSyncedIndex;
 
     TestHost(HostId id, double clockRate) {
         mId = id;
@@ -90,6 +93,10 @@
         DataFolder folder = DataFolder.open(mDisk, random);
         mStore = folder.openGroup(0);
         mMember = Member.of(mId, folder.incarnation());
+        mSyncedVote = mStore.recovered().vote();
+        mSyncedIndex = 0;
+        mStore.recovered().snapshot().ifPresent(s -> mSyncedIndex = s.index());
+        mStore.recovered().entries().forEach(entry -> mSyncedIndex = entry.index());
         mMachine = new ChainMachine(oracle);
         mNode =
                 RaftNode.create(
@@ -143,10 +150,30 @@
                 break;
             }
         }
-        report(token, failure, timeNanos, out);
+        report(writes, token, failure, timeNanos, out);
+    }
+
+    private void noteSynced(StoreWrite write) {
+        mSyncedVote = write.vote().orElse(mSyncedVote);
+        write.snapshot().ifPresent(s -> mSyncedIndex = Math.max(mSyncedIndex, s.index()));
+        write.entries().forEach(entry -> mSyncedIndex = entry.index());
+    }
+
+    /** Tells whether what a message promises is synced. */
+    boolean keeps(Effect.Send send) {
+        if (send.message() instanceof RaftMessage.VoteAnswer answer) {
+            return answer.pre()
+                    || !answer.granted()
+                    || mSyncedVote.term() > answer.term()
+                    || mSyncedVote.candidate().filter(c -> c.host().equals(send.to())).isPresent();
+        }
+        return !(send.message() instanceof RaftMessage.AppendAnswer answer)
+                || !answer.matched()
+                || answer.index() <= mSyncedIndex;
     }
 
     private void report(
+            List<Effect.Persist> writes,
             long token,
             ProxyException failure,
             long timeNanos,
@@ -158,6 +185,9 @@
             mNode.persistFailed(0, e.kind(), e.getMessage(), now, out);
             return;
         }
+        writes.stream()
+                .filter(write -> write.token() <= token)
+                .forEach(write -> noteSynced(write.write()));
         if (token > 0) {
             mNode.persisted(token, now, out);
         }
