--- a/src/test/java/org/coltsfootproxy/consensus/CommitRuleTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/CommitRuleTest.java
@@ -14,9 +14,10 @@
 import org.coltsfootproxy.message.RaftMessage;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.StoreWrite;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** When a leader may count an entry of an earlier term as committed. */
+/** Rules of commits and votes that random faults seldom test. */
 public final class CommitRuleTest {
     private static final Member SELF = member("a");
     private static final Member OTHER = member("b");
@@ -38,16 +39,24 @@
                         LogEntry.of(2, 2, LogEntry.Kind.COMMAND, new byte[0])));
     }
 
+    @BeforeMethod
+    void forgetEffects() {
+        mEffects.clear();
+    }
+
+    private static RaftNode started() {
+        return RaftNode.create(
+                RaftSettings.of(List.of(SELF.host())),
+                SELF,
+                0,
+                state(),
+                new ChainMachine(new Oracle()),
+                new SplittableRandom(1),
+                0);
+    }
+
     private RaftNode elected() {
-        RaftNode node =
-                RaftNode.create(
-                        RaftSettings.of(List.of(SELF.host())),
-                        SELF,
-                        0,
-                        state(),
-                        new ChainMachine(new Oracle()),
-                        new SplittableRandom(1),
-                        0);
+        RaftNode node = started();
         node.tick(LATER, mEffects::add);
         vote(node, true);
         sync(node);
@@ -91,4 +100,20 @@
         assertEquals(node.status(LATER).commitIndex(), 3);
         assertEquals(node.status(LATER).appliedIndex(), 3);
     }
+
+    /** Its former life may have kept up a leader's lease right before. */
+    @Test
+    public void noVoteIsGivenForTheElectionTimeoutAfterStarting() {
+        RaftNode node = started();
+        RaftMessage request =
+                new RaftMessage.VoteRequest(
+                        0, OTHER.incarnation(), 4, SELF.incarnation(), false, false, 9, 3);
+
+        node.receive(OTHER.host(), request, Duration.ofMillis(999).toNanos(), mEffects::add);
+        assertEquals(mEffects.size(), 0, mEffects.toString());
+
+        node.receive(OTHER.host(), request, LATER, mEffects::add);
+        sync(node);
+        assertEquals(mEffects.stream().filter(Effect.Send.class::isInstance).count(), 1);
+    }
 }
