Note a stand-in's answer before it is sent

Ruled out: a lost answer; the body was whole each time. Change: the answer is noted before it is handed to the network.

--- a/src/main/java/org/coltsfootproxy/fake/RunRecord.java
+++ b/src/main/java/org/coltsfootproxy/fake/RunRecord.java
@@ -37,7 +37,8 @@
      *
      * @param requests requests that arrived
      * @param runs how often each request began to run, by its id
-     * @param completed how often each request's answer was handed to the network as a whole
+     * @param completed how often each request's answer was about to be handed to the network as a
+     *     whole
      * @param keyFields names of fields with callers' keys that arrived
      * @param doubles ids that began to run more than once
      */
--- a/src/main/java/org/coltsfootproxy/fake/TargetHandler.java
+++ b/src/main/java/org/coltsfootproxy/fake/TargetHandler.java
@@ -82,8 +82,8 @@
                 ctx.close();
             }
             default -> {
-                Answers.send(ctx, 200, answer);
                 mState.record().completed(request.id());
+                Answers.send(ctx, 200, answer);
                 if (fault == Fault.Kind.CROSSED) {
                     Answers.send(ctx, 200, new PlainAnswer("crossed", 0, ""));
                 }
--- a/src/main/java/org/coltsfootproxy/fake/TokenStream.java
+++ b/src/main/java/org/coltsfootproxy/fake/TokenStream.java
@@ -114,13 +114,14 @@
         if (mFault == Fault.Kind.SILENCE) {
             return;
         }
+        // Noted first, so that whoever has read the answer finds it in the record.
+        mState.record().completed(mRequest.id());
         if (mStreaming) {
             Answers.event(mContext, "[DONE]");
             mContext.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
         } else {
             Answers.send(mContext, 200, new Completion(mRequest.id(), mTokens, mText.toString()));
         }
-        mState.record().completed(mRequest.id());
         if (mFault == Fault.Kind.CROSSED) {
             Answers.send(mContext, 200, new Completion("crossed", 0, "nobody asked"));
         }
