--- a/src/main/java/org/coltsfootproxy/job/ItemLife.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemLife.java
@@ -39,7 +39,7 @@
         if (mItems.state(item) != ItemState.WAITING || isPausing(item, epochMillis)) {
             return false;
         }
-        mItems.setState(item, ItemState.STARTED);
+        mItems.step(item, ItemEvent.START);
         mItems.setRun(item, new ItemTable.Run(lease.fence(), agent));
         return true;
     }
@@ -96,10 +96,10 @@
     private ReportVerdict record(ItemReport report, RetryPolicy retry, long epochMillis) {
         int item = report.lease().item();
         return switch (report.outcome()) {
-            case DONE -> end(item, ItemState.DONE, report);
+            case DONE -> end(item, ItemEvent.COMPLETE, report);
             case REFUSED -> {
                 addTrouble(report.lease(), attempts(item) + 1, epochMillis, report.error());
-                yield end(item, ItemState.FAILED, report);
+                yield end(item, ItemEvent.GIVE_UP, report);
             }
             case ATTEMPT_FAILED -> failAttempt(report, retry, epochMillis);
             case MAY_HAVE_RUN -> {
@@ -113,8 +113,8 @@
         };
     }
 
-    private ReportVerdict end(int item, ItemState state, ItemReport report) {
-        mItems.setState(item, state);
+    private ReportVerdict end(int item, ItemEvent event, ItemReport report) {
+        mItems.step(item, event);
         mItems.setResult(item, report.status(), report.body());
         mItems.clearRun(item);
         return ReportVerdict.RECORDED;
@@ -132,7 +132,7 @@
                 epochMillis + retry.pauseMillis(attempts),
                 report.error());
         if (attempts >= retry.attempts()) {
-            return end(item, ItemState.FAILED, report);
+            return end(item, ItemEvent.GIVE_UP, report);
         }
         ReportVerdict verdict = waitAgain(item);
         return verdict == ReportVerdict.RECORDED ? ReportVerdict.WAITS : verdict;
@@ -150,36 +150,36 @@
 
     private void endInDoubt(LeaseRef lease, String error, long epochMillis) {
         addTrouble(lease, attempts(lease.item()), epochMillis, error);
-        mItems.setState(lease.item(), ItemState.MAY_HAVE_RUN);
+        mItems.step(lease.item(), ItemEvent.DOUBT);
     }
 
     private ReportVerdict waitAgain(int item) {
         mItems.clearRun(item);
+        mItems.step(item, ItemEvent.WAIT_AGAIN);
         if (mJob.state() == JobState.CANCELLED) {
             cancel(item);
             return ReportVerdict.CANCELLED;
         }
-        mItems.setState(item, ItemState.WAITING);
         return ReportVerdict.RECORDED;
     }
 
     /** Keeps an item that has not started from running. */
     void cancel(int item) {
-        mItems.setState(item, ItemState.CANCELLED);
+        mItems.step(item, ItemEvent.CANCEL);
         mItems.dropBody(item);
     }
 
     /** Runs an item in doubt again, as an operator decided. */
     boolean runAgain(int item) {
         mItems.clearRun(item);
-        mItems.setState(item, ItemState.WAITING);
+        mItems.step(item, ItemEvent.WAIT_AGAIN);
         return true;
     }
 
     /** Ends an item in doubt, as an operator decided. */
-    boolean settle(int item, ItemState state, int status, byte[] body) {
+    boolean settle(int item, ItemEvent event, int status, byte[] body) {
         mItems.clearRun(item);
-        mItems.setState(item, state);
+        mItems.step(item, event);
         mItems.setResult(item, status, body);
         return true;
     }
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -63,7 +63,7 @@
     }
 
     void add(JobItem item) {
-        restore(ItemState.WAITING, hash(item), ItemPayload.of(item), null, null);
+        restore(ItemEvent.CHART.initial(), hash(item), ItemPayload.of(item), null, null);
     }
 
     /** Adds an item as a snapshot tells it; {@code trouble} and {@code run} may be null. */
@@ -122,7 +122,9 @@
         return STATES[mStates[checkElementIndex(index, mSize)]];
     }
 
-    void setState(int index, ItemState state) {
+    /** Moves an item along its state chart. */
+    void step(int index, ItemEvent event) {
+        ItemState state = ItemEvent.CHART.next(state(index), event);
         mCounts[state(index).ordinal()]--;
         mCounts[state.ordinal()]++;
         mStates[index] = (byte) state.ordinal();
--- a/src/main/java/org/coltsfootproxy/job/JobLedger.java
+++ b/src/main/java/org/coltsfootproxy/job/JobLedger.java
@@ -177,7 +177,7 @@
     }
 
     private static void accept(LedgerJob job, long epochMillis) {
-        if (job.state() == JobState.RECEIVING) {
+        if (JobEvent.CHART.changes(job.state(), JobEvent.ACCEPT)) {
             job.accept(epochMillis);
         }
     }
@@ -227,7 +227,7 @@
 
     private JobOutcome cancel(JobCommand.Cancel cancel) throws ProxyException {
         LedgerJob job = mShelf.get(cancel.organisation(), cancel.job());
-        if (job.state() == JobState.RECEIVING || job.state() == JobState.RUNNING) {
+        if (JobEvent.CHART.changes(job.state(), JobEvent.CANCEL)) {
             mShelf.cancel(job, cancel.epochMillis());
         }
         return accepted(job);
@@ -261,8 +261,8 @@
         int item = settle.item();
         return switch (settle.decision()) {
             case RUN_AGAIN -> life.runAgain(item);
-            case MARK_FAILED -> life.settle(item, ItemState.FAILED, 0, settle.result());
-            case MARK_DONE -> life.settle(item, ItemState.DONE, OK, settle.result());
+            case MARK_FAILED -> life.settle(item, ItemEvent.GIVE_UP, 0, settle.result());
+            case MARK_DONE -> life.settle(item, ItemEvent.COMPLETE, OK, settle.result());
         };
     }
 
--- a/src/main/java/org/coltsfootproxy/job/JobScheduler.java
+++ b/src/main/java/org/coltsfootproxy/job/JobScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ServiceId;
@@ -67,11 +68,13 @@
      * Returns the job to take an item from.
      *
      * @param slots batch slots of the service over the fleet
+     * @param mayRun whether an organisation's items may run at all now
      */
-    Optional<Choice> choose(ServiceId service, int slots, long epochMillis) {
+    Optional<Choice> choose(
+            ServiceId service, int slots, long epochMillis, Predicate<OrganisationId> mayRun) {
         List<JobQueue> ready =
                 queues().filter(q -> q.job().spec().service().equals(service))
-                        .filter(q -> q.hasReady(epochMillis))
+                        .filter(q -> q.hasReady(epochMillis) && mayRun.test(q.organisation()))
                         .toList();
         double weights = weights(ready.stream());
         Optional<JobQueue> urgent =
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LeaseRef;
@@ -83,7 +84,8 @@
         int size = 1;
         while (lot.size() < size && bytes < MAX_LOT_BYTES) {
             Optional<JobScheduler.Choice> choice =
-                    mState.scheduler().choose(pull.service(), slots, mStep.epochMillis());
+                    mState.scheduler()
+                            .choose(pull.service(), slots, mStep.epochMillis(), this::hasRoom);
             if (choice.isEmpty()) {
                 break;
             }
@@ -103,6 +105,11 @@
         return leaseNanos;
     }
 
+    /** Tells whether the results of an organisation's items could be kept. */
+    private boolean hasRoom(OrganisationId organisation) {
+        return mState.ledger().hasRoomForResults(organisation, mState.settings().limits());
+    }
+
     private int takeFree(JobQueue queue) {
         int item = queue.take(mStep.epochMillis());
         while (item >= 0 && mState.table().isLeased(queue.job().number(), item)) {
--- a/src/main/java/org/coltsfootproxy/job/LedgerJob.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerJob.java
@@ -29,7 +29,7 @@
     /** Returns a job that no item was received of. */
     static LedgerJob begin(
             long number, OrganisationId organisation, JobSpec spec, long epochMillis) {
-        return new LedgerJob(number, organisation, spec, JobState.RECEIVING, epochMillis);
+        return new LedgerJob(number, organisation, spec, JobEvent.CHART.initial(), epochMillis);
     }
 
     /** Returns a job as a snapshot tells it; its items are still to be restored. */
@@ -102,27 +102,24 @@
 
     void accept(long epochMillis) {
         mItems.trim();
-        mState = JobState.RUNNING;
+        mState = JobEvent.CHART.next(mState, JobEvent.ACCEPT);
         mAcceptedMillis = epochMillis;
         touch(epochMillis);
     }
 
     void cancel(long epochMillis) {
-        mState = JobState.CANCELLED;
+        mState = JobEvent.CHART.next(mState, JobEvent.CANCEL);
         mFinishedMillis = epochMillis;
         touch(epochMillis);
     }
 
     /** Brings the job's state in line with those of its items. */
     void update(long epochMillis) {
-        boolean isOver = mItems.open() == 0;
-        if (mState == JobState.RUNNING && isOver) {
-            mState = JobState.FINISHED;
-            mFinishedMillis = epochMillis;
+        JobEvent event = mItems.open() == 0 ? JobEvent.END : JobEvent.REOPEN;
+        if (JobEvent.CHART.changes(mState, event)) {
+            mState = JobEvent.CHART.next(mState, event);
+            mFinishedMillis = event == JobEvent.END ? epochMillis : 0;
             touch(epochMillis);
-        } else if (mState == JobState.FINISHED && !isOver) {
-            mState = JobState.RUNNING;
-            mFinishedMillis = 0;
         }
     }
 
--- a/src/test/java/org/coltsfootproxy/job/FakeFleet.java
+++ b/src/test/java/org/coltsfootproxy/job/FakeFleet.java
@@ -65,7 +65,7 @@
         private final Map<LeaseRef, Call> mCalls = new LinkedHashMap<>();
         boolean mIsOnlineBusy;
 
-        private record Call(LeasedItem item, long endNanos, int run) {}
+        private record Call(LeasedItem item, long startNanos, long endNanos, int run) {}
 
         Agent(HostId id) {
             mId = id;
@@ -91,7 +91,7 @@
             List<String> runs = mOracle.mRuns.computeIfAbsent(body, b -> new ArrayList<>());
             runs.add(body + "#" + runs.size());
             long end = mNow + (100 + mRandom.nextInt(3_000)) * MILLI;
-            mCalls.put(item.lease(), new Call(item, end, runs.size() - 1));
+            mCalls.put(item.lease(), new Call(item, mNow, end, runs.size() - 1));
         }
 
         @Override
@@ -142,7 +142,11 @@
                 return;
             }
             byte[] result = (body + "#" + call.run()).getBytes(StandardCharsets.UTF_8);
-            mPuller.ended(ItemReports.ofAnswer(call.item(), 200, result, 300), mNow, sender(mId));
+            mPuller.ended(
+                    ItemReports.ofAnswer(
+                            call.item(), 200, result, (mNow - call.startNanos()) / MILLI),
+                    mNow,
+                    sender(mId));
         }
     }
 
@@ -209,7 +213,7 @@
         tickServices();
     }
 
-    private void tickServices() {
+    void tickServices() {
         for (int i = 0; i < mServices.size(); i++) {
             mServices.get(i).tick(mNow, sender(mControls.get(i)));
         }
