--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -165,12 +165,13 @@
     private void redirected(HostId from, JobMessage.Redirect redirect, long nowNanos) {
         if (mLink.isHost(from) && !mLink.isPausing(nowNanos)) {
             mLink.redirect(redirect.leader(), nowNanos);
-            forgetAnswers();
+            forgetAnswers(nowNanos);
         }
     }
 
-    /** Sends everything again once the next control host is tried. */
-    private void forgetAnswers() {
+    /** Sends everything again, the renewal first, once the next control host is tried. */
+    private void forgetAnswers(long nowNanos) {
+        mRenewNanos = nowNanos;
         mIsPulling = false;
         mIsAwaiting = false;
         mOutbox.sendAgain();
@@ -217,22 +218,37 @@
                 .filter(held -> held != null && held.step() == HeldItem.Step.STARTING)
                 .forEach(held -> held.setStep(HeldItem.Step.CLEARED));
         started.refused().stream()
-                .filter(ref -> mHeld.containsKey(ref) && !mHeld.get(ref).isRunning())
-                .forEach(mHeld::remove);
+                .map(mHeld::get)
+                .filter(held -> held != null && !held.isRunning())
+                .forEach(this::letGo);
     }
 
     /** Lets go of a lost item; one that may not be repeated and runs goes on, to be reported. */
     private void drop(LeaseRef ref, long nowNanos, Effects out) {
         HeldItem held = mHeld.get(ref);
-        if (held == null || (held.isRunning() && !held.item().repeatable())) {
+        if (held == null) {
             return;
-        }
-        mHeld.remove(ref);
-        if (held.isRunning()) {
+        } else if (!held.isRunning()) {
+            letGo(held);
+        } else if (held.item().repeatable()) {
+            mHeld.remove(ref);
             mRunner.stop(ref, nowNanos, out);
         }
     }
 
+    /**
+     * Forgets an item that has not run.
+     *
+     * <p>One that may not be repeated is given back, lest a start that was recorded without this
+     * agent's knowledge leaves it in doubt.
+     */
+    private void letGo(HeldItem held) {
+        mHeld.remove(held.item().lease());
+        if (!held.item().repeatable()) {
+            mOutbox.add(ItemReport.givenBack(held.item().lease()));
+        }
+    }
+
     /** Does whatever is due. */
     public void tick(long nowNanos, Effects out) {
         proceed(nowNanos, out);
@@ -247,19 +263,18 @@
         checkSilence(nowNanos);
         if (!mLink.isPausing(nowNanos)) {
             mLink.endPause();
+            renew(nowNanos, out);
             start(nowNanos, out);
             pull(nowNanos, out);
-            renew(nowNanos, out);
             mOutbox.send(mLink.host(), nowNanos, out);
         }
     }
 
     private void dropExpired(long nowNanos) {
-        mHeld.values()
-                .removeIf(
-                        held ->
-                                nowNanos - held.expiryNanos() >= 0
-                                        && held.step() == HeldItem.Step.QUEUED);
+        inStep(HeldItem.Step.QUEUED)
+                .filter(held -> nowNanos - held.expiryNanos() >= 0)
+                .toList()
+                .forEach(this::letGo);
     }
 
     private void giveBackWaiting() {
@@ -358,6 +373,9 @@
         mRenewNanos = nowNanos + mLeaseNanos / RENEWALS_A_LEASE;
         List<LeaseRef> refs = Stream.concat(mHeld.keySet().stream(), mOutbox.leases()).toList();
         out.send(mLink.host(), new JobMessage.Renew(mGroup, mIncarnation, mRenewSequence, refs));
+        if (mIsPulling) {
+            askForLot(out);
+        }
     }
 
     private void checkSilence(long nowNanos) {
@@ -367,8 +385,7 @@
                         && nowNanos - mStartNanos >= ANSWER_NANOS;
         if (isSilent) {
             mLink.next(nowNanos);
-            forgetAnswers();
-            mRenewNanos = nowNanos;
+            forgetAnswers(nowNanos);
         } else if (isStartSilent) {
             inStep(HeldItem.Step.STARTING)
                     .toList()
--- a/src/main/java/org/coltsfootproxy/job/JobSettings.java
+++ b/src/main/java/org/coltsfootproxy/job/JobSettings.java
@@ -53,7 +53,7 @@
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(1),
                 64,
-                Duration.ofMinutes(5));
+                Duration.ofMinutes(1));
     }
 
     /** Returns these settings with other limits. */
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -134,16 +134,16 @@
 
     void renew(AgentSession session, JobMessage.Renew renew) {
         long leaseNanos = mState.settings().maxLease().toNanos();
-        long expiry = mStep.nowNanos() + leaseNanos;
-        List<LeaseRef> lost =
-                renew.leases().stream().filter(ref -> !renew(session, ref, expiry)).toList();
+        List<LeaseRef> lost = renew.leases().stream().filter(ref -> !holds(session, ref)).toList();
         mStep.send(
                 session.agent(),
                 new JobMessage.Renewed(
                         mGroup, renew.sequence(), leaseNanos / EpochClock.NANOS_PER_MILLI, lost));
     }
 
-    private boolean renew(AgentSession session, LeaseRef ref, long expiry) {
+    /** Tells whether the agent holds a lease, which is then renewed or taken over. */
+    boolean holds(AgentSession session, LeaseRef ref) {
+        long expiry = mStep.nowNanos() + mState.settings().maxLease().toNanos();
         Optional<Lease> held = mState.table().held(session.agent(), ref);
         held.ifPresent(lease -> lease.extend(expiry));
         return held.isPresent() || takeOver(session, ref, expiry);
--- a/src/main/java/org/coltsfootproxy/job/ReportHandler.java
+++ b/src/main/java/org/coltsfootproxy/job/ReportHandler.java
@@ -53,7 +53,7 @@
                 start.leases().stream()
                         .collect(
                                 java.util.stream.Collectors.partitioningBy(
-                                        ref -> mState.table().held(agent, ref).isPresent()));
+                                        ref -> mLeases.holds(session, ref)));
         if (byHeld.get(true).isEmpty()) {
             mStep.send(agent, new JobMessage.Started(mGroup, List.of(), byHeld.get(false)));
             return;
--- a/src/test/java/org/coltsfootproxy/job/FakeFleet.java
+++ b/src/test/java/org/coltsfootproxy/job/FakeFleet.java
@@ -31,6 +31,8 @@
     static final long EPOCH = 1_000_000_000_000L;
     private static final RecordCodec<Message> CODEC = RecordCodec.of(Message.class);
     private static final int SLOTS = 2;
+    private static final int MIN_SETTLE_STEPS = 30;
+    private static final int MAX_SETTLE_STEPS = 1_500;
 
     final FakeLog mLog = new FakeLog();
     final Random mRandom;
@@ -264,14 +266,29 @@
         }
     }
 
-    /** Ends all faults and lets everything run until nothing changes any more. */
+    /** Loses the oldest message. */
+    void loseOne() {
+        mNetwork.remove(0);
+    }
+
+    /** Doubles the oldest message; the copy arrives after all that is on its way. */
+    void doubleOne() {
+        mNetwork.add(mNetwork.get(0));
+    }
+
+    /** Lets the oldest message arrive after all that is on its way. */
+    void delayOne() {
+        mNetwork.add(mNetwork.remove(0));
+    }
+
+    /** Ends all faults and lets everything run until no item is left to run. */
     void settleDown() {
         mIsReliable = true;
         if (mLog.leader().isEmpty()) {
             mLog.lead(mLog.host(0), 0);
         }
         mAgents.forEach(agent -> agent.setOnlineBusy(false));
-        for (int i = 0; i < 1_200; i++) {
+        for (int i = 0; i < MAX_SETTLE_STEPS && (i < MIN_SETTLE_STEPS || isAnyOpen()); i++) {
             advance(1_000);
             while (hasMessages() || !mLog.isIdle()) {
                 while (hasMessages()) {
@@ -283,6 +300,10 @@
         }
     }
 
+    private boolean isAnyOpen() {
+        return ledger().jobs().anyMatch(job -> job.items().open() > 0);
+    }
+
     JobLedger ledger() {
         return mLog.leader().orElseThrow().ledger();
     }
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -0,0 +1,128 @@
+package org.coltsfootproxy.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.JobId;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.message.ItemReport;
+import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.JobItem;
+import org.coltsfootproxy.message.JobSpec;
+import org.coltsfootproxy.message.LeaseRef;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Contract of {@link JobLedger}: quotas, retention and retries. */
+public final class JobLedgerTest {
+    private static final OrganisationId FORTH = OrganisationId.of("forth");
+    private static final OrganisationId MORAY = OrganisationId.of("moray");
+    private static final JobLimits LIMITS = new JobLimits(10, 3, 15, 4_000, 6_000);
+    private static final long HOUR = 3_600_000;
+
+    private JobLedger mLedger;
+
+    @BeforeMethod
+    public void begin() {
+        mLedger = JobLedger.create();
+    }
+
+    private JobOutcome apply(JobCommand command) {
+        try {
+            return JobLedger.outcome(mLedger.apply(1, JobLedger.encode(command)));
+        } catch (ProxyException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private JobOutcome submit(OrganisationId organisation, String id, int items, int bytes) {
+        List<JobItem> bodies =
+                IntStream.range(0, items).mapToObj(i -> JobItem.of("", new byte[bytes])).toList();
+        return apply(new JobCommand.Submit(1_000, organisation, spec(id, items), bodies, LIMITS));
+    }
+
+    private static JobSpec spec(String id, int items) {
+        return new JobSpec(
+                JobId.of(id), FakeFleet.SERVICE, "POST", "/p", true, 1_000, HOUR, "later", items);
+    }
+
+    private static ErrorKind refusal(JobOutcome outcome) {
+        return ((JobOutcome.Refused) outcome).kind();
+    }
+
+    private JobOutcome report(int item, long fence, ItemReport.Outcome outcome, long time) {
+        ItemReport report =
+                ItemReport.failed(new LeaseRef(1, item, fence), outcome, "e" + fence, 5);
+        return apply(new JobCommand.Report(time, List.of(report), new RetryPolicy(3, 100, 150)));
+    }
+
+    @Test
+    public void oneOrganisationsBacklogIsRefusedPastItsQuotaAndLeavesRoomForOthers() {
+        assertTrue(submit(FORTH, "a", 10, 10) instanceof JobOutcome.Accepted);
+        assertEquals(refusal(submit(FORTH, "b", 6, 10)), ErrorKind.RATE_EXCEEDED);
+        assertEquals(refusal(submit(FORTH, "c", 11, 10)), ErrorKind.INVALID_JOB);
+        assertEquals(refusal(submit(FORTH, "d", 2, 2_000)), ErrorKind.RATE_EXCEEDED);
+        assertTrue(submit(MORAY, "a", 10, 10) instanceof JobOutcome.Accepted);
+        assertEquals(refusal(submit(MORAY, "e", 1, 3_900)), ErrorKind.RATE_EXCEEDED);
+        OrganisationId third = OrganisationId.of("solway");
+        assertTrue(submit(third, "a", 1, 3_900) instanceof JobOutcome.Accepted);
+        assertEquals(refusal(submit(MORAY, "f", 1, 2_000)), ErrorKind.STORAGE_FULL);
+    }
+
+    @Test
+    public void aRefusedSubmitLeavesNothingBehind() {
+        byte[] before = mLedger.snapshot();
+        submit(FORTH, "d", 2, 2_000);
+        assertTrue(mLedger.job(FORTH, JobId.of("d")).isEmpty());
+        assertEquals(mLedger.bytes(), 0);
+        assertEquals(mLedger.snapshot().length, before.length);
+    }
+
+    @Test
+    public void aFailingItemPausesLongerEachTimeAndGivesUpWithItsLastError() {
+        submit(FORTH, "a", 2, 10);
+        report(0, 1, ItemReport.Outcome.ATTEMPT_FAILED, 2_000);
+        ItemTable items = mLedger.job(1).orElseThrow().items();
+        assertEquals(items.trouble(0).notBeforeEpochMillis(), 2_100);
+        report(0, 1, ItemReport.Outcome.ATTEMPT_FAILED, 2_000);
+        assertEquals(items.attempts(0), 1);
+        report(0, 2, ItemReport.Outcome.GIVEN_BACK, 2_100);
+        assertEquals(items.attempts(0), 1);
+        report(0, 3, ItemReport.Outcome.ATTEMPT_FAILED, 3_000);
+        assertEquals(items.trouble(0).notBeforeEpochMillis(), 3_150);
+        report(0, 4, ItemReport.Outcome.ATTEMPT_FAILED, 4_000);
+        assertEquals(items.state(0), ItemState.FAILED);
+        assertEquals(items.result(0).error(), "e4");
+        assertEquals(items.state(1), ItemState.WAITING);
+    }
+
+    @Test
+    public void endedJobsGoAfterTheirRetentionAndUnfinishedSubmitsAfterTheirs() {
+        submit(FORTH, "a", 1, 10);
+        apply(new JobCommand.Begin(1_000, FORTH, spec("b", 5), LIMITS));
+        report(0, 1, ItemReport.Outcome.DONE, 2_000);
+
+        apply(new JobCommand.Expire(1_000 + HOUR, 2 * HOUR, HOUR));
+        assertEquals(mLedger.jobs().count(), 2);
+        apply(new JobCommand.Expire(1_001 + HOUR, 2 * HOUR, HOUR));
+        assertEquals(mLedger.jobs().map(j -> j.spec().id().value()).toList(), List.of("a"));
+        apply(new JobCommand.Expire(2_001 + 2 * HOUR, 2 * HOUR, HOUR));
+        assertEquals(mLedger.jobs().count(), 0);
+        assertEquals(mLedger.bytes(), 0);
+        assertTrue(submit(FORTH, "c", 10, 10) instanceof JobOutcome.Accepted);
+    }
+
+    @Test
+    public void aNewJobPastItsDeadlineIsRefusedAndAResentOneIsNot() {
+        submit(FORTH, "a", 1, 10);
+        List<JobItem> items = List.of(JobItem.of("", new byte[10]));
+        var late = new JobCommand.Submit(2 * HOUR, FORTH, spec("a", 1), items, LIMITS);
+        assertTrue(apply(late) instanceof JobOutcome.Accepted);
+        var other = new JobCommand.Submit(2 * HOUR, FORTH, spec("b", 1), items, LIMITS);
+        assertEquals(refusal(apply(other)), ErrorKind.INVALID_JOB);
+    }
+}
