--- a/src/main/java/org/coltsfootproxy/cli/Commands.java
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -8,6 +8,14 @@
     private Commands() {}
 
     static List<Command> all() {
-        return Stream.of(KeyCommands.all(), ControlCommands.all()).flatMap(List::stream).toList();
+        return Stream.of(
+                        DemoCommand.all(),
+                        ServeCommands.all(),
+                        FakeTargetCommand.all(),
+                        KeyCommands.all(),
+                        ControlCommands.all(),
+                        JobCommands.all())
+                .flatMap(List::stream)
+                .toList();
     }
 }
--- a/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlinePath.java
@@ -20,8 +20,11 @@
 import org.coltsfootproxy.config.ConfigTiming;
 import org.coltsfootproxy.config.ControlHost;
 import org.coltsfootproxy.config.KeyDigest;
+import org.coltsfootproxy.consensus.RecoveredState;
 import org.coltsfootproxy.control.ControlNode;
 import org.coltsfootproxy.control.ControlSettings;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.limit.FixedShareLimiter;
 import org.coltsfootproxy.message.CallMessage;
 import org.coltsfootproxy.message.Header;
@@ -133,14 +136,21 @@
 
     private void startControl() {
         ControlSettings settings =
-                new ControlSettings(
+                ControlSettings.of(
                         CONTROL,
                         SOLWAY,
                         Incarnation.of(1),
                         controlHosts(),
                         ConfigTiming.DEFAULT,
                         KeyDigest.of(OPERATOR_KEY));
-        mFleet.start(CONTROL, newLife(CONTROL), ControlNode.create(settings, new Random(1)));
+        mFleet.start(
+                CONTROL,
+                newLife(CONTROL),
+                ControlNode.create(
+                        settings,
+                        List.of(RecoveredState.blank(), RecoveredState.blank()),
+                        EpochClock.of(0, 0),
+                        new Random(1)));
     }
 
     private ConfigSubscriber subscriber() {
@@ -150,9 +160,9 @@
 
     void startAgent(HostId host) {
         Incarnation life = newLife(host);
-        AgentSettings settings = new AgentSettings(host, life, ServiceId.of("rota"));
+        AgentSettings settings = new AgentSettings(host, life, ServiceId.of("rota"), 1);
         AdmissionQueue queue = AdmissionQueue.fair(AdmissionSettings.of(4));
-        mFleet.start(host, life, AgentNode.create(settings, subscriber(), queue));
+        mFleet.start(host, life, AgentNode.create(settings, subscriber(), queue, List.of(CONTROL)));
     }
 
     void startEntry() {
@@ -164,12 +174,15 @@
                                         SOLWAY,
                                         ChooserSettings.defaults(),
                                         new Random(mFleet.random().nextLong())),
-                        listener -> FixedShareLimiter.create(() -> 1));
+                        listener -> FixedShareLimiter.create(() -> 1),
+                        LimitOwnership.none(ENTRY));
         EntryNode node =
                 EntryNode.create(
                         EntrySettings.of(ENTRY, SOLWAY),
                         subscriber(),
                         policies,
+                        JobGateway.create(
+                                List.of(CONTROL), 1, 1, EpochClock.of(0, 1_700_000_000_000L)),
                         new Random(mFleet.random().nextLong()));
         mFleet.start(ENTRY, newLife(ENTRY), node);
     }
