--- a/src/main/java/org/coltsfootproxy/job/JobLimits.java
+++ b/src/main/java/org/coltsfootproxy/job/JobLimits.java
@@ -29,6 +29,6 @@
 
     /** Returns the bounds for hosts with a heap of about a gigabyte. */
     public static JobLimits defaults() {
-        return new JobLimits(71_000, 4_000, 400_000, 128L << 20, 384L << 20);
+        return new JobLimits(71_000, 4_000, 400_000, 96L << 20, 192L << 20);
     }
 }
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.ErrorKind;
@@ -14,6 +15,7 @@
 import org.coltsfootproxy.message.JobItem;
 import org.coltsfootproxy.message.JobSpec;
 import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.ReportVerdict;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -100,6 +102,28 @@
         assertEquals(items.state(1), ItemState.WAITING);
     }
 
+    @Test
+    public void theFirstRecordedResultStaysWhateverComesLater() {
+        submit(FORTH, "a", 1, 10);
+        assertEquals(done(1, "first"), List.of(ReportVerdict.RECORDED));
+        assertEquals(done(2, "second"), List.of(ReportVerdict.DROPPED));
+        report(0, 3, ItemReport.Outcome.ATTEMPT_FAILED, 3_000);
+
+        ItemTable items = mLedger.job(1).orElseThrow().items();
+        assertEquals(FakeFleet.text(items.result(0).body()), "first");
+        assertEquals(items.attempts(0), 0);
+        assertEquals(mLedger.dropped(), 2);
+    }
+
+    private List<ReportVerdict> done(long fence, String result) {
+        byte[] body = result.getBytes(StandardCharsets.UTF_8);
+        LeaseRef lease = new LeaseRef(1, 0, fence);
+        ItemReport report = new ItemReport(lease, ItemReport.Outcome.DONE, 200, body, "", 5);
+        JobOutcome outcome =
+                apply(new JobCommand.Report(2_000, List.of(report), RetryPolicy.defaults()));
+        return ((JobOutcome.Verdicts) outcome).verdicts();
+    }
+
     @Test
     public void endedJobsGoAfterTheirRetentionAndUnfinishedSubmitsAfterTheirs() {
         submit(FORTH, "a", 1, 10);
