--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -3,9 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
@@ -38,7 +36,7 @@
     private final ItemRunner mRunner;
     private final ControlLink mLink;
     private final ReportOutbox mOutbox;
-    private final Map<LeaseRef, HeldItem> mHeld = new LinkedHashMap<>();
+    private final HeldItems mHeld = new HeldItems();
     private int mCapacity;
     private int mSlots;
     private long mSlotsGoneNanos;
@@ -116,7 +114,7 @@
 
     /** Tells how a running item ended; {@link ItemReports} makes the report. */
     public void ended(ItemReport report, long nowNanos, Effects out) {
-        if (mHeld.remove(report.lease()) != null) {
+        if (mHeld.remove(report.lease())) {
             mOutbox.add(report);
         }
         proceed(nowNanos, out);
@@ -175,9 +173,7 @@
         mIsPulling = false;
         mIsAwaiting = false;
         mOutbox.sendAgain();
-        mHeld.values().stream()
-                .filter(held -> held.step() == HeldItem.Step.STARTING)
-                .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
+        mHeld.forgetStarts();
     }
 
     /**
@@ -198,7 +194,7 @@
         mLeaseNanos = lot.leaseMillis() * MILLI;
         mRenewNanos = Math.min(mRenewNanos, nowNanos + mLeaseNanos / RENEWALS_A_LEASE);
         for (LeasedItem item : unseen) {
-            mHeld.put(item.lease(), HeldItem.of(item, nowNanos + mLeaseNanos));
+            mHeld.add(HeldItem.of(item, nowNanos + mLeaseNanos));
         }
     }
 
@@ -208,24 +204,24 @@
         }
         mIsAwaiting = false;
         long expiry = mSentNanos + renewed.leaseMillis() * MILLI;
-        mHeld.values().forEach(held -> held.extend(expiry));
+        mHeld.extend(expiry);
         renewed.lost().forEach(ref -> drop(ref, nowNanos, out));
     }
 
     private void started(JobMessage.Started started) {
         started.granted().stream()
-                .map(mHeld::get)
-                .filter(held -> held != null && held.step() == HeldItem.Step.STARTING)
+                .flatMap(ref -> mHeld.find(ref).stream())
+                .filter(held -> held.step() == HeldItem.Step.STARTING)
                 .forEach(held -> held.setStep(HeldItem.Step.CLEARED));
         started.refused().stream()
-                .map(mHeld::get)
-                .filter(held -> held != null && !held.isRunning())
+                .flatMap(ref -> mHeld.find(ref).stream())
+                .filter(held -> !held.isRunning())
                 .forEach(this::letGo);
     }
 
     /** Lets go of a lost item; one that may not be repeated and runs goes on, to be reported. */
     private void drop(LeaseRef ref, long nowNanos, Effects out) {
-        HeldItem held = mHeld.get(ref);
+        HeldItem held = mHeld.find(ref).orElse(null);
         if (held == null) {
             return;
         } else if (!held.isRunning()) {
@@ -271,15 +267,14 @@
     }
 
     private void dropExpired(long nowNanos) {
-        inStep(HeldItem.Step.QUEUED)
+        mHeld.inStep(HeldItem.Step.QUEUED)
                 .filter(held -> nowNanos - held.expiryNanos() >= 0)
                 .toList()
                 .forEach(this::letGo);
     }
 
     private void giveBackWaiting() {
-        List<HeldItem> waiting = mHeld.values().stream().filter(h -> !h.isRunning()).toList();
-        for (HeldItem held : waiting) {
+        for (HeldItem held : mHeld.waiting()) {
             mHeld.remove(held.item().lease());
             mOutbox.add(ItemReport.givenBack(held.item().lease()));
         }
@@ -287,14 +282,7 @@
 
     private void run(long nowNanos, Effects out) {
         while (mSlots > 0) {
-            HeldItem next = inStep(HeldItem.Step.CLEARED).findFirst().orElse(null);
-            if (next == null) {
-                next =
-                        inStep(HeldItem.Step.QUEUED)
-                                .filter(ItemPuller::isRepeatable)
-                                .findFirst()
-                                .orElse(null);
-            }
+            HeldItem next = mHeld.nextToRun().orElse(null);
             if (next == null) {
                 return;
             }
@@ -304,22 +292,10 @@
         }
     }
 
-    private static boolean isRepeatable(HeldItem held) {
-        return held.item().repeatable();
-    }
-
-    private Stream<HeldItem> inStep(HeldItem.Step step) {
-        return mHeld.values().stream().filter(held -> held.step() == step);
-    }
-
     /** Asks for durable starts of as many items as slots are idle. */
     private void start(long nowNanos, Effects out) {
-        long underWay = inStep(HeldItem.Step.STARTING).count();
-        List<HeldItem> next =
-                inStep(HeldItem.Step.QUEUED)
-                        .filter(held -> !isRepeatable(held))
-                        .limit(Math.max(0, mSlots - underWay))
-                        .toList();
+        long underWay = mHeld.inStep(HeldItem.Step.STARTING).count();
+        List<HeldItem> next = mHeld.nextToStart(mSlots - underWay);
         if (next.isEmpty()) {
             return;
         }
@@ -330,12 +306,12 @@
     }
 
     private void pull(long nowNanos, Effects out) {
-        long waiting = mHeld.values().stream().filter(held -> !held.isRunning()).count();
+        int waiting = mHeld.waiting().size();
         boolean isWanted =
                 mSlots > waiting && !mIsStopping && mOutbox.bytes() < MAX_UNREPORTED_BYTES;
         boolean isIdleEnough = mSlots > 0 || nowNanos - mSlotsGoneNanos < IDLE_NANOS;
         if (isWanted && !mIsPulling) {
-            sendPull((int) (mSlots - waiting), nowNanos, out);
+            sendPull(mSlots - waiting, nowNanos, out);
             mIsPulling = true;
         } else if (mIsPulling && (mIsStopping || !isIdleEnough)) {
             sendPull(0, nowNanos, out);
@@ -371,7 +347,7 @@
         mIsAwaiting = true;
         mSentNanos = nowNanos;
         mRenewNanos = nowNanos + mLeaseNanos / RENEWALS_A_LEASE;
-        List<LeaseRef> refs = Stream.concat(mHeld.keySet().stream(), mOutbox.leases()).toList();
+        List<LeaseRef> refs = Stream.concat(mHeld.leases(), mOutbox.leases()).toList();
         out.send(mLink.host(), new JobMessage.Renew(mGroup, mIncarnation, mRenewSequence, refs));
         if (mIsPulling) {
             askForLot(out);
@@ -380,16 +356,12 @@
 
     private void checkSilence(long nowNanos) {
         boolean isSilent = mIsAwaiting && nowNanos - mSentNanos >= ANSWER_NANOS;
-        boolean isStartSilent =
-                inStep(HeldItem.Step.STARTING).findAny().isPresent()
-                        && nowNanos - mStartNanos >= ANSWER_NANOS;
+        boolean isStartSilent = mHeld.isStarting() && nowNanos - mStartNanos >= ANSWER_NANOS;
         if (isSilent) {
             mLink.next(nowNanos);
             forgetAnswers(nowNanos);
         } else if (isStartSilent) {
-            inStep(HeldItem.Step.STARTING)
-                    .toList()
-                    .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
+            mHeld.forgetStarts();
         }
     }
 
@@ -398,15 +370,13 @@
         if (!needsLink()) {
             return Node.NEVER;
         }
-        boolean givesBack =
-                mSlots == 0
-                        && (mIsPulling || mHeld.values().stream().anyMatch(h -> !h.isRunning()));
+        boolean givesBack = mSlots == 0 && (mIsPulling || !mHeld.waiting().isEmpty());
         long idleEnd = givesBack ? mSlotsGoneNanos + IDLE_NANOS : Node.NEVER;
         return Math.min(idleEnd, mLink.isPausing() ? mLink.pauseEndNanos() : nextSendNanos());
     }
 
     private long nextSendNanos() {
-        boolean isStarting = inStep(HeldItem.Step.STARTING).findAny().isPresent();
+        boolean isStarting = mHeld.isStarting();
         long renewal = mIsAwaiting ? mSentNanos + ANSWER_NANOS : mRenewNanos;
         long start = isStarting ? mStartNanos + ANSWER_NANOS : Node.NEVER;
         return Math.min(Math.min(renewal, start), mOutbox.nextSendNanos());
