--- a/src/main/java/org/coltsfootproxy/job/JobGateway.java
+++ b/src/main/java/org/coltsfootproxy/job/JobGateway.java
@@ -38,7 +38,6 @@
     private static final long MAX_OPEN_BYTES = 64L << 20;
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
-    private static final String VERSION = "/v1";
     private static final String OPERATOR_PREFIX = "/v1/organisations/";
 
     private final List<HostId> mControls;
@@ -113,7 +112,7 @@
      */
     public static boolean servesOperators(String path) {
         int end = path.indexOf('/', OPERATOR_PREFIX.length());
-        return path.startsWith(OPERATOR_PREFIX) && end > 0 && serves(VERSION + path.substring(end));
+        return path.startsWith(OPERATOR_PREFIX) && end > 0 && serves(path.substring(end));
     }
 
     /** Handles a call whose key was checked to be the organisation's. */
@@ -141,7 +140,7 @@
                 throw ProxyException.of(
                         ErrorKind.MALFORMED_REQUEST, "no organisation can be called " + name);
             }
-            JobCall call = JobCall.parse(http, VERSION + http.path().substring(end));
+            JobCall call = JobCall.parse(http, http.path().substring(end));
             ask(call, context(OrganisationId.of(name), config, nowNanos), true, nowNanos, out);
         } catch (ProxyException e) {
             Problem.from(e).answer(http.call(), out);
