--- a/src/main/java/org/coltsfootproxy/consensus/Election.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Election.java
@@ -19,10 +19,14 @@
         mGroup = group;
         resetDeadline(nowNanos);
         if (isSoleVoter()) {
-            mDeadlineNanos = nowNanos;
+            mDeadlineNanos = nowNanos + group.settings().electionTimeoutNanos();
         }
     }
 
+    /**
+     * Tells whether nobody competes. Even then a former life may have kept up the lease of a leader
+     * that is on its way out, so that the election timeout must pass.
+     */
     private boolean isSoleVoter() {
         Members members = mGroup.members();
         return members.voters().size() == 1 && members.isVoter(mGroup.self());
@@ -45,13 +49,13 @@
             return;
         }
         resetDeadline(step.nowNanos());
-        if (mGroup.members().isVoter(mGroup.self()) && !mGroup.journal().isFull()) {
+        if (mGroup.isElectable() && !mGroup.journal().isFull()) {
             askFirst(step);
         }
     }
 
     private void askFirst(Step step) {
-        mGroup.enter(MemberState.PRE_CANDIDATE);
+        mGroup.on(MemberEvent.ASK_FIRST);
         mGroup.setLeader(Optional.empty());
         mVotes.clear();
         if (hasWon(mGroup.self())) {
@@ -90,7 +94,7 @@
         long term = mGroup.term() + 1;
         mTransfer = transfer;
         mVotes.clear();
-        mGroup.enter(MemberState.CANDIDATE);
+        mGroup.on(MemberEvent.CAMPAIGN);
         mGroup.setLeader(Optional.empty());
         mGroup.setVote(term, Optional.of(mGroup.self()));
         resetDeadline(step.nowNanos());
@@ -152,7 +156,7 @@
                         && free
                         && mGroup.log().isUpToDate(request.lastIndex(), request.lastTerm());
         if (granted) {
-            mGroup.enter(MemberState.FOLLOWER);
+            mGroup.on(MemberEvent.FOLLOW);
             mGroup.setVote(term, Optional.of(candidate));
             resetDeadline(step.nowNanos());
             mGroup.writeVote(step, later -> answer(host, false, true, term, later));
--- a/src/main/java/org/coltsfootproxy/consensus/Group.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Group.java
@@ -7,11 +7,15 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.StateChart;
 import org.coltsfootproxy.message.LogEntry;
 import org.coltsfootproxy.node.StoreWrite;
 
 /** The state of one group that the parts of a member share. */
 final class Group {
+    private static final StateChart<MemberState, MemberEvent> CHART =
+            StateChart.load("member", MemberState.class, MemberEvent.class);
+
     private final RaftSettings mSettings;
     private final Member mSelf;
     private final int mNumber;
@@ -19,7 +23,7 @@
     private final RaftLog mLog = new RaftLog();
     private final MemberHistory mHistory = new MemberHistory();
     private final Journal mJournal;
-    private MemberState mState = MemberState.FOLLOWER;
+    private MemberState mState = CHART.initial();
     private StoreWrite.Vote mVote;
     private Optional<HostId> mLeader = Optional.empty();
     private long mCommitIndex;
@@ -103,11 +107,28 @@
         return mHistory;
     }
 
+    /** Tells whether this host has never had an entry; it may have voted. */
+    boolean hasNothing() {
+        return mLog.lastIndex() == 0;
+    }
+
     /** Returns the latest members, committed or not. */
     Members members() {
         return mHistory.current();
     }
 
+    /**
+     * Tells whether this host may lead: it votes, or voted before a list that may not be committed.
+     *
+     * <p>Without the second, a member whose removal reached only itself would keep a later log than
+     * the others, and nobody could be elected.
+     */
+    boolean isElectable() {
+        long index = mHistory.currentIndex();
+        boolean before = index > mCommitIndex && mHistory.at(index - 1).isVoter(mSelf);
+        return before || members().isVoter(mSelf);
+    }
+
     Journal journal() {
         return mJournal;
     }
@@ -120,8 +141,9 @@
         return mState == state;
     }
 
-    void enter(MemberState state) {
-        mState = state;
+    /** Goes on to the state that the chart names. */
+    void on(MemberEvent event) {
+        mState = CHART.next(mState, event);
     }
 
     long term() {
@@ -169,7 +191,12 @@
 
     /** Tells whether a promise to a leader, possibly of a former life, may still hold. */
     boolean isPromised(long nowNanos) {
-        return nowNanos - mHeardNanos < mSettings.electionTimeoutNanos();
+        return silenceNanos(nowNanos) < mSettings.electionTimeoutNanos();
+    }
+
+    /** Returns how long no leader was heard, or since the start. */
+    long silenceNanos(long nowNanos) {
+        return nowNanos - mHeardNanos;
     }
 
     /** Has the term and vote written. */
