--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -3,9 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
@@ -38,7 +36,7 @@
     private final ItemRunner mRunner;
     private final ControlLink mLink;
     private final ReportOutbox mOutbox;
-    private final Map<LeaseRef, HeldItem> mHeld = new LinkedHashMap<>();
+    private final HeldItems mHeld = new HeldItems();
     private int mCapacity;
     private int mSlots;
     private long mSlotsGoneNanos;
@@ -116,7 +114,7 @@
 
     /** Tells how a running item ended; {@link ItemReports} makes the report. */
     public void ended(ItemReport report, long nowNanos, Effects out) {
-        if (mHeld.remove(report.lease()) != null) {
+        if (mHeld.remove(report.lease())) {
             mOutbox.add(report);
         }
         proceed(nowNanos, out);
@@ -165,18 +163,17 @@
     private void redirected(HostId from, JobMessage.Redirect redirect, long nowNanos) {
         if (mLink.isHost(from) && !mLink.isPausing(nowNanos)) {
             mLink.redirect(redirect.leader(), nowNanos);
-            forgetAnswers();
+            forgetAnswers(nowNanos);
         }
     }
 
-    /** Sends everything again once the next control host is tried. */
-    private void forgetAnswers() {
+    /** Sends everything again, the renewal first, once the next control host is tried. */
+    private void forgetAnswers(long nowNanos) {
+        mRenewNanos = nowNanos;
         mIsPulling = false;
         mIsAwaiting = false;
         mOutbox.sendAgain();
-        mHeld.values().stream()
-                .filter(held -> held.step() == HeldItem.Step.STARTING)
-                .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
+        mHeld.forgetStarts();
     }
 
     /**
@@ -197,7 +194,7 @@
         mLeaseNanos = lot.leaseMillis() * MILLI;
         mRenewNanos = Math.min(mRenewNanos, nowNanos + mLeaseNanos / RENEWALS_A_LEASE);
         for (LeasedItem item : unseen) {
-            mHeld.put(item.lease(), HeldItem.of(item, nowNanos + mLeaseNanos));
+            mHeld.add(HeldItem.of(item, nowNanos + mLeaseNanos));
         }
     }
 
@@ -207,32 +204,47 @@
         }
         mIsAwaiting = false;
         long expiry = mSentNanos + renewed.leaseMillis() * MILLI;
-        mHeld.values().forEach(held -> held.extend(expiry));
+        mHeld.extend(expiry);
         renewed.lost().forEach(ref -> drop(ref, nowNanos, out));
     }
 
     private void started(JobMessage.Started started) {
         started.granted().stream()
-                .map(mHeld::get)
-                .filter(held -> held != null && held.step() == HeldItem.Step.STARTING)
+                .flatMap(ref -> mHeld.find(ref).stream())
+                .filter(held -> held.step() == HeldItem.Step.STARTING)
                 .forEach(held -> held.setStep(HeldItem.Step.CLEARED));
         started.refused().stream()
-                .filter(ref -> mHeld.containsKey(ref) && !mHeld.get(ref).isRunning())
-                .forEach(mHeld::remove);
+                .flatMap(ref -> mHeld.find(ref).stream())
+                .filter(held -> !held.isRunning())
+                .forEach(this::letGo);
     }
 
     /** Lets go of a lost item; one that may not be repeated and runs goes on, to be reported. */
     private void drop(LeaseRef ref, long nowNanos, Effects out) {
-        HeldItem held = mHeld.get(ref);
-        if (held == null || (held.isRunning() && !held.item().repeatable())) {
+        HeldItem held = mHeld.find(ref).orElse(null);
+        if (held == null) {
             return;
-        }
-        mHeld.remove(ref);
-        if (held.isRunning()) {
+        } else if (!held.isRunning()) {
+            letGo(held);
+        } else if (held.item().repeatable()) {
+            mHeld.remove(ref);
             mRunner.stop(ref, nowNanos, out);
         }
     }
 
+    /**
+     * Forgets an item that has not run.
+     *
+     * <p>One that may not be repeated is given back, lest a start that was recorded without this
+     * agent's knowledge leaves it in doubt.
+     */
+    private void letGo(HeldItem held) {
+        mHeld.remove(held.item().lease());
+        if (!held.item().repeatable()) {
+            mOutbox.add(ItemReport.givenBack(held.item().lease()));
+        }
+    }
+
     /** Does whatever is due. */
     public void tick(long nowNanos, Effects out) {
         proceed(nowNanos, out);
@@ -247,24 +259,22 @@
         checkSilence(nowNanos);
         if (!mLink.isPausing(nowNanos)) {
             mLink.endPause();
+            renew(nowNanos, out);
             start(nowNanos, out);
             pull(nowNanos, out);
-            renew(nowNanos, out);
             mOutbox.send(mLink.host(), nowNanos, out);
         }
     }
 
     private void dropExpired(long nowNanos) {
-        mHeld.values()
-                .removeIf(
-                        held ->
-                                nowNanos - held.expiryNanos() >= 0
-                                        && held.step() == HeldItem.Step.QUEUED);
+        mHeld.inStep(HeldItem.Step.QUEUED)
+                .filter(held -> nowNanos - held.expiryNanos() >= 0)
+                .toList()
+                .forEach(this::letGo);
     }
 
     private void giveBackWaiting() {
-        List<HeldItem> waiting = mHeld.values().stream().filter(h -> !h.isRunning()).toList();
-        for (HeldItem held : waiting) {
+        for (HeldItem held : mHeld.waiting()) {
             mHeld.remove(held.item().lease());
             mOutbox.add(ItemReport.givenBack(held.item().lease()));
         }
@@ -272,14 +282,7 @@
 
     private void run(long nowNanos, Effects out) {
         while (mSlots > 0) {
-            HeldItem next = inStep(HeldItem.Step.CLEARED).findFirst().orElse(null);
-            if (next == null) {
-                next =
-                        inStep(HeldItem.Step.QUEUED)
-                                .filter(ItemPuller::isRepeatable)
-                                .findFirst()
-                                .orElse(null);
-            }
+            HeldItem next = mHeld.nextToRun().orElse(null);
             if (next == null) {
                 return;
             }
@@ -289,22 +292,10 @@
         }
     }
 
-    private static boolean isRepeatable(HeldItem held) {
-        return held.item().repeatable();
-    }
-
-    private Stream<HeldItem> inStep(HeldItem.Step step) {
-        return mHeld.values().stream().filter(held -> held.step() == step);
-    }
-
     /** Asks for durable starts of as many items as slots are idle. */
     private void start(long nowNanos, Effects out) {
-        long underWay = inStep(HeldItem.Step.STARTING).count();
-        List<HeldItem> next =
-                inStep(HeldItem.Step.QUEUED)
-                        .filter(held -> !isRepeatable(held))
-                        .limit(Math.max(0, mSlots - underWay))
-                        .toList();
+        long underWay = mHeld.inStep(HeldItem.Step.STARTING).count();
+        List<HeldItem> next = mHeld.nextToStart(mSlots - underWay);
         if (next.isEmpty()) {
             return;
         }
@@ -315,12 +306,12 @@
     }
 
     private void pull(long nowNanos, Effects out) {
-        long waiting = mHeld.values().stream().filter(held -> !held.isRunning()).count();
+        int waiting = mHeld.waiting().size();
         boolean isWanted =
                 mSlots > waiting && !mIsStopping && mOutbox.bytes() < MAX_UNREPORTED_BYTES;
         boolean isIdleEnough = mSlots > 0 || nowNanos - mSlotsGoneNanos < IDLE_NANOS;
         if (isWanted && !mIsPulling) {
-            sendPull((int) (mSlots - waiting), nowNanos, out);
+            sendPull(mSlots - waiting, nowNanos, out);
             mIsPulling = true;
         } else if (mIsPulling && (mIsStopping || !isIdleEnough)) {
             sendPull(0, nowNanos, out);
@@ -356,23 +347,21 @@
         mIsAwaiting = true;
         mSentNanos = nowNanos;
         mRenewNanos = nowNanos + mLeaseNanos / RENEWALS_A_LEASE;
-        List<LeaseRef> refs = Stream.concat(mHeld.keySet().stream(), mOutbox.leases()).toList();
+        List<LeaseRef> refs = Stream.concat(mHeld.leases(), mOutbox.leases()).toList();
         out.send(mLink.host(), new JobMessage.Renew(mGroup, mIncarnation, mRenewSequence, refs));
+        if (mIsPulling) {
+            askForLot(out);
+        }
     }
 
     private void checkSilence(long nowNanos) {
         boolean isSilent = mIsAwaiting && nowNanos - mSentNanos >= ANSWER_NANOS;
-        boolean isStartSilent =
-                inStep(HeldItem.Step.STARTING).findAny().isPresent()
-                        && nowNanos - mStartNanos >= ANSWER_NANOS;
+        boolean isStartSilent = mHeld.isStarting() && nowNanos - mStartNanos >= ANSWER_NANOS;
         if (isSilent) {
             mLink.next(nowNanos);
-            forgetAnswers();
-            mRenewNanos = nowNanos;
+            forgetAnswers(nowNanos);
         } else if (isStartSilent) {
-            inStep(HeldItem.Step.STARTING)
-                    .toList()
-                    .forEach(held -> held.setStep(HeldItem.Step.QUEUED));
+            mHeld.forgetStarts();
         }
     }
 
@@ -381,15 +370,13 @@
         if (!needsLink()) {
             return Node.NEVER;
         }
-        boolean givesBack =
-                mSlots == 0
-                        && (mIsPulling || mHeld.values().stream().anyMatch(h -> !h.isRunning()));
+        boolean givesBack = mSlots == 0 && (mIsPulling || !mHeld.waiting().isEmpty());
         long idleEnd = givesBack ? mSlotsGoneNanos + IDLE_NANOS : Node.NEVER;
         return Math.min(idleEnd, mLink.isPausing() ? mLink.pauseEndNanos() : nextSendNanos());
     }
 
     private long nextSendNanos() {
-        boolean isStarting = inStep(HeldItem.Step.STARTING).findAny().isPresent();
+        boolean isStarting = mHeld.isStarting();
         long renewal = mIsAwaiting ? mSentNanos + ANSWER_NANOS : mRenewNanos;
         long start = isStarting ? mStartNanos + ANSWER_NANOS : Node.NEVER;
         return Math.min(Math.min(renewal, start), mOutbox.nextSendNanos());
--- a/src/main/java/org/coltsfootproxy/job/JobScheduler.java
+++ b/src/main/java/org/coltsfootproxy/job/JobScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ServiceId;
@@ -67,11 +68,13 @@
      * Returns the job to take an item from.
      *
      * @param slots batch slots of the service over the fleet
+     * @param mayRun whether an organisation's items may run at all now
      */
-    Optional<Choice> choose(ServiceId service, int slots, long epochMillis) {
+    Optional<Choice> choose(
+            ServiceId service, int slots, long epochMillis, Predicate<OrganisationId> mayRun) {
         List<JobQueue> ready =
                 queues().filter(q -> q.job().spec().service().equals(service))
-                        .filter(q -> q.hasReady(epochMillis))
+                        .filter(q -> q.hasReady(epochMillis) && mayRun.test(q.organisation()))
                         .toList();
         double weights = weights(ready.stream());
         Optional<JobQueue> urgent =
@@ -114,11 +117,16 @@
         return left > 0 && byShare > left && byAll <= left;
     }
 
-    /** Charges an item's expected run time to its organisation. */
-    void charge(Choice choice) {
+    /**
+     * Charges the expected run time of items to their organisation.
+     *
+     * <p>To be called once for a choice: virtual time moves to the start of its first item, and not
+     * past the organisations that wait.
+     */
+    void charge(Choice choice, int items) {
         JobQueue queue = choice.queue();
         double run = mRunTimes.seconds(queue.job());
-        mShare.charge(queue.organisation(), run, !choice.forDeadline());
+        mShare.charge(queue.organisation(), items * run, !choice.forDeadline());
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LeaseRef;
@@ -83,26 +84,48 @@
         int size = 1;
         while (lot.size() < size && bytes < MAX_LOT_BYTES) {
             Optional<JobScheduler.Choice> choice =
-                    mState.scheduler().choose(pull.service(), slots, mStep.epochMillis());
+                    mState.scheduler()
+                            .choose(pull.service(), slots, mStep.epochMillis(), this::hasRoom);
             if (choice.isEmpty()) {
                 break;
             }
-            LedgerJob job = choice.get().queue().job();
-            int item = takeFree(choice.get().queue());
-            if (item < 0) {
-                continue;
-            }
-            double run = mState.runTimes().seconds(job);
+            double run = mState.runTimes().seconds(choice.get().queue().job());
             size = Math.max(size, mLots.items(pull.slots(), run));
-            leaseNanos = Math.min(leaseNanos, mLots.leaseNanos(run));
-            mState.scheduler().charge(choice.get());
-            LeasedItem leased = lease(session, job, item, mLots.leaseNanos(run));
-            bytes += leased.body().length;
-            lot.add(leased);
+            List<LeasedItem> taken =
+                    take(choice.get(), session, size - lot.size(), MAX_LOT_BYTES - bytes);
+            if (!taken.isEmpty()) {
+                leaseNanos = Math.min(leaseNanos, mLots.leaseNanos(run));
+            }
+            bytes += taken.stream().mapToLong(item -> item.body().length).sum();
+            lot.addAll(taken);
         }
         return leaseNanos;
     }
 
+    /** Leases items of one job, for they tend to share their prompt's prefix. */
+    private List<LeasedItem> take(
+            JobScheduler.Choice choice, AgentSession session, int items, long bytes) {
+        LedgerJob job = choice.queue().job();
+        long leaseNanos = mLots.leaseNanos(mState.runTimes().seconds(job));
+        List<LeasedItem> taken = new ArrayList<>();
+        long takenBytes = 0;
+        int item = takeFree(choice.queue());
+        while (item >= 0) {
+            LeasedItem leased = lease(session, job, item, leaseNanos);
+            taken.add(leased);
+            takenBytes += leased.body().length;
+            boolean isMore = taken.size() < items && takenBytes < bytes;
+            item = isMore ? takeFree(choice.queue()) : -1;
+        }
+        mState.scheduler().charge(choice, taken.size());
+        return taken;
+    }
+
+    /** Tells whether the results of an organisation's items could be kept. */
+    private boolean hasRoom(OrganisationId organisation) {
+        return mState.ledger().hasRoomForResults(organisation, mState.settings().limits());
+    }
+
     private int takeFree(JobQueue queue) {
         int item = queue.take(mStep.epochMillis());
         while (item >= 0 && mState.table().isLeased(queue.job().number(), item)) {
@@ -127,16 +150,16 @@
 
     void renew(AgentSession session, JobMessage.Renew renew) {
         long leaseNanos = mState.settings().maxLease().toNanos();
-        long expiry = mStep.nowNanos() + leaseNanos;
-        List<LeaseRef> lost =
-                renew.leases().stream().filter(ref -> !renew(session, ref, expiry)).toList();
+        List<LeaseRef> lost = renew.leases().stream().filter(ref -> !holds(session, ref)).toList();
         mStep.send(
                 session.agent(),
                 new JobMessage.Renewed(
                         mGroup, renew.sequence(), leaseNanos / EpochClock.NANOS_PER_MILLI, lost));
     }
 
-    private boolean renew(AgentSession session, LeaseRef ref, long expiry) {
+    /** Tells whether the agent holds a lease, which is then renewed or taken over. */
+    boolean holds(AgentSession session, LeaseRef ref) {
+        long expiry = mStep.nowNanos() + mState.settings().maxLease().toNanos();
         Optional<Lease> held = mState.table().held(session.agent(), ref);
         held.ifPresent(lease -> lease.extend(expiry));
         return held.isPresent() || takeOver(session, ref, expiry);
