Let an operator go on from one surviving control host

Cause: the way back from a lost quorum of disks was a class that no operator could call. Conclusion: losing two of three disks has a documented way back, with what only they had synced gone.

--- a/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
+++ b/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
@@ -14,6 +14,7 @@
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.runtime.HostProcess;
 import org.coltsfootproxy.runtime.Settings;
+import org.coltsfootproxy.runtime.SurvivorFolder;
 
 /** Commands that run hosts and check their settings. */
 final class ServeCommands {
@@ -32,7 +33,14 @@
                         "",
                         "check settings files without starting anything",
                         settingsOption(),
-                        ServeCommands::check));
+                        ServeCommands::check),
+                new SimpleCommand(
+                        "member recover",
+                        "",
+                        "after a quorum of disks is lost: make this stopped host the only voter",
+                        settingsOption()
+                                .addOption("y", "yes", false, "what only lost hosts had is gone"),
+                        ServeCommands::recover));
     }
 
     private static Options settingsOption() {
@@ -70,6 +78,22 @@
         out.value(answer);
     }
 
+    private static void recover(CommandLine line, Output out) throws ProxyException {
+        if (!line.hasOption("yes")) {
+            String detail = "what only the lost hosts had synced is gone; confirm with --yes";
+            throw ProxyException.of(ErrorKind.USAGE, detail);
+        }
+        List<Settings> all = load(line);
+        if (all.size() != 1) {
+            String detail = "one survivor goes on; " + all.size() + " were given";
+            throw ProxyException.of(ErrorKind.USAGE, detail);
+        }
+        ObjectNode answer = Output.object();
+        answer.put("host", all.get(0).host().value());
+        answer.put("groups", SurvivorFolder.makeOnlyVoter(all.get(0)));
+        out.value(answer);
+    }
+
     private static void serve(CommandLine line, Output out) throws ProxyException {
         List<Settings> settings = load(line);
         Hosts hosts = Hosts.start(settings);
