--- a/src/main/java/org/coltsfootproxy/routing/Candidate.java
+++ b/src/main/java/org/coltsfootproxy/routing/Candidate.java
@@ -19,7 +19,7 @@
     private int mFailures;
     private int mTimesSetAside;
     private long mSetAsideUntil = Long.MIN_VALUE;
-    private boolean mProbing;
+    private Trust mTrust = Trust.CHART.initial();
 
     Candidate(HostId agent, DataCentre dataCentre) {
         mAgent = agent;
@@ -98,35 +98,37 @@
     }
 
     boolean isSetAside(long now) {
-        return now < mSetAsideUntil || mProbing;
+        return now < mSetAsideUntil || mTrust == Trust.PROBING;
     }
 
     /** Tells whether the time aside is over and one request may show how the agent does. */
     boolean wantsProbe(long now) {
-        return mTimesSetAside > 0 && mFailures > 0 && !mProbing && now >= mSetAsideUntil;
+        return mTrust == Trust.SET_ASIDE && now >= mSetAsideUntil;
     }
 
     void probe() {
-        mProbing = true;
+        mTrust = mTrust.after(Trust.Event.PROBE);
     }
 
     /** Notes an end; returns whether the agent is to be set aside. */
     boolean ended(Outcome outcome, int failuresToSetAside) {
         mOwnInFlight = Math.max(0, mOwnInFlight - 1);
-        boolean wasProbe = mProbing;
-        mProbing = false;
+        boolean wasProbe = mTrust == Trust.PROBING;
         if (outcome == Outcome.ANSWERED) {
             mFailures = 0;
             mTimesSetAside = 0;
-        } else if (outcome == Outcome.FAILED) {
-            mFailures++;
+            mTrust = mTrust.after(Trust.Event.ANSWERED);
+            return false;
         }
+        mTrust = mTrust.after(Trust.Event.INCONCLUSIVE);
+        mFailures += outcome == Outcome.FAILED ? 1 : 0;
         return outcome == Outcome.FAILED && (wasProbe || mFailures >= failuresToSetAside);
     }
 
     void setAside(long now, long first, long most) {
         long time = first << Math.min(mTimesSetAside, Integer.SIZE / 2);
         mTimesSetAside++;
+        mTrust = mTrust.after(Trust.Event.FAILED_TOO_OFTEN);
         mSetAsideUntil = now + Math.min(most, time);
     }
 }
