--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -12,6 +12,9 @@
     PROCESS_STOPPED(102, Level.INFO, "process stopped"),
     RING_FULL(103, Level.WARN, "a ring between two duties was full"),
     DUTY_FAILED(104, Level.ERROR, "a duty failed on one input and went on"),
+    LOG_LINES_DROPPED(105, Level.WARN, "log lines were dropped"),
+    SETTINGS_RELOADED(106, Level.INFO, "changed settings were read"),
+    SETTINGS_REFUSED(107, Level.WARN, "changed settings are not valid and were left out"),
 
     // 200-299: consensus and storage
     LEADER_ELECTED(200, Level.INFO, "this host became leader"),
@@ -36,14 +39,34 @@
     HOST_LEAVING(308, Level.INFO, "the platform lists a host as leaving"),
     HOST_LIST_UNREADABLE(309, Level.WARN, "the platform's host list can't be read"),
     MEMBERS_CHANGED(310, Level.INFO, "the members of a replicated log were changed"),
+    ROSTER_CHANGED(311, Level.INFO, "the hosts of the fleet have changed"),
+    TARGETS_LISTED(312, Level.INFO, "the platform's list of targets has changed"),
+    TARGETS_UNREADABLE(313, Level.WARN, "the platform's list of targets can't be read"),
+    TARGET_ENTRY_DAMAGED(314, Level.WARN, "entries of the list of targets were left out"),
+    SEEDS_CHANGED(315, Level.INFO, "the settings name other seeds"),
+    JOBS_FOUNDED(317, Level.INFO, "the first members of the log of the jobs were agreed on"),
+    HOST_RETIRING(318, Level.INFO, "an operator has a host emptied"),
+    CLOCK_JUMPED(316, Level.WARN, "the clocks show that the host stood still or was set"),
 
     // 400-499: entry, limits and routing
     TARGET_SET_ASIDE(400, Level.WARN, "a target was set aside"),
+    CALL_REFUSED(401, Level.INFO, "a request was refused"),
+    CALL_SENT(402, Level.INFO, "a request was sent to a target"),
+    CALL_TRY_ENDED(403, Level.INFO, "a target did not give the answer to a request"),
+    CALL_ANSWERED(404, Level.INFO, "a request was answered"),
+    CALL_FAILED(405, Level.WARN, "a request was answered with a failure of the system"),
+    CALL_CUT(406, Level.WARN, "an answer was broken off"),
+    CALLER_GONE(407, Level.INFO, "a caller left before the answer was whole"),
+    READINESS_CHANGED(408, Level.INFO, "the host's readiness has changed"),
 
     // 500-599: agent and admission
 
     // 600-699: jobs
     ITEMS_IN_DOUBT(600, Level.WARN, "items that may have run wait for an operator"),
+    JOB_CALL_ANSWERED(601, Level.INFO, "a call on a batch job was answered"),
+    ITEM_SENT(602, Level.INFO, "a batch item was sent to a target"),
+    ITEM_TRY_ENDED(603, Level.INFO, "a run of a batch item ended without its whole output"),
+    ITEM_REPORTED(604, Level.INFO, "a batch item's outcome was reported"),
 
     // 700-799: network
     PEER_CONNECTED(700, Level.INFO, "a peer connected"),
--- a/src/main/java/org/coltsfootproxy/base/ServiceId.java
+++ b/src/main/java/org/coltsfootproxy/base/ServiceId.java
@@ -10,6 +10,14 @@
         Names.check(value, "service id");
     }
 
+    /** Stands for every service, in the words of a host that runs batch items of all of them. */
+    public static final ServiceId ANY = new ServiceId("any:service");
+
+    /** Tells whether a host that serves this service serves the other one. */
+    public boolean covers(ServiceId other) {
+        return equals(ANY) || equals(other);
+    }
+
     /** Returns the id with the given name. */
     @JsonCreator
     public static ServiceId of(String value) {
--- a/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
+++ b/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
@@ -12,9 +12,11 @@
 import org.apache.commons.cli.Options;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.runtime.EventLog;
 import org.coltsfootproxy.runtime.HostProcess;
 import org.coltsfootproxy.runtime.Settings;
 import org.coltsfootproxy.runtime.SurvivorFolder;
+import sun.misc.Signal;
 
 /** Commands that run hosts and check their settings. */
 final class ServeCommands {
@@ -96,7 +98,9 @@
 
     private static void serve(CommandLine line, Output out) throws ProxyException {
         List<Settings> settings = load(line);
+        EventLog.writeTo(System.out);
         Hosts hosts = Hosts.start(settings);
+        hosts.watch(line.getOptionValues("settings"));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(hosts, stopped), "stop"));
         out.line("serving " + String.join(" ", Arrays.asList(line.getOptionValues("settings"))));
@@ -132,6 +136,14 @@
             return hosts;
         }
 
+        /** Follows changes of the settings files; a hang-up signal has them read at once. */
+        void watch(String... files) throws ProxyException {
+            for (int i = 0; i < files.length; i++) {
+                mRunning.get(i).watch(Path.of(files[i]));
+            }
+            Signal.handle(new Signal("HUP"), s -> mRunning.forEach(HostProcess::readSettingsAgain));
+        }
+
         /** Stops the hosts as planned, the last started first. */
         void stop() {
             Collections.reverse(mRunning);
--- a/src/main/java/org/coltsfootproxy/config/ConfigCommand.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigCommand.java
@@ -16,4 +16,13 @@
     /** Apply a ticket. */
     @WireCode(1)
     record ApplyTicket(Ticket ticket) implements ConfigCommand {}
+
+    /**
+     * Replace the whole configuration, if the ticket's number is above that of the last such
+     * command; objects that the ticket leaves out are removed.
+     *
+     * @param document what the operator wrote, kept for reading back
+     */
+    @WireCode(2)
+    record ReplaceAll(Ticket ticket, byte[] document) implements ConfigCommand {}
 }
--- a/src/main/java/org/coltsfootproxy/config/ConfigImage.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigImage.java
@@ -19,7 +19,8 @@
             long[] digestsHigh,
             long[] digestsLow,
             long[] versions,
-            List<RefusalImage> refusals)
+            List<RefusalImage> refusals,
+            ConfigDocument document)
             implements ConfigImage {}
 
     /** One object or removal. */
--- a/src/main/java/org/coltsfootproxy/config/ConfigState.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigState.java
@@ -4,7 +4,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.consensus.StateMachine;
@@ -31,6 +33,7 @@
     private final int mMaxRemoved;
     private ObjectTable mTable;
     private AnswerRecord mAnswers;
+    private ConfigDocument mDocument = ConfigDocument.NONE;
     private long mVersion;
     private ConfigView mView = ConfigView.empty();
 
@@ -54,6 +57,7 @@
     private void clear() {
         mTable = new ObjectTable(mMaxRemoved);
         mAnswers = AnswerRecord.create(mMaxAccepted, MAX_REFUSED);
+        mDocument = ConfigDocument.NONE;
         mVersion = 0;
         mView = ConfigView.empty();
     }
@@ -61,13 +65,57 @@
     @Override
     public byte[] apply(long index, byte[] command) {
         try {
-            var apply = (ConfigCommand.ApplyTicket) ConfigCommand.CODEC.decode(command);
-            return applyTicket(apply.ticket()).encode();
+            return apply(ConfigCommand.CODEC.decode(command)).encode();
         } catch (ProxyException e) {
             return Verdict.refused(Verdict.Outcome.INVALID, 0, e.getMessage()).encode();
         }
     }
 
+    private Verdict apply(ConfigCommand command) {
+        if (command instanceof ConfigCommand.ReplaceAll replace) {
+            return replaceAll(replace);
+        }
+        return applyTicket(((ConfigCommand.ApplyTicket) command).ticket());
+    }
+
+    /** A number that is not above the last one changes nothing and counts as accepted. */
+    private Verdict replaceAll(ConfigCommand.ReplaceAll command) {
+        Ticket ticket = command.ticket();
+        if (ticket.number() <= mDocument.number()) {
+            return Verdict.accepted(ticket.number(), mVersion);
+        }
+        try {
+            TicketCheck.checkNames(ticket);
+            ReferenceCheck.check(new ObjectTable(mMaxRemoved), ticket);
+        } catch (ProxyException e) {
+            return Verdict.refused(Verdict.Outcome.INVALID, ticket.number(), e.getMessage());
+        }
+        mVersion++;
+        put(replacements(ticket), ticket.number());
+        mDocument = new ConfigDocument(ticket.number(), command.document());
+        return Verdict.accepted(ticket.number(), mVersion);
+    }
+
+    /** Returns the objects that the ticket changes, and the removal of those that it leaves out. */
+    private Stream<ConfigChange> replacements(Ticket ticket) {
+        Set<ObjectName> kept =
+                ticket.changes().map(ConfigChange::objectName).collect(Collectors.toSet());
+        Stream<ConfigChange> removed =
+                mTable.all().stream()
+                        .map(ConfigChange::objectName)
+                        .filter(name -> !kept.contains(name))
+                        .map(Removed::new);
+        Stream<ConfigChange> changed = ticket.changes().filter(change -> !isInForce(change));
+        return Stream.concat(changed, removed).toList().stream();
+    }
+
+    private boolean isInForce(ConfigChange change) {
+        return mTable.stamp(change.objectName())
+                .map(ObjectTable.Stamp::change)
+                .filter(change::equals)
+                .isPresent();
+    }
+
     private Verdict applyTicket(Ticket ticket) {
         try {
             TicketCheck.check(ticket);
@@ -123,15 +171,23 @@
 
     private Verdict accept(Ticket ticket, ContentDigest digest) {
         mVersion++;
+        put(ticket.changes(), ticket.number());
+        mAnswers.addAccepted(ticket.number(), digest, mVersion);
+        return Verdict.accepted(ticket.number(), mVersion);
+    }
+
+    /** Sets objects as of the present version. */
+    private void put(Stream<ConfigChange> changes, long number) {
         List<ObjectTable.Stamp> stamps =
-                ticket.changes()
-                        .map(change -> new ObjectTable.Stamp(change, ticket.number(), mVersion))
-                        .toList();
+                changes.map(change -> new ObjectTable.Stamp(change, number, mVersion)).toList();
         stamps.forEach(mTable::put);
         stamps.forEach(mTable::indexDigest);
-        mAnswers.addAccepted(ticket.number(), digest, mVersion);
         mAnswers.raiseFloor(mTable.trimRemoved());
-        return Verdict.accepted(ticket.number(), mVersion);
+    }
+
+    /** Returns the document that set the whole configuration; empty before the first one. */
+    public Optional<ConfigDocument> document() {
+        return Optional.of(mDocument).filter(document -> document.number() > 0);
     }
 
     /** Returns the version: the number of tickets accepted so far. */
@@ -208,7 +264,8 @@
                         longs(accepted, a -> a.digest().high()),
                         longs(accepted, a -> a.digest().low()),
                         longs(accepted, AnswerRecord.Accepted::version),
-                        refusals()));
+                        refusals(),
+                        mDocument));
     }
 
     private static long[] longs(
@@ -239,6 +296,7 @@
             var image = (ConfigImage.Whole) ConfigImage.CODEC.decode(snapshot);
             clear();
             mVersion = image.version();
+            mDocument = image.document();
             mTable.setDeltaFloor(image.deltaFloor());
             for (ConfigImage.StampImage stamp : image.stamps()) {
                 restore(stamp);
--- a/src/main/java/org/coltsfootproxy/config/ConfigSubscriber.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigSubscriber.java
@@ -32,7 +32,7 @@
 
     private static final double JITTER = 0.1;
 
-    private final List<ControlHost> mHosts;
+    private List<ControlHost> mHosts;
     private final ConfigTiming mTiming;
     private final Random mRandom;
     private final Renewals mRenewals = new Renewals();
@@ -77,6 +77,31 @@
         subscribe(nowNanos, out);
     }
 
+    /** Replaces the control hosts, at least one; the present one stays if it is among them. */
+    public void hosts(List<ControlHost> hosts, long nowNanos, Effects out) {
+        checkArgument(!hosts.isEmpty(), "no control hosts");
+        hosts.forEach(host -> out.add(new Effect.PeerAddress(host.host(), host.address())));
+        HostId present = current();
+        List<HostId> ids = hosts.stream().map(ControlHost::host).toList();
+        int index = ids.indexOf(present);
+        mHosts = List.copyOf(hosts);
+        mCurrent = Math.max(0, index);
+        if (index < 0) {
+            mSilentSince = nowNanos;
+            mNextRenewal = nowNanos;
+        }
+    }
+
+    /** The host may have stood still: what was confirmed before counts no more. */
+    public void distrust(long nowNanos, Effects out) {
+        if (mHasFreshness) {
+            mHasFreshness = false;
+            out.log(EventCode.CONFIG_LEASE_LOST, "version " + mView.version());
+        }
+        mRenewals.forget();
+        mNextRenewal = nowNanos;
+    }
+
     /**
      * Handles a message.
      *
--- a/src/main/java/org/coltsfootproxy/config/ConfigView.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigView.java
@@ -171,9 +171,17 @@
         return mRoutes.stream();
     }
 
-    /** Returns the route with the longest prefix that matches the path. */
+    /** Returns the route with the longest prefix that matches the path, for any host name. */
     public Optional<Route> route(String path) {
-        return mRoutes.stream().filter(route -> matches(route.pathPrefix(), path)).findFirst();
+        return route("", path);
+    }
+
+    /** Returns the route with the longest prefix that matches the host name and the path. */
+    public Optional<Route> route(String hostName, String path) {
+        return mRoutes.stream()
+                .filter(route -> route.servesHost(hostName))
+                .filter(route -> matches(route.pathPrefix(), path))
+                .findFirst();
     }
 
     private static boolean matches(String prefix, String path) {
--- a/src/main/java/org/coltsfootproxy/config/Organisation.java
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -6,7 +6,7 @@
 /**
  * An organisation and its share.
  *
- * @param ratePerSecond online requests a second over the whole fleet, above 0
+ * @param ratePerSecond online requests a second over the whole fleet; 0 for no limit
  * @param burst requests that may come at once, at least 1
  * @param weight share of capacity relative to other organisations, above 0
  */
--- a/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
+++ b/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
@@ -7,6 +7,7 @@
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.ServiceId;
 
 /**
  * Checks a ticket against the configuration that it would lead to: no reference leads nowhere, no
@@ -65,13 +66,16 @@
     }
 
     private void checkRoute(Route route) throws ProxyException {
-        mustExist(route, ObjectName.of(ObjectKind.SERVICE, route.service().value()));
+        for (ServiceId service : route.services().toList()) {
+            mustExist(route, ObjectName.of(ObjectKind.SERVICE, service.value()));
+        }
         for (OrganisationId organisation : route.organisations()) {
             mustExist(route, ObjectName.of(ObjectKind.ORGANISATION, organisation.value()));
         }
         Optional<Route> other =
                 after(ObjectKind.ROUTE, Route.class)
                         .filter(r -> r.pathPrefix().equals(route.pathPrefix()))
+                        .filter(r -> r.hostName().equalsIgnoreCase(route.hostName()))
                         .filter(r -> !r.id().equals(route.id()))
                         .findFirst();
         if (other.isPresent()) {
@@ -101,12 +105,16 @@
                                     .map(Route::objectName));
             case SERVICE ->
                     after(ObjectKind.ROUTE, Route.class)
-                            .filter(route -> route.service().value().equals(name.id()))
+                            .filter(route -> leadsTo(route, name))
                             .map(Route::objectName);
             default -> Stream.empty();
         };
     }
 
+    private static boolean leadsTo(Route route, ObjectName service) {
+        return route.services().anyMatch(s -> s.value().equals(service.id()));
+    }
+
     private static boolean names(Route route, ObjectName organisation) {
         return route.organisations().stream().anyMatch(o -> o.value().equals(organisation.id()));
     }
--- a/src/main/java/org/coltsfootproxy/config/Renewals.java
+++ b/src/main/java/org/coltsfootproxy/config/Renewals.java
@@ -52,4 +52,10 @@
         mAwaitedVersion = -1;
         return Optional.of(mAwaitedSentAt);
     }
+
+    /** Forgets all that was sent, so that late confirmations count for nothing. */
+    void forget() {
+        mSentAt.clear();
+        mAwaitedVersion = -1;
+    }
 }
--- a/src/main/java/org/coltsfootproxy/config/TicketCheck.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketCheck.java
@@ -44,14 +44,28 @@
         inRange(ticket.number(), 1, Ticket.MAX_NUMBER, what, "number");
         long objects = ticket.changes().count();
         inRange(objects, 1, Ticket.MAX_OBJECTS, what, "number of objects");
-        unique(ticket.changes(), ConfigChange::objectName, what, "names");
-        unique(ticket.keys().stream(), Key::digest, what, "has two keys of digest");
-        unique(ticket.routes().stream(), Route::pathPrefix, what, "has two routes of path");
+        checkNames(ticket);
         for (ConfigChange change : ticket.changes().toList()) {
             checkChange(change);
         }
     }
 
+    /**
+     * Checks that no two objects of a ticket have the same name, digest or path.
+     *
+     * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET}, naming the object at fault
+     */
+    static void checkNames(Ticket ticket) throws ProxyException {
+        String what = "ticket";
+        unique(ticket.changes(), ConfigChange::objectName, what, "names");
+        unique(ticket.keys().stream(), Key::digest, what, "has two keys of digest");
+        unique(
+                ticket.routes().stream(),
+                route -> route.hostName() + route.pathPrefix(),
+                what,
+                "has two routes of path");
+    }
+
     private static void checkChange(ConfigChange change) throws ProxyException {
         String what = change.objectName().toString();
         if (change instanceof Organisation organisation) {
--- a/src/main/java/org/coltsfootproxy/config/TicketParser.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketParser.java
@@ -105,7 +105,7 @@
         var organisations = node.list("organisations", n -> n.id(OrganisationId::of));
         var methods = node.get("repeatableMethods", n -> methods(node), IDEMPOTENT_METHODS);
         var route =
-                new Route(
+                Route.of(
                         node.get("id").id(RouteId::of),
                         node.get("pathPrefix").text(),
                         node.get("service").id(ServiceId::of),
--- a/src/main/java/org/coltsfootproxy/consensus/Founding.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Founding.java
@@ -21,16 +21,29 @@
  */
 final class Founding {
     private static final long FIRST_INDEX = 1;
+    private static final long FIRST_TERM = 1;
 
     private final Group mGroup;
     private final Map<HostId, RaftMessage.ProbeAnswer> mBlank = new TreeMap<>();
+    private List<HostId> mHosts;
     private long mProbeNanos;
 
     Founding(Group group, long nowNanos) {
         mGroup = group;
+        mHosts = group.settings().hosts();
         mProbeNanos = nowNanos;
     }
 
+    /** Replaces the hosts that are asked; none are asked if there are none. */
+    void ask(List<HostId> hosts) {
+        mHosts = List.copyOf(hosts);
+    }
+
+    /** Begins the log with members that were agreed on elsewhere, this one among them. */
+    void found(Members members, Step step) {
+        begin(members, FIRST_TERM, step);
+    }
+
     /** Returns when the next questions are due. */
     long probeNanos() {
         return mProbeNanos;
@@ -42,7 +55,7 @@
         }
         mProbeNanos = step.nowNanos() + mGroup.settings().electionTimeoutNanos();
         mBlank.clear();
-        List<HostId> hosts = mGroup.settings().hosts();
+        List<HostId> hosts = mHosts;
         RaftMessage probe =
                 new RaftMessage.Probe(mGroup.number(), mGroup.incarnation(), mGroup.term(), hosts);
         hosts.stream()
@@ -64,7 +77,8 @@
         HostId own = mGroup.self().host();
         Set<HostId> ready = new HashSet<>(mBlank.keySet());
         ready.add(own);
-        if (mGroup.hasNothing() && hosts.get(0).equals(own) && ready.containsAll(hosts)) {
+        boolean isFounder = mGroup.settings().mayFound() && hosts.get(0).equals(own);
+        if (mGroup.hasNothing() && isFounder && ready.containsAll(hosts)) {
             found(step);
         }
     }
@@ -80,7 +94,10 @@
                         + mBlank.values().stream()
                                 .mapToLong(RaftMessage.ProbeAnswer::term)
                                 .reduce(mGroup.term(), Math::max);
-        Members members = Members.ofVoters(voters);
+        begin(Members.ofVoters(voters), term, step);
+    }
+
+    private void begin(Members members, long term, Step step) {
         LogEntry entry = LogEntry.of(FIRST_INDEX, term, LogEntry.Kind.MEMBERS, members.encode());
         mGroup.on(MemberEvent.FOLLOW);
         mGroup.setVote(term, Optional.of(mGroup.self()));
@@ -88,7 +105,7 @@
         mGroup.journal()
                 .writeEntries(
                         StoreWrite.of(mGroup.vote(), List.of(entry)), term, FIRST_INDEX, step);
-        mGroup.log(step, EventCode.GROUP_FOUNDED, "members " + voters);
+        mGroup.log(step, EventCode.GROUP_FOUNDED, "members " + members.voters());
     }
 
     private Member member(HostId host) {
--- a/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
+++ b/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
@@ -1,11 +1,9 @@
 package org.coltsfootproxy.consensus;
 
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.Set;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
-import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
 
 /**
@@ -22,17 +20,22 @@
     private record Asked(MemberChange change, Proposer.Completion done) {}
 
     private final Group mGroup;
-    private final Map<HostId, Incarnation> mJoining = new TreeMap<>();
+    private final Newcomers mNewcomers;
     private Optional<Asked> mAsked = Optional.empty();
 
     MemberChanges(Group group) {
         mGroup = group;
+        mNewcomers = new Newcomers(group);
     }
 
     /** Notes that a host without state asks to join; tells whether that is new. */
-    boolean joining(Member member) {
-        Incarnation former = mJoining.put(member.host(), member.incarnation());
-        return !member.incarnation().equals(former);
+    boolean joining(Member member, long nowNanos) {
+        return mNewcomers.asked(member, nowNanos);
+    }
+
+    /** Names the hosts that are to leave. */
+    void retire(Set<HostId> hosts) {
+        mNewcomers.retire(hosts);
     }
 
     /** Takes an operator's wish; one may wait at a time. */
@@ -58,6 +61,7 @@
             return Optional.empty();
         }
         return asked(replication, nowNanos)
+                .or(() -> departure())
                 .or(() -> promotion(replication, nowNanos))
                 .or(() -> replacement(replication, nowNanos));
     }
@@ -75,8 +79,7 @@
     private Optional<Next> add(Asked wish) {
         HostId host = wish.change().host();
         Members members = mGroup.members();
-        Optional<Member> joining =
-                Optional.ofNullable(mJoining.get(host)).map(life -> Member.of(host, life));
+        Optional<Member> joining = mNewcomers.life(host);
         if (joining.isEmpty() || members.contains(joining.get())) {
             boolean known = members.all().anyMatch(member -> member.host().equals(host));
             wish.done().failed(known ? ErrorKind.CONFLICT : ErrorKind.NOT_FOUND);
@@ -115,20 +118,38 @@
     }
 
     /** Goes on with a learner that has caught up. */
+    /** A learner that is to leave goes at once. */
+    private Optional<Next> departure() {
+        Members members = mGroup.members();
+        return members.learners().stream()
+                .filter(learner -> mNewcomers.isRetiring(learner.host()))
+                .findFirst()
+                .map(members::without)
+                .map(changed -> new Next(changed, Optional.empty()));
+    }
+
     private Optional<Next> promotion(Replication replication, long nowNanos) {
         Members members = mGroup.members();
         return members.learners().stream()
                 .filter(learner -> hasCaughtUp(learner, replication, nowNanos))
                 .findFirst()
-                .map(
-                        learner ->
-                                members.voter(learner.host())
-                                        .map(members::without)
-                                        .orElseGet(() -> members.withVoter(learner)))
+                .flatMap(learner -> promoted(learner, replication, nowNanos))
                 .filter(changed -> canCommit(changed, replication, nowNanos))
                 .map(changed -> new Next(changed, Optional.empty()));
     }
 
+    /** A voter whose place the learner takes leaves before the learner votes. */
+    private Optional<Members> promoted(Member learner, Replication replication, long nowNanos) {
+        Members members = mGroup.members();
+        if (mNewcomers.isSurplus(learner)) {
+            return mNewcomers.lostVoter(replication, nowNanos).map(members::without);
+        }
+        return Optional.of(
+                members.voter(learner.host())
+                        .map(members::without)
+                        .orElseGet(() -> members.withVoter(learner)));
+    }
+
     private boolean hasCaughtUp(Member learner, Replication replication, long nowNanos) {
         long limit = mGroup.settings().electionTimeoutNanos();
         return replication
@@ -141,11 +162,12 @@
     /** Lets the new life of a silent member in. */
     private Optional<Next> replacement(Replication replication, long nowNanos) {
         Members members = mGroup.members();
-        return mJoining.entrySet().stream()
-                .map(entry -> Member.of(entry.getKey(), entry.getValue()))
+        return members.all()
+                .flatMap(member -> mNewcomers.life(member.host()).stream())
                 .filter(joining -> !members.contains(joining))
                 .filter(joining -> hasSilentLife(joining.host(), replication, nowNanos))
                 .findFirst()
+                .or(() -> mNewcomers.admitted(replication, nowNanos))
                 .map(members::withLearner)
                 .map(changed -> new Next(changed, Optional.empty()));
     }
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -3,8 +3,10 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
@@ -275,6 +277,45 @@
         return begun;
     }
 
+    /** Replaces the hosts that a member without state asks to let it in. */
+    public void askToJoin(List<HostId> hosts) {
+        mFounding.ask(hosts);
+    }
+
+    /**
+     * Begins the log with the given members, unless this member has state or is none of them.
+     *
+     * <p>All of them must be given the same list, once for the life of the group: whoever gives it
+     * has agreed on it.
+     *
+     * @return whether the log was begun
+     */
+    public boolean found(Collection<Member> voters, long nowNanos, Effects out) {
+        boolean mayBegin = mGroup.is(MemberState.BLANK) && voters.contains(mGroup.self());
+        if (mayBegin && mGroup.hasNothing()) {
+            Step step = begin(nowNanos, out);
+            mFounding.found(Members.ofVoters(voters), step);
+            settle(step);
+            return true;
+        }
+        return false;
+    }
+
+    /** Names the hosts that are to leave: others take their places as soon as they can. */
+    public void retire(Set<HostId> hosts) {
+        mChanges.retire(hosts);
+    }
+
+    /** Tells whether this member holds nothing. */
+    public boolean isBlank() {
+        return mGroup.hasNothing();
+    }
+
+    /** The host may have stood still unnoticed: its lease counts only once it is renewed. */
+    public void distrustClock(long nowNanos) {
+        mLeadership.ifPresent(leading -> leading.replication().distrust(nowNanos));
+    }
+
     @Override
     public boolean isLeader(long nowNanos) {
         return isLeading() && mLeadership.orElseThrow().isLeaseValid(nowNanos);
@@ -445,7 +486,7 @@
 
     private void receive(HostId from, RaftMessage.Probe probe, Step step) {
         Member member = Member.of(from, probe.from());
-        if (mChanges.joining(member) && !mGroup.members().contains(member)) {
+        if (mChanges.joining(member, step.nowNanos()) && !mGroup.members().contains(member)) {
             mGroup.log(step, EventCode.HOST_ASKS_TO_JOIN, member.toString());
         }
         mFounding.answer(from, probe, step);
--- a/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
@@ -22,6 +22,9 @@
  * @param snapshotLogBytes least bytes of log after which a snapshot is taken
  * @param retainedEntries entries kept in memory before a snapshot for members that lag
  * @param autoReplace whether a host that comes back with an empty disk replaces its former life
+ * @param mayFound whether a group may be founded; false once the fleet has run before
+ * @param wantedVoters number of voters up to which hosts that ask to join are let in, and beyond
+ *     which they replace voters that are silent; 0 if only operators add hosts
  */
 public record RaftSettings(
         List<HostId> hosts,
@@ -35,7 +38,9 @@
         int snapshotPieceBytes,
         int snapshotLogBytes,
         int retainedEntries,
-        boolean autoReplace) {
+        boolean autoReplace,
+        boolean mayFound,
+        int wantedVoters) {
     private static final long HEARTBEAT_NANOS = Duration.ofMillis(200).toNanos();
     private static final long ELECTION_TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
     private static final double MAX_CLOCK_DRIFT = 0.02;
@@ -61,6 +66,7 @@
         checkArgument(snapshotPieceBytes > 0, "piece size %s", snapshotPieceBytes);
         checkArgument(snapshotLogBytes > 0, "log size %s is not positive", snapshotLogBytes);
         checkArgument(retainedEntries >= 0, "retained entries %s", retainedEntries);
+        checkArgument(wantedVoters >= 0, "wanted voters %s", wantedVoters);
     }
 
     /** Returns the usual settings for a group founded by {@code hosts}. */
@@ -77,7 +83,9 @@
                 64 * KIB,
                 4 * KIB * KIB,
                 1000,
-                true);
+                true,
+                true,
+                0);
     }
 
     /** Returns the same settings with automatic replacement on or off. */
@@ -94,7 +102,28 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
-                allowed);
+                allowed,
+                mayFound,
+                wantedVoters);
+    }
+
+    /** Returns the same settings for hosts that let others in by themselves. */
+    public RaftSettings withGrowth(boolean founds, int voters) {
+        return new RaftSettings(
+                hosts,
+                heartbeatNanos,
+                electionTimeoutNanos,
+                maxClockDrift,
+                maxAppendBytes,
+                maxInFlight,
+                maxQueuedBytes,
+                maxCommandBytes,
+                snapshotPieceBytes,
+                snapshotLogBytes,
+                retainedEntries,
+                autoReplace,
+                founds,
+                voters);
     }
 
     /** Returns the same settings with another bound on the rates of clocks. */
@@ -111,7 +140,9 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
-                autoReplace);
+                autoReplace,
+                mayFound,
+                wantedVoters);
     }
 
     /** Returns the same settings with other bounds on snapshots. */
@@ -128,7 +159,9 @@
                 pieceBytes,
                 logBytes,
                 retained,
-                autoReplace);
+                autoReplace,
+                mayFound,
+                wantedVoters);
     }
 
     /** Returns the same settings with other bounds on messages and the queue. */
@@ -145,7 +178,9 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
-                autoReplace);
+                autoReplace,
+                mayFound,
+                wantedVoters);
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/consensus/Replication.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Replication.java
@@ -21,12 +21,14 @@
     private final long mSinceNanos;
     private final long mFirstIndex;
     private long mHeartbeatNanos;
+    private long mTrustedSinceNanos;
 
     /** Begins the term's log with an entry of its own. */
     Replication(Group group, Supplier<StoreWrite.Snapshot> snapshots, Step step) {
         mGroup = group;
         mSnapshots = snapshots;
         mSinceNanos = step.nowNanos();
+        mTrustedSinceNanos = mSinceNanos;
         mFirstIndex = group.log().lastIndex() + 1;
         mHeartbeatNanos = step.nowNanos() + group.settings().heartbeatNanos();
         append(List.of(new Proposals.Proposal(LogEntry.Kind.NOOP, EMPTY, null)), step);
@@ -65,6 +67,12 @@
         return Optional.ofNullable(mProgress.get(member));
     }
 
+    /** Returns how long a member has not answered, at most since this term began. */
+    long silenceNanos(Member member, long nowNanos) {
+        long answered = progress(member).map(Progress::answeredNanos).orElse(mSinceNanos);
+        return nowNanos - Math.max(answered, mSinceNanos);
+    }
+
     /** Returns when the next heartbeats are due. */
     long heartbeatNanos() {
         return mHeartbeatNanos;
@@ -235,6 +243,14 @@
 
     /** Tells whether no other member can have become leader by {@code nowNanos}. */
     boolean isLeaseValid(long nowNanos) {
-        return nowNanos - quorumAnsweredNanos(nowNanos) < mGroup.settings().leaseNanos();
+        long answered = quorumAnsweredNanos(nowNanos);
+        return answered >= mTrustedSinceNanos
+                && nowNanos - answered < mGroup.settings().leaseNanos();
+    }
+
+    /** Counts no message sent before {@code nowNanos} for the lease, as time may have passed. */
+    void distrust(long nowNanos) {
+        mTrustedSinceNanos = nowNanos;
+        hurryHeartbeat(nowNanos);
     }
 }
--- a/src/main/java/org/coltsfootproxy/control/ConfigMachine.java
+++ b/src/main/java/org/coltsfootproxy/control/ConfigMachine.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.io.ByteArrayDataOutput;
+import com.google.common.io.ByteStreams;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.config.ConfigState;
 import org.coltsfootproxy.consensus.Proposer;
@@ -14,10 +17,12 @@
 final class ConfigMachine implements StateMachine {
     private static final byte CONFIG = 0;
     private static final byte LEASE = 1;
+    private static final byte FLEET = 2;
     private static final byte[] NOTHING = new byte[0];
 
     private final ConfigState mConfig = ConfigState.create();
     private final LeaseTable mLeases = LeaseTable.create();
+    private final FleetState mFleet = new FleetState();
 
     ConfigState config() {
         return mConfig;
@@ -27,6 +32,16 @@
         return mLeases;
     }
 
+    /** Returns what the fleet has agreed on. */
+    FleetState fleet() {
+        return mFleet;
+    }
+
+    /** Returns a command on the hosts of the fleet. */
+    static byte[] fleetCommand(FleetCommand command) {
+        return tagged(FLEET, FleetCommand.CODEC.encode(command));
+    }
+
     /** Returns the command of group 0 that stands for a command of the configuration. */
     static byte[] configCommand(byte[] command) {
         return tagged(CONFIG, command);
@@ -65,31 +80,41 @@
         return switch (command[0]) {
             case CONFIG -> mConfig.apply(index, rest);
             case LEASE -> mLeases.apply(index, rest);
+            case FLEET -> mFleet.apply(index, rest);
             default -> NOTHING;
         };
     }
 
     @Override
     public byte[] snapshot() {
-        byte[] config = mConfig.snapshot();
-        byte[] leases = mLeases.snapshot();
-        return ByteBuffer.allocate(Integer.BYTES + config.length + leases.length)
-                .putInt(config.length)
-                .put(config)
-                .put(leases)
-                .array();
+        ByteArrayDataOutput out = ByteStreams.newDataOutput();
+        parts().map(StateMachine::snapshot)
+                .forEach(
+                        part -> {
+                            out.writeInt(part.length);
+                            out.write(part);
+                        });
+        return out.toByteArray();
+    }
+
+    /** Returns the parts in the order in which snapshots hold them. */
+    private Stream<StateMachine> parts() {
+        return Stream.of(mConfig, mLeases, mFleet);
     }
 
     @Override
     public void restore(byte[] snapshot) {
         ByteBuffer whole = ByteBuffer.wrap(snapshot);
+        parts().forEach(part -> part.restore(part(whole)));
+    }
+
+    private static byte[] part(ByteBuffer whole) {
         int length = whole.getInt();
         checkArgument(
                 length >= 0 && length <= whole.remaining(), "snapshot has a part of %s", length);
-        byte[] config = new byte[length];
-        whole.get(config);
-        mConfig.restore(config);
-        mLeases.restore(rest(whole));
+        byte[] part = new byte[length];
+        whole.get(part);
+        return part;
     }
 
     private static byte[] rest(ByteBuffer buffer) {
--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -5,10 +5,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.OrganisationId;
@@ -23,6 +25,7 @@
 import org.coltsfootproxy.job.JobService;
 import org.coltsfootproxy.membership.LeaseGranter;
 import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.Message;
 import org.coltsfootproxy.message.RaftMessage;
@@ -57,6 +60,9 @@
     private final StatusBoard mStatus;
     private final JobGateway mGateway;
     private final OperatorApi mApi;
+    private final Optional<FleetParts> mParts;
+    private final Optional<FleetDuties> mFleet;
+    private final Optional<PlatformOrders> mPlatform;
     private boolean mIsStopping;
     private long mStopUntil;
     private long mNextHandover = NEVER;
@@ -65,8 +71,10 @@
             ControlSettings settings,
             List<RecoveredState> recovered,
             EpochClock clock,
-            Random random) {
+            Random random,
+            Optional<FleetParts> parts) {
         mSettings = settings;
+        mParts = parts;
         mRandom = random;
         mOut = new StepEffects(settings.self(), mBoard);
         Group config = new Group(0, mMachine, recovered.get(0));
@@ -91,7 +99,9 @@
                         mPublisher,
                         mBoard,
                         random.nextLong());
-        mGateway = JobGateway.create(hosts, settings.jobGroups(), random.nextLong(), clock);
+        mGateway =
+                JobGateway.create(
+                        hosts, Math.max(1, settings.jobGroups()), random.nextLong(), clock);
         mApi =
                 new OperatorApi(
                         settings.operatorKeyDigest(),
@@ -101,6 +111,18 @@
                         new MemberOrders(mOrders, settings.groups()),
                         mStatus,
                         mGateway);
+        mFleet =
+                parts.map(
+                        fleet ->
+                                new FleetDuties(
+                                        settings,
+                                        fleet,
+                                        config,
+                                        mMachine.fleet(),
+                                        new Random(random.nextLong())));
+        mPlatform =
+                parts.map(FleetParts::operators)
+                        .map(p -> new PlatformOrders(p, mFleet.get(), config, mMachine, mOrders));
     }
 
     private void addJobs(int number, RecoveredState recovered, EpochClock clock) {
@@ -134,13 +156,33 @@
             List<RecoveredState> recovered,
             EpochClock clock,
             Random random) {
+        return create(settings, recovered, clock, random, Optional.empty());
+    }
+
+    /**
+     * Returns a control host.
+     *
+     * @param parts what it needs if the hosts of the fleet find each other by seeds
+     */
+    public static ControlNode create(
+            ControlSettings settings,
+            List<RecoveredState> recovered,
+            EpochClock clock,
+            Random random,
+            Optional<FleetParts> parts) {
         checkArgument(
                 recovered.size() == settings.groups(),
                 "%s stores for %s groups",
                 recovered.size(),
                 settings.groups());
         checkNotNull(clock, "clock is missing");
-        return new ControlNode(settings, recovered, clock, random);
+        checkArgument(
+                parts.isPresent()
+                        || settings.hosts().stream()
+                                .anyMatch(h -> h.host().equals(settings.self())),
+                "%s is not among the control hosts",
+                settings.self());
+        return new ControlNode(settings, recovered, clock, random, parts);
     }
 
     @Override
@@ -150,41 +192,67 @@
         mSettings.hosts().stream()
                 .filter(host -> !host.host().equals(mSettings.self()))
                 .forEach(h -> mOut.add(new Effect.PeerAddress(h.host(), h.address())));
-        RaftSettings raft = RaftSettings.of(hosts).withAutoReplace(mSettings.autoReplace());
+        RaftSettings raft = raftSettings(hosts);
         Member self = Member.of(mSettings.self(), mSettings.incarnation());
         mGroups.forEach(group -> group.start(raft, self, mRandom, nowNanos));
         mPublisher.start(nowNanos);
         mLeases.start(nowNanos);
+        mFleet.ifPresent(fleet -> fleet.start(nowNanos, mOut));
         settle(nowNanos);
     }
 
+    private RaftSettings raftSettings(List<HostId> hosts) {
+        RaftSettings fixed = RaftSettings.of(hosts).withAutoReplace(mSettings.autoReplace());
+        return mParts.map(
+                        parts ->
+                                RaftSettings.of(parts.seeds())
+                                        .withGrowth(parts.mayFound(), parts.voters()))
+                .orElse(fixed);
+    }
+
     @Override
     public void handle(Input input, long nowNanos, Effects out) {
         mOut.begin(out);
         if (input instanceof Input.FromPeer peer) {
             receive(peer.from(), peer.message(), nowNanos);
         } else if (input instanceof Input.HttpCall call) {
-            mApi.handle(call, nowNanos, mOut);
+            call(call, nowNanos);
         } else if (input instanceof Input.HttpGone gone) {
             mGateway.gone(gone.call());
         } else if (input instanceof Input.Persisted persisted) {
             mGroups.get(persisted.group()).handle(persisted, nowNanos, mOut);
         } else if (input instanceof Input.PersistFailed failed) {
             mGroups.get(failed.group()).handle(failed, nowNanos, mOut);
+        } else if (input instanceof Input.PeerUp up) {
+            mFleet.ifPresent(fleet -> fleet.peerUp(up.host(), mOut));
         } else if (input instanceof Input.PeerLost lost) {
             mPublisher.peerLost(lost.host());
             mOrders.peerLost(lost.host(), nowNanos);
+        } else if (input instanceof Input.ClockJumped jumped) {
+            mOut.log(EventCode.CLOCK_JUMPED, "by " + jumped.nanos() + " ns");
+            mGroups.forEach(group -> group.node().distrustClock(nowNanos));
         } else if (input instanceof Input.PlannedStop && !mIsStopping) {
             stop(nowNanos);
+        } else {
+            mFleet.ifPresent(fleet -> fleet.handle(input, nowNanos, mOut));
         }
         settle(nowNanos);
     }
 
+    private void call(Input.HttpCall call, long nowNanos) {
+        boolean isPlatform = mPlatform.isPresent() && mPlatform.get().handle(call, nowNanos, mOut);
+        if (!isPlatform) {
+            mApi.handle(call, nowNanos, mOut);
+        }
+    }
+
     private void receive(HostId from, Message message, long nowNanos) {
         if (message instanceof RaftMessage raft) {
             receiveRaft(from, raft, nowNanos);
         } else if (message instanceof JobMessage job) {
             receiveJob(from, job, nowNanos);
+        } else if (message instanceof FleetMessage fleet) {
+            mFleet.ifPresent(duties -> duties.handle(from, fleet, nowNanos, mOut));
         } else if (message instanceof ConfigMessage.Subscribe subscribe) {
             mPublisher.handle(from, subscribe, nowNanos, mOut);
         } else if (message instanceof ConfigMessage.LeaseRequest request) {
@@ -251,6 +319,7 @@
             mLeases.tick(nowNanos, mOut);
             mOrders.tick(nowNanos, mOut);
             mGateway.tick(nowNanos, mOut);
+            mFleet.ifPresent(fleet -> fleet.tick(nowNanos, mOut));
             mJobs.stream()
                     .filter(jobs -> jobs.nextTickNanos() <= nowNanos)
                     .forEach(jobs -> jobs.tick(nowNanos, mOut));
@@ -280,6 +349,7 @@
                         mOrders.nextTickNanos(),
                         mStatus.nextTickNanos(),
                         mGateway.nextTickNanos(),
+                        mFleet.map(FleetDuties::nextTickNanos).orElse(NEVER),
                         mNextHandover);
         return LongStream.concat(LongStream.concat(groups, jobs), others).min().orElse(NEVER);
     }
@@ -289,6 +359,7 @@
         mStopUntil = nowNanos + HANDOVER_NANOS;
         mApi.stop();
         mPublisher.stop(mOut);
+        mPlatform.ifPresent(PlatformOrders::stop);
         handOver(nowNanos);
     }
 
--- a/src/main/java/org/coltsfootproxy/control/ControlSettings.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlSettings.java
@@ -15,9 +15,10 @@
  * Settings of a control host.
  *
  * @param incarnation drawn when the data folder was made
- * @param hosts all control hosts, this one among them
+ * @param hosts all control hosts, this one among them; in a fleet with seeds, the seeds
  * @param operatorKeyDigest SHA-256 of the operators' key in hexadecimal
- * @param jobGroups number of replicated logs that hold batch jobs, at least 1; never changed later
+ * @param jobGroups number of replicated logs here that hold batch jobs, 0 where stores hold them;
+ *     never changed later
  * @param autoReplace whether a host that comes back with an empty disk replaces its former life
  */
 public record ControlSettings(
@@ -35,12 +36,9 @@
         checkNotNull(self, "host id is missing");
         checkNotNull(operatorKeyDigest, "operatorKeyDigest is missing");
         checkNotNull(jobs, "job settings are missing");
-        checkArgument(jobGroups > 0, "jobGroups %s is below 1", jobGroups);
+        checkArgument(jobGroups >= 0, "jobGroups %s is below 0", jobGroups);
         hosts = List.copyOf(hosts);
-        checkArgument(
-                hosts.stream().anyMatch(h -> h.host().equals(self)),
-                "%s is not among the control hosts",
-                self);
+        checkArgument(!hosts.isEmpty(), "no control hosts are given");
     }
 
     /** Returns settings with one group of jobs, automatic replacement and default job settings. */
--- a/src/main/java/org/coltsfootproxy/control/OperatorApi.java
+++ b/src/main/java/org/coltsfootproxy/control/OperatorApi.java
@@ -2,15 +2,12 @@
 
 import java.util.Optional;
 import org.coltsfootproxy.base.ErrorKind;
-import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.config.ConfigCommand;
-import org.coltsfootproxy.config.ConfigResult;
 import org.coltsfootproxy.config.KeyDigest;
 import org.coltsfootproxy.config.QuorumRead;
 import org.coltsfootproxy.config.Ticket;
 import org.coltsfootproxy.config.TicketParser;
-import org.coltsfootproxy.config.Verdict;
 import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
@@ -196,42 +193,4 @@
                 nowNanos,
                 out);
     }
-
-    /** Answers the operator who sent a ticket. */
-    private static final class TicketOutcome implements Orders.Outcome {
-        private final long mCall;
-        private final String mWhat;
-        private final Effects mOut;
-
-        TicketOutcome(long call, long ticket, Effects out) {
-            mCall = call;
-            mWhat = "ticket " + ticket;
-            mOut = out;
-        }
-
-        @Override
-        public void done(byte[] result) {
-            try {
-                answer(ConfigResult.verdict(result));
-            } catch (ProxyException e) {
-                Problem.of(ErrorKind.INTERNAL, e.getMessage()).answer(mCall, mOut);
-            }
-        }
-
-        private void answer(Verdict verdict) {
-            if (verdict.isAccepted()) {
-                mOut.log(EventCode.TICKET_ACCEPTED, mWhat + ", version " + verdict.version());
-                JsonAnswer.send(mCall, OK, OperatorAnswers.Ticket.of(verdict), mOut);
-            } else {
-                mOut.log(EventCode.TICKET_REFUSED, mWhat + ": " + verdict.detail());
-                Problem.of(verdict.outcome().kind(), verdict.detail()).answer(mCall, mOut);
-            }
-        }
-
-        @Override
-        public void failed(ErrorKind kind) {
-            mOut.log(EventCode.TICKET_REFUSED, mWhat + ": " + kind.label());
-            Problem.of(kind, mWhat + ": " + kind.title()).answer(mCall, mOut);
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -0,0 +1,304 @@
+package org.coltsfootproxy.control;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.config.ConfigSubscriber;
+import org.coltsfootproxy.config.Organisation;
+import org.coltsfootproxy.consensus.RaftSettings;
+import org.coltsfootproxy.consensus.RaftStatus;
+import org.coltsfootproxy.consensus.RecoveredState;
+import org.coltsfootproxy.direct.ItemWorker;
+import org.coltsfootproxy.direct.TargetCalls;
+import org.coltsfootproxy.direct.Targets;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobLedger;
+import org.coltsfootproxy.job.JobService;
+import org.coltsfootproxy.membership.FleetMembership;
+import org.coltsfootproxy.message.ConfigMessage;
+import org.coltsfootproxy.message.FleetMessage;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.message.Message;
+import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.Node;
+
+/**
+ * The decisions of a host that keeps and runs batch jobs in a fleet whose hosts find each other by
+ * seeds.
+ *
+ * <p>It is a member of the log of the jobs, or ready to take a lost member's place, and it runs
+ * items either way.
+ */
+public final class StoreNode implements Node {
+    /** The log of the jobs. */
+    public static final int GROUP = 1;
+
+    /** Steps in a row that messages to the host itself may cause. */
+    private static final int MAX_ROUNDS = 32;
+
+    /** Longest time for handing leadership over at a planned stop. */
+    private static final long HANDOVER_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Time between two tries to hand leadership over. */
+    private static final long HANDOVER_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final StoreSettings mSettings;
+    private final Random mRandom;
+    private final StepEffects mOut;
+    private final ConfigSubscriber mConfig;
+    private final FleetMembership mMembership;
+    private final Group mGroup;
+    private final JobService mJobs;
+    private final TargetCalls mCalls = TargetCalls.create();
+    private final Targets mTargets;
+    private final ItemWorker mWorker;
+    private List<HostId> mLedMembers = List.of();
+    private boolean mIsStopping;
+    private long mStopUntil;
+    private long mNextHandover = NEVER;
+
+    private StoreNode(
+            StoreSettings settings,
+            RecoveredState recovered,
+            ConfigSubscriber config,
+            FleetMembership membership,
+            EpochClock clock,
+            Random random) {
+        mSettings = checkNotNull(settings, "settings");
+        mConfig = checkNotNull(config, "config");
+        mMembership = checkNotNull(membership, "membership");
+        mRandom = checkNotNull(random, "random");
+        mOut = new StepEffects(settings.self(), new JobBoard());
+        JobLedger ledger = JobLedger.create();
+        mGroup = new Group(GROUP, ledger, recovered);
+        mJobs =
+                JobService.create(
+                        settings.self(),
+                        GROUP,
+                        ledger,
+                        mGroup,
+                        settings.jobs(),
+                        this::weight,
+                        clock);
+        mTargets = Targets.create(settings.dataCentre(), random);
+        mWorker =
+                ItemWorker.create(
+                        settings.incarnation(),
+                        membership.jobHosts(),
+                        settings.targets(),
+                        mCalls,
+                        mTargets,
+                        mConfig::view);
+    }
+
+    /**
+     * Returns a host in the state that its store holds.
+     *
+     * @param config subscriber that was not started yet
+     * @param membership membership that was not started yet
+     * @param clock turns the times that the node is handed into wall-clock times
+     */
+    public static StoreNode create(
+            StoreSettings settings,
+            RecoveredState recovered,
+            ConfigSubscriber config,
+            FleetMembership membership,
+            EpochClock clock,
+            Random random) {
+        return new StoreNode(settings, recovered, config, membership, clock, random);
+    }
+
+    private double weight(OrganisationId id) {
+        return mConfig.view().organisation(id).map(Organisation::weight).orElse(1.0);
+    }
+
+    @Override
+    public void start(long nowNanos, Effects out) {
+        mOut.begin(out);
+        RaftSettings raft =
+                RaftSettings.of(List.of(mSettings.self())).withGrowth(false, mSettings.voters());
+        Member self = Member.of(mSettings.self(), mSettings.incarnation());
+        mGroup.start(raft, self, mRandom, nowNanos);
+        mGroup.node().askToJoin(List.of());
+        mConfig.start(nowNanos, mOut);
+        mMembership.start(nowNanos);
+        settle(nowNanos);
+    }
+
+    @Override
+    public void handle(Input input, long nowNanos, Effects out) {
+        mOut.begin(out);
+        if (input instanceof Input.FromPeer peer) {
+            receive(peer.from(), peer.message(), nowNanos);
+        } else if (input instanceof Input.Persisted persisted) {
+            mGroup.handle(persisted, nowNanos, mOut);
+        } else if (input instanceof Input.PersistFailed failed) {
+            mGroup.handle(failed, nowNanos, mOut);
+        } else if (input instanceof Input.PeerLost lost) {
+            mConfig.peerLost(lost.host(), nowNanos, mOut);
+        } else if (input instanceof Input.SeedsChanged seeds) {
+            mMembership.seeds(seeds.seeds());
+            hostsChanged(nowNanos);
+            mOut.log(EventCode.SEEDS_CHANGED, seeds.seeds().toString());
+        } else if (input instanceof Input.ClockJumped jumped) {
+            mOut.log(EventCode.CLOCK_JUMPED, "by " + jumped.nanos() + " ns");
+            mConfig.distrust(nowNanos, mOut);
+            mGroup.node().distrustClock(nowNanos);
+        } else if (input instanceof Input.PlannedStop && !mIsStopping) {
+            mIsStopping = true;
+            mStopUntil = nowNanos + HANDOVER_NANOS;
+            mWorker.stop(nowNanos, mOut);
+            handOver(nowNanos);
+        } else {
+            mCalls.handle(input, nowNanos, mOut);
+        }
+        settle(nowNanos);
+    }
+
+    private void receive(HostId from, Message message, long nowNanos) {
+        if (message instanceof RaftMessage raft) {
+            mGroup.node().receive(from, raft, nowNanos, mOut);
+        } else if (message instanceof JobMessage.ToAgent told) {
+            mWorker.handle(from, told, nowNanos, mOut);
+        } else if (message instanceof JobMessage job) {
+            mJobs.handle(from, job, nowNanos, mOut);
+        } else if (message instanceof ConfigMessage config) {
+            mConfig.handle(from, config, nowNanos, mOut);
+        } else if (message instanceof FleetMessage fleet) {
+            receiveFleet(from, fleet, nowNanos);
+        }
+    }
+
+    private void receiveFleet(HostId from, FleetMessage message, long nowNanos) {
+        if (message instanceof FleetMessage.Roster roster) {
+            if (mMembership.handle(from, roster)) {
+                hostsChanged(nowNanos);
+            }
+        } else if (message instanceof FleetMessage.Listing listing) {
+            mTargets.update(listing, mOut);
+        } else if (message instanceof FleetMessage.FoundJobs found) {
+            mGroup.node().found(found.members(), nowNanos, mOut);
+        }
+    }
+
+    private void hostsChanged(long nowNanos) {
+        FleetMessage.Roster roster = mMembership.roster();
+        mConfig.hosts(mSettings.addresses().controlHosts(mMembership.controls()), nowNanos, mOut);
+        Stream.concat(roster.stores().stream(), roster.jobMembers().stream())
+                .filter(host -> !host.equals(mSettings.self()))
+                .distinct()
+                .forEach(h -> mOut.add(new Effect.PeerAddress(h, mSettings.addresses().of(h))));
+        boolean isRetiring = roster.retiring().contains(mSettings.self());
+        mGroup.node().askToJoin(isRetiring ? List.of() : roster.jobMembers());
+        mGroup.node().retire(new HashSet<>(roster.retiring()));
+        mWorker.controls(mMembership.jobHosts(), Math.max(1, roster.stores().size()));
+        if (isRetiring && !mIsStopping) {
+            mWorker.stop(nowNanos, mOut);
+            mNextHandover = Math.min(mNextHandover, nowNanos);
+            mStopUntil = Long.MAX_VALUE;
+        }
+    }
+
+    @Override
+    public void tick(long nowNanos, Effects out) {
+        mOut.begin(out);
+        mConfig.tick(nowNanos, mOut);
+        if (nowNanos - mNextHandover >= 0) {
+            handOver(nowNanos);
+        }
+        settle(nowNanos);
+    }
+
+    /** Lets every part do what is due, until nothing more follows from it. */
+    private void settle(long nowNanos) {
+        boolean isBusy = true;
+        for (int round = 0; round < MAX_ROUNDS && isBusy; round++) {
+            mGroup.tick(nowNanos, mOut);
+            if (mJobs.nextTickNanos() <= nowNanos) {
+                mJobs.tick(nowNanos, mOut);
+            }
+            if (mWorker.nextTickNanos() <= nowNanos) {
+                mWorker.tick(nowNanos, mOut);
+            }
+            isBusy = receiveFromSelf(nowNanos) || mGroup.isDue(nowNanos);
+        }
+        enrol(nowNanos);
+    }
+
+    private boolean receiveFromSelf(long nowNanos) {
+        Message message = mOut.pollToSelf();
+        boolean isBusy = message != null;
+        while (message != null) {
+            receive(mSettings.self(), message, nowNanos);
+            message = mOut.pollToSelf();
+        }
+        return isBusy;
+    }
+
+    private void enrol(long nowNanos) {
+        List<HostId> led = ledMembers(nowNanos);
+        if (!led.equals(mLedMembers)) {
+            mLedMembers = led;
+            mMembership.hurry(nowNanos);
+        }
+        if (mMembership.nextTickNanos() <= nowNanos) {
+            long term = led.isEmpty() ? 0 : mGroup.term();
+            var state =
+                    new FleetMessage.StoreState(
+                            mSettings.incarnation(), mGroup.node().isBlank(), term, led);
+            mMembership.tick(mTargets.listing().number(), state, nowNanos, mOut);
+        }
+    }
+
+    /** Returns the members of the log if this host leads it for sure, itself first. */
+    private List<HostId> ledMembers(long nowNanos) {
+        if (!mGroup.isLeader(nowNanos)) {
+            return List.of();
+        }
+        RaftStatus status = mGroup.status(nowNanos);
+        return Stream.concat(Stream.of(mSettings.self()), status.members().all().map(Member::host))
+                .distinct()
+                .toList();
+    }
+
+    private void handOver(long nowNanos) {
+        boolean isLeading = mGroup.node().transferLeadership(nowNanos, mOut);
+        boolean mayRetry = (isLeading || !mIsStopping) && nowNanos - mStopUntil < 0;
+        mNextHandover = mayRetry ? nowNanos + HANDOVER_RETRY_NANOS : NEVER;
+    }
+
+    /** Tells whether this host leads the log of the jobs for sure. */
+    boolean isLeader(long nowNanos) {
+        return mGroup.isLeader(nowNanos);
+    }
+
+    @Override
+    public long nextTickNanos() {
+        return LongStream.of(
+                        mConfig.nextTickNanos(),
+                        mMembership.nextTickNanos(),
+                        mGroup.node().nextTickNanos(),
+                        mJobs.nextTickNanos(),
+                        mWorker.nextTickNanos(),
+                        mNextHandover)
+                .min()
+                .getAsLong();
+    }
+
+    @Override
+    public boolean isDrained() {
+        return mIsStopping && mNextHandover == NEVER && mWorker.isDrained();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -0,0 +1,242 @@
+package org.coltsfootproxy.direct;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.JobId;
+import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Ran;
+import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.config.Route;
+import org.coltsfootproxy.job.JobCourier;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.message.JobItem;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.message.JobSpec;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.LogField;
+import org.coltsfootproxy.node.Problem;
+
+/**
+ * Callers' calls on batch jobs: submits whole jobs, and shows results in the order in which items
+ * ended.
+ */
+final class DirectJobs {
+    /** The only group of jobs that fleets with seeds have. */
+    private static final int GROUP = 1;
+
+    /** Longest time for an answer besides a wait that was asked for: an election and a commit. */
+    private static final long ANSWER_MILLIS = 3_500;
+
+    /** When to come back after no control host has answered: about one election. */
+    private static final long RETRY_MILLIS = 500;
+
+    private static final String METHOD = "POST";
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+
+    private final CallerProtocol mProtocol;
+    private final JobCourier mCourier;
+
+    DirectJobs(CallerProtocol protocol, JobCourier courier) {
+        mProtocol = protocol;
+        mCourier = courier;
+    }
+
+    void controls(List<HostId> controls) {
+        mCourier.controls(controls);
+    }
+
+    /** Submits the job that a call on a batch route brings. */
+    void submit(
+            Input.HttpCall call, Route route, OrganisationId organisation, long now, Effects out)
+            throws ProxyException {
+        JobSubmission job = mProtocol.readJob(call);
+        List<JobItem> items = job.items().stream().map(DirectJobs::item).toList();
+        JobMessage.Ask ask =
+                new JobMessage.Submit(
+                        GROUP, mCourier.nextNumber(), organisation, spec(call, job, route), items);
+        ask(call, ask, job.id(), 0, now, out);
+    }
+
+    private static JobItem item(JobSubmission.Item item) {
+        var call = new ItemCall.Post(item.path(), item.headers(), item.body());
+        return JobItem.of(item.id(), ItemCall.encode(call));
+    }
+
+    private static JobSpec spec(Input.HttpCall call, JobSubmission job, Route route) {
+        long due = Math.max(1, route.policy().jobGoalMillis());
+        return new JobSpec(
+                job.id(),
+                service(route, job.id()),
+                METHOD,
+                call.path(),
+                true,
+                route.timeoutMillis(),
+                due,
+                JobSpec.RELATIVE,
+                job.items().size(),
+                route.policy().maxRuns());
+    }
+
+    /** A job goes to one service of a split, the same for each resend. */
+    private static ServiceId service(Route route, JobId job) {
+        int hash =
+                Hashing.murmur3_32_fixed().hashString(job.value(), StandardCharsets.UTF_8).asInt();
+        return route.serviceAt((hash & Integer.MAX_VALUE) / (1.0 + Integer.MAX_VALUE));
+    }
+
+    /** Reads results, reads a body or ends a job. */
+    void call(
+            Input.HttpCall call,
+            CallerCall asked,
+            OrganisationId organisation,
+            long now,
+            Effects out) {
+        long number = mCourier.nextNumber();
+        if (asked instanceof CallerCall.ReadResults read) {
+            JobMessage.Ask ask =
+                    new JobMessage.AskEnded(
+                            GROUP,
+                            number,
+                            organisation,
+                            read.job(),
+                            read.from(),
+                            read.waitMillis());
+            ask(call, ask, read.job(), read.waitMillis(), now, out);
+        } else if (asked instanceof CallerCall.ReadBody read) {
+            JobMessage.Ask ask =
+                    new JobMessage.AskBody(GROUP, number, organisation, read.job(), read.item());
+            ask(call, ask, read.job(), 0, now, out);
+        } else if (asked instanceof CallerCall.EndJob end) {
+            JobMessage.Ask ask = new JobMessage.Cancel(GROUP, number, organisation, end.job());
+            ask(call, ask, end.job(), 0, now, out);
+        } else {
+            throw new IllegalArgumentException("not a call on a batch job: " + asked);
+        }
+    }
+
+    private void ask(
+            Input.HttpCall call,
+            JobMessage.Ask ask,
+            JobId job,
+            long waitMillis,
+            long now,
+            Effects out) {
+        int bytes = call.body().length;
+        Answerer answerer = new Answerer(call.call(), ask, job);
+        if (!mCourier.hasRoom(1, bytes)) {
+            String detail = "too many calls on jobs are open";
+            answerer.fail(ErrorKind.OVERLOADED, detail, RETRY_MILLIS, out);
+            return;
+        }
+        long end = now + TimeUnit.MILLISECONDS.toNanos(waitMillis + ANSWER_MILLIS);
+        mCourier.ask(call.call(), ask, bytes, end, answerer, now, out);
+    }
+
+    /** Answers one call. */
+    private final class Answerer implements JobCourier.Listener {
+        private final long mCall;
+        private final JobMessage.Ask mAsk;
+        private final JobId mJob;
+
+        Answerer(long call, JobMessage.Ask ask, JobId job) {
+            mCall = call;
+            mAsk = ask;
+            mJob = job;
+        }
+
+        @Override
+        public void answered(JobMessage.Answer answer, Effects out) {
+            if (answer instanceof JobMessage.Refused refused) {
+                fail(refused.kind(), refused.detail(), refused.retryAfterMillis(), out);
+            } else if (answer instanceof JobMessage.Ended ended) {
+                String type = "application/json";
+                send(OK, type, mProtocol.results(ended), out);
+            } else if (answer instanceof JobMessage.Body body) {
+                sendBody(body, out);
+            } else {
+                boolean isSubmit = mAsk instanceof JobMessage.Submit;
+                send(isSubmit ? ACCEPTED : OK, "application/json", new byte[] {'{', '}'}, out);
+            }
+        }
+
+        private void sendBody(JobMessage.Body body, Effects out) {
+            try {
+                byte[] bytes = ItemCall.decode(body.body()).body();
+                send(OK, "application/octet-stream", bytes, out);
+            } catch (ProxyException e) {
+                fail(ErrorKind.INTERNAL, e.getMessage(), 0, out);
+            }
+        }
+
+        @Override
+        public void unanswered(boolean mayBeDone, Effects out) {
+            boolean isSubmit = mAsk instanceof JobMessage.Submit;
+            ErrorKind kind = isSubmit && mayBeDone ? ErrorKind.ANSWER_LOST : ErrorKind.NO_LEADER;
+            fail(kind, "no control host answered in time", RETRY_MILLIS, out);
+        }
+
+        /** A status of 503 promises that a submitted job does not run. */
+        void fail(ErrorKind kind, String detail, long retryMillis, Effects out) {
+            ErrorKind told =
+                    switch (kind) {
+                        case COMMIT_UNKNOWN -> ErrorKind.ANSWER_LOST;
+                        case STORAGE_FULL -> ErrorKind.OVERLOADED;
+                        default -> kind;
+                    };
+            Problem.of(told, told.ran(), detail)
+                    .withRetryAfterMillis(told.ran() == Ran.NO ? retryMillis : 0)
+                    .answer(mCall, mProtocol.retryAfter(), out);
+            log(told.label() + ": " + detail, out);
+        }
+
+        private void send(int status, String type, byte[] body, Effects out) {
+            List<Header> headers =
+                    List.of(
+                            Header.of("Content-Type", type),
+                            Header.of("Content-Length", Integer.toString(body.length)));
+            out.add(new Effect.HttpHead(mCall, status, headers));
+            out.add(new Effect.HttpChunk(mCall, body));
+            out.add(new Effect.HttpEnd(mCall));
+            log(Integer.toString(status), out);
+        }
+
+        private void log(String outcome, Effects out) {
+            out.log(
+                    EventCode.JOB_CALL_ANSWERED,
+                    LogField.of("job", mJob),
+                    LogField.of("call", mAsk.getClass().getSimpleName()),
+                    LogField.of("organisation", mAsk.organisation()),
+                    LogField.of("outcome", outcome));
+        }
+    }
+
+    /** The caller of an HTTP call is gone; what it ordered may still be carried out. */
+    void gone(long call) {
+        mCourier.withdraw(call);
+    }
+
+    void handle(HostId from, JobMessage message, long now, Effects out) {
+        mCourier.handle(from, message, now, out);
+    }
+
+    void tick(long now, Effects out) {
+        mCourier.tick(now, out);
+    }
+
+    long nextTickNanos() {
+        return mCourier.nextTickNanos();
+    }
+
+    boolean isEmpty() {
+        return mCourier.isDrained();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -0,0 +1,121 @@
+package org.coltsfootproxy.direct;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.coltsfootproxy.base.TargetId;
+import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.LeasedItem;
+
+/** One batch item that this host runs: what it has made so far, and where it is. */
+final class ItemRun {
+    private final LeasedItem mItem;
+    private final ItemCall.Post mCall;
+    private final long mBegan;
+    private final Set<TargetId> mTried = new HashSet<>();
+    private final EventReader mEvents = new EventReader();
+    private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
+    private Target mTarget;
+    private long mTargetCall;
+    private boolean mHasSuccess;
+    private int mBreaks;
+    private long mHeard;
+
+    private ItemRun(LeasedItem item, ItemCall.Post call, long nowNanos) {
+        mItem = item;
+        mCall = call;
+        mBegan = nowNanos;
+    }
+
+    static ItemRun of(LeasedItem item, ItemCall.Post call, long nowNanos) {
+        return new ItemRun(item, call, nowNanos);
+    }
+
+    LeasedItem item() {
+        return mItem;
+    }
+
+    LeaseRef lease() {
+        return mItem.lease();
+    }
+
+    ItemCall.Post call() {
+        return mCall;
+    }
+
+    long began() {
+        return mBegan;
+    }
+
+    /** Returns the targets that have broken off or refused this item since the last pause. */
+    Set<TargetId> tried() {
+        return mTried;
+    }
+
+    void sentTo(Target target, long targetCall, long nowNanos) {
+        mTarget = target;
+        mTargetCall = targetCall;
+        mTried.add(target.listed().id());
+        mEvents.dropPartial();
+        mHasSuccess = false;
+        mHeard = nowNanos;
+    }
+
+    Optional<Target> target() {
+        return Optional.ofNullable(mTarget);
+    }
+
+    long targetCall() {
+        return mTargetCall;
+    }
+
+    void leftTarget() {
+        mTarget = null;
+    }
+
+    /** Notes that the target has begun to send events. */
+    void began(long nowNanos) {
+        mHasSuccess = true;
+        mHeard = nowNanos;
+    }
+
+    boolean hasSuccess() {
+        return mHasSuccess;
+    }
+
+    /** Takes a piece of the events. */
+    void take(byte[] bytes, long nowNanos) {
+        mHeard = nowNanos;
+        byte[] whole = mEvents.take(bytes);
+        if (whole.length > 0) {
+            if (mOutput.size() > 0) {
+                mOutput.write('\n');
+            }
+            mOutput.writeBytes(EventReader.data(whole).getBytes(StandardCharsets.UTF_8));
+            mBreaks = 0;
+        }
+    }
+
+    Optional<String> lastEvent() {
+        return mEvents.lastId();
+    }
+
+    boolean isInEvent() {
+        return mEvents.isInEvent();
+    }
+
+    byte[] output() {
+        return mOutput.toByteArray();
+    }
+
+    /** Notes that a target broke off; returns how often that happened without a new event. */
+    int broke() {
+        return ++mBreaks;
+    }
+
+    long heard() {
+        return mHeard;
+    }
+}
--- a/src/main/java/org/coltsfootproxy/entry/CallerAnswers.java
+++ b/src/main/java/org/coltsfootproxy/entry/CallerAnswers.java
@@ -11,7 +11,6 @@
 /** Writes answers to callers and measures them. */
 final class CallerAnswers {
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final long MILLIS_PER_SECOND = 1_000;
     private static final String CLASS = TrafficClass.ONLINE.name();
 
     private CallerAnswers() {}
@@ -36,9 +35,8 @@
     }
 
     static void failure(Request request, Failure failure, Effects out) {
-        long seconds = (failure.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
         Problem.of(failure.kind(), failure.ran(), failure.detail())
-                .withRetryAfterSeconds(seconds)
+                .withRetryAfterMillis(failure.retryAfterMillis())
                 .answer(request.call().call(), out);
         refusal(request.organisation().id().value(), failure.kind(), out);
     }
--- a/src/main/java/org/coltsfootproxy/entry/CallerCheck.java
+++ b/src/main/java/org/coltsfootproxy/entry/CallerCheck.java
@@ -14,7 +14,7 @@
 import org.coltsfootproxy.message.Header;
 
 /** Decides for whom a request may run, and keeps callers' keys from going any further. */
-final class CallerCheck {
+public final class CallerCheck {
     private static final String BEARER = "bearer ";
     private static final String AUTHORIZATION = "authorization";
     private static final String API_KEY = "x-api-key";
@@ -46,7 +46,7 @@
      * @param isFresh whether the configuration is confirmed as current
      * @throws ProxyException if no key in force came, or the configuration is not confirmed
      */
-    static Organisation organisation(ConfigView view, boolean isFresh, List<Header> headers)
+    public static Organisation organisation(ConfigView view, boolean isFresh, List<Header> headers)
             throws ProxyException {
         if (!isFresh) {
             String detail = "keys can't be checked until a control host confirms the configuration";
@@ -66,7 +66,7 @@
      *
      * @throws ProxyException of kind {@link ErrorKind#FORBIDDEN}
      */
-    static void checkAllowed(Route route, Organisation organisation) throws ProxyException {
+    public static void checkAllowed(Route route, Organisation organisation) throws ProxyException {
         boolean isAllowed =
                 route.organisations().isEmpty()
                         || route.organisations().contains(organisation.id());
@@ -92,7 +92,7 @@
     }
 
     /** Returns the headers without any that carry the caller's key. */
-    static List<Header> withoutKeys(List<Header> headers) {
+    public static List<Header> withoutKeys(List<Header> headers) {
         Optional<String> key = presentedKey(headers).filter(k -> !k.isEmpty());
         return headers.stream()
                 .filter(h -> !PRIVATE_HEADERS.contains(h.name().toLowerCase(Locale.ROOT)))
--- a/src/main/java/org/coltsfootproxy/entry/OpenCallers.java
+++ b/src/main/java/org/coltsfootproxy/entry/OpenCallers.java
@@ -4,9 +4,9 @@
 import org.coltsfootproxy.config.Organisation;
 
 /** Stands for all callers of routes that are open to all. */
-final class OpenCallers {
+public final class OpenCallers {
     /** They share the capacity of one organisation; tickets can't name it. */
-    static final Organisation ORGANISATION =
+    public static final Organisation ORGANISATION =
             new Organisation(OrganisationId.of("open:callers"), 1, 1, 1);
 
     private OpenCallers() {}
--- a/src/main/java/org/coltsfootproxy/entry/Request.java
+++ b/src/main/java/org/coltsfootproxy/entry/Request.java
@@ -80,7 +80,7 @@
 
     /** Tells whether a second run would do no harm. */
     boolean isRepeatable() {
-        return mRoute.repeatableMethods().contains(mCall.method());
+        return mRoute.isRepeatable(mCall.method());
     }
 
     RequestState state() {
--- a/src/main/java/org/coltsfootproxy/job/AgentSession.java
+++ b/src/main/java/org/coltsfootproxy/job/AgentSession.java
@@ -68,7 +68,7 @@
 
     /** Returns the slots for items of a service, 0 if the agent serves another one. */
     int slots(ServiceId service) {
-        return mCapacity != null && mCapacity.service().equals(service) ? mCapacity.slots() : 0;
+        return mCapacity != null && mCapacity.service().covers(service) ? mCapacity.slots() : 0;
     }
 
     long heardNanos() {
--- a/src/main/java/org/coltsfootproxy/job/AskHandler.java
+++ b/src/main/java/org/coltsfootproxy/job/AskHandler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
@@ -26,6 +27,7 @@
     private final CommandLog mLog;
     private final StepClock mStep;
     private final LeaseManager mLeases;
+    private final EndedReads mEnded;
 
     AskHandler(LeaderState state, CommandLog log, LeaseManager leases) {
         mState = state;
@@ -33,6 +35,17 @@
         mLog = log;
         mStep = state.step();
         mLeases = leases;
+        mEnded = new EndedReads(mLedger, mStep);
+    }
+
+    /** Answers readers that wait for results. */
+    void serveWaiting() {
+        mEnded.serve();
+    }
+
+    /** This host does not lead any more. */
+    void stepDown(HostId leader) {
+        mEnded.stepDown(leader);
     }
 
     void handle(HostId from, JobMessage.Ask ask) {
@@ -40,6 +53,10 @@
             read(from, ask, status.job(), job -> sendStatus(from, ask, job.status()));
         } else if (ask instanceof JobMessage.AskResults results) {
             read(from, ask, results.job(), job -> sendResults(from, results, job));
+        } else if (ask instanceof JobMessage.AskEnded ended) {
+            read(from, ask, ended.job(), job -> mEnded.read(from, ended, job));
+        } else if (ask instanceof JobMessage.AskBody body) {
+            read(from, ask, body.job(), job -> sendBody(from, body, job));
         } else if (ask instanceof JobMessage.AskJobs) {
             sendJobs(from, ask);
         } else {
@@ -52,7 +69,8 @@
         OrganisationId organisation = ask.organisation();
         JobLimits limits = mState.settings().limits();
         if (ask instanceof JobMessage.Submit a) {
-            return new JobCommand.Submit(time, organisation, a.spec(), a.items(), limits);
+            return new JobCommand.Submit(
+                    time, organisation, a.spec().submittedAt(time), a.items(), limits);
         } else if (ask instanceof JobMessage.Begin a) {
             return new JobCommand.Begin(time, organisation, a.spec(), limits);
         } else if (ask instanceof JobMessage.Append a) {
@@ -107,12 +125,25 @@
     private void read(HostId from, JobMessage.Ask ask, JobId id, Consumer<LedgerJob> reader) {
         Optional<LedgerJob> job = mLedger.job(ask.organisation(), id);
         if (job.isEmpty()) {
-            refuse(from, ask, ErrorKind.NOT_FOUND, "no job has the id " + id, 0);
+            mStep.send(from, unknownJob(ask, id));
             return;
         }
         reader.accept(job.get());
     }
 
+    private void sendBody(HostId from, JobMessage.AskBody ask, LedgerJob job) {
+        OptionalInt item =
+                job.items().indexOf(ask.item()).stream()
+                        .filter(index -> !job.items().state(index).isEnded())
+                        .findFirst();
+        if (item.isEmpty()) {
+            refuse(from, ask, ErrorKind.NOT_FOUND, "no open item has the id " + ask.item(), 0);
+            return;
+        }
+        byte[] body = ItemPayload.content(job.items().payload(item.getAsInt()));
+        mStep.send(from, new JobMessage.Body(ask.group(), ask.call(), body));
+    }
+
     private void sendStatus(HostId from, JobMessage.Ask ask, JobStatus status) {
         JobStatus known =
                 mLedger.job(ask.organisation(), status.spec().id())
@@ -150,6 +181,12 @@
                         ask.group(), ask.call(), estimated(job), page, next, isEnded));
     }
 
+    static JobMessage.Refused unknownJob(JobMessage.Ask ask, JobId id) {
+        ErrorKind kind = ErrorKind.NOT_FOUND;
+        String detail = "no job has the id " + id;
+        return new JobMessage.Refused(ask.group(), ask.call(), kind, kind.ran(), detail, 0, null);
+    }
+
     /** Returns the refusal of a host that can't answer. */
     static JobMessage.Refused elsewhere(JobMessage.Ask ask, HostId leader) {
         ErrorKind kind = ErrorKind.NO_LEADER;
--- a/src/main/java/org/coltsfootproxy/job/ControlLink.java
+++ b/src/main/java/org/coltsfootproxy/job/ControlLink.java
@@ -10,7 +10,7 @@
     private static final long FIRST_PAUSE_NANOS = 200_000_000;
     private static final long MAX_PAUSE_NANOS = 5_000_000_000L;
 
-    private final List<HostId> mControls;
+    private List<HostId> mControls;
     private int mCurrent;
     private long mPauseUntilNanos;
     private long mPauseNanos = FIRST_PAUSE_NANOS;
@@ -31,6 +31,14 @@
         return new ControlLink(controls, (int) Long.remainderUnsigned(spread, controls.size()));
     }
 
+    /** Replaces the hosts, at least one; the present one stays if it is among them. */
+    void controls(List<HostId> controls) {
+        checkArgument(!controls.isEmpty(), "no control hosts are given");
+        int same = controls.indexOf(host());
+        mControls = List.copyOf(controls);
+        mCurrent = Math.max(0, same);
+    }
+
     HostId host() {
         return mControls.get(mCurrent);
     }
--- a/src/main/java/org/coltsfootproxy/job/ItemLife.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemLife.java
@@ -131,13 +131,18 @@
                 attempts,
                 epochMillis + retry.pauseMillis(attempts),
                 report.error());
-        if (attempts >= retry.attempts()) {
+        if (attempts >= maxAttempts(retry)) {
             return end(item, ItemEvent.GIVE_UP, report);
         }
         ReportVerdict verdict = waitAgain(item);
         return verdict == ReportVerdict.RECORDED ? ReportVerdict.WAITS : verdict;
     }
 
+    private int maxAttempts(RetryPolicy retry) {
+        int own = mJob.spec().maxAttempts();
+        return own > 0 ? own : retry.attempts();
+    }
+
     private int attempts(int item) {
         return mItems.attempts(item);
     }
--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -106,6 +106,11 @@
         proceed(nowNanos, out);
     }
 
+    /** Replaces the control hosts, at least one. */
+    public void controls(List<HostId> controls) {
+        mLink.controls(controls);
+    }
+
     /** Changes the number of items that could run at once if nothing else ran. */
     public void setCapacity(int capacity) {
         checkArgument(capacity > 0, "capacity %s is below 1", capacity);
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -5,7 +5,10 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
 import org.agrona.collections.Int2ObjectHashMap;
+import org.agrona.collections.IntArrayList;
 import org.coltsfootproxy.message.ItemResult;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobItem;
@@ -26,6 +29,7 @@
     private final int[] mCounts = new int[STATES.length];
     private final Int2ObjectHashMap<Trouble> mTroubles = new Int2ObjectHashMap<>();
     private final Int2ObjectHashMap<Run> mRuns = new Int2ObjectHashMap<>();
+    private final IntArrayList mEnded = new IntArrayList();
     private byte[] mStates = new byte[FIRST_CAPACITY];
     private long[] mHashes = new long[FIRST_CAPACITY];
     private byte[][] mPayloads = new byte[FIRST_CAPACITY][];
@@ -128,6 +132,35 @@
         mCounts[state(index).ordinal()]--;
         mCounts[state.ordinal()]++;
         mStates[index] = (byte) state.ordinal();
+        if (hasResult(state)) {
+            mEnded.addInt(index);
+        }
+    }
+
+    private static boolean hasResult(ItemState state) {
+        return state == ItemState.DONE || state == ItemState.FAILED;
+    }
+
+    /** Returns how many items have a result, done or failed for good. */
+    int ended() {
+        return mEnded.size();
+    }
+
+    /** Returns the item at a position in the order in which items got their results. */
+    int endedAt(int position) {
+        return mEnded.getInt(position);
+    }
+
+    /** Restores the order in which items got their results. */
+    void restoreEnded(int index) {
+        mEnded.addInt(index);
+    }
+
+    /** Returns the index of the item with the given id. */
+    OptionalInt indexOf(String id) {
+        return IntStream.range(0, mSize)
+                .filter(i -> ItemPayload.id(mPayloads[i]).equals(id))
+                .findFirst();
     }
 
     /** Replaces the body of the call by the result's status and body. */
@@ -179,7 +212,7 @@
     ItemResult result(int index) {
         ItemState state = state(index);
         byte[] payload = mPayloads[index];
-        boolean hasAnswer = state == ItemState.DONE || state == ItemState.FAILED;
+        boolean hasAnswer = hasResult(state);
         Trouble trouble = mTroubles.get(index);
         Run run = mRuns.get(index);
         return new ItemResult(
--- a/src/main/java/org/coltsfootproxy/job/JobLedger.java
+++ b/src/main/java/org/coltsfootproxy/job/JobLedger.java
@@ -56,7 +56,10 @@
 
     private JobOutcome apply(byte[] bytes) {
         try {
-            return apply(COMMANDS.decode(bytes));
+            JobCommand command = COMMANDS.decode(bytes);
+            JobOutcome outcome = apply(command);
+            mShelf.sawTime(command.epochMillis());
+            return outcome;
         } catch (ProxyException e) {
             return new JobOutcome.Refused(e.kind(), e.getMessage());
         }
@@ -294,6 +297,11 @@
         return mShelf.bytes();
     }
 
+    /** Returns the latest time that a command has brought, 0 before the first one. */
+    long lastMillis() {
+        return mShelf.lastMillis();
+    }
+
     Optional<LedgerJob> job(OrganisationId organisation, JobId job) {
         return mShelf.find(organisation, job);
     }
--- a/src/main/java/org/coltsfootproxy/job/JobRequests.java
+++ b/src/main/java/org/coltsfootproxy/job/JobRequests.java
@@ -128,12 +128,12 @@
             throw ProxyException.of(
                     ErrorKind.FORBIDDEN, "the organisation may not use the path " + path);
         }
-        return new JobSpec(
+        return JobSpec.of(
                 id,
                 route.service(),
                 METHOD,
                 path,
-                route.repeatableMethods().contains(METHOD),
+                route.isRepeatable(METHOD),
                 route.timeoutMillis(),
                 deadline(call, deadline, context.epochMillis()),
                 deadline,
--- a/src/main/java/org/coltsfootproxy/job/JobScheduler.java
+++ b/src/main/java/org/coltsfootproxy/job/JobScheduler.java
@@ -73,7 +73,7 @@
     Optional<Choice> choose(
             ServiceId service, int slots, long epochMillis, Predicate<OrganisationId> mayRun) {
         List<JobQueue> ready =
-                queues().filter(q -> q.job().spec().service().equals(service))
+                queues().filter(q -> service.covers(q.job().spec().service()))
                         .filter(q -> q.hasReady(epochMillis) && mayRun.test(q.organisation()))
                         .toList();
         double weights = weights(ready.stream());
--- a/src/main/java/org/coltsfootproxy/job/JobService.java
+++ b/src/main/java/org/coltsfootproxy/job/JobService.java
@@ -161,6 +161,7 @@
     private void finish(Effects out) {
         if (mPhase == Phase.LEADING) {
             mLeases.serveWaiting();
+            mAsks.serveWaiting();
         }
         if (mNextTickNanos == Long.MIN_VALUE || mStep.nowNanos() - mNextTickNanos >= 0) {
             mNextTickNanos = mStep.nowNanos() + TICK_NANOS;
@@ -179,18 +180,26 @@
         if (isLeader && mPhase == Phase.FOLLOWING) {
             openTerm();
         } else if (!isLeader && mPhase != Phase.FOLLOWING) {
-            mPhase = Phase.FOLLOWING;
-            mState.clear();
-            mReports.clear();
+            follow();
         }
     }
 
+    private void follow() {
+        mPhase = Phase.FOLLOWING;
+        mState.clear();
+        mReports.clear();
+        mAsks.stepDown(leader());
+    }
+
     /**
      * Puts the start of this leader's term into the log. Once it is committed, the ledger holds all
      * that earlier leaders committed.
      */
     private void openTerm() {
         mPhase = Phase.OPENING;
+        if (mSettings.steadyTime() && mLedger.lastMillis() > 0) {
+            mStep.continueFrom(mLedger.lastMillis());
+        }
         mLog.propose(
                 new JobCommand.OpenTerm(mStep.epochMillis(), mSelf),
                 outcome -> opened((JobOutcome.Term) outcome),
@@ -208,9 +217,7 @@
 
     /** Starts over as a new leader would, because the outcome of a command got lost. */
     private void reopen() {
-        mPhase = Phase.FOLLOWING;
-        mState.clear();
-        mReports.clear();
+        follow();
     }
 
     private void expire() {
--- a/src/main/java/org/coltsfootproxy/job/JobSettings.java
+++ b/src/main/java/org/coltsfootproxy/job/JobSettings.java
@@ -18,6 +18,8 @@
  * @param maxLot most items of one lot
  * @param advance how far deadlines at risk may bring an organisation ahead of its fair share, as
  *     time of the whole service's batch capacity
+ * @param steadyTime whether time goes on from the last command instead of following the time of day
+ *     of whichever host leads, so that a clock that was set harms no job
  */
 public record JobSettings(
         JobLimits limits,
@@ -28,7 +30,8 @@
         Duration maxLease,
         Duration lotTime,
         int maxLot,
-        Duration advance) {
+        Duration advance,
+        boolean steadyTime) {
     /** Checks the parts. */
     public JobSettings {
         checkNotNull(limits, "limits are missing");
@@ -53,30 +56,67 @@
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(1),
                 64,
-                Duration.ofMinutes(1));
+                Duration.ofMinutes(1),
+                false);
     }
 
     /** Returns these settings with other limits. */
     public JobSettings withLimits(JobLimits other) {
         return new JobSettings(
-                other, retry, retention, receiving, minLease, maxLease, lotTime, maxLot, advance);
+                other,
+                retry,
+                retention,
+                receiving,
+                minLease,
+                maxLease,
+                lotTime,
+                maxLot,
+                advance,
+                steadyTime);
     }
 
     /** Returns these settings with another retention. */
     public JobSettings withRetention(Duration other) {
         return new JobSettings(
-                limits, retry, other, receiving, minLease, maxLease, lotTime, maxLot, advance);
+                limits,
+                retry,
+                other,
+                receiving,
+                minLease,
+                maxLease,
+                lotTime,
+                maxLot,
+                advance,
+                steadyTime);
     }
 
     /** Returns these settings with another size of lots. */
     public JobSettings withLots(Duration time, int most) {
         return new JobSettings(
-                limits, retry, retention, receiving, minLease, maxLease, time, most, advance);
+                limits,
+                retry,
+                retention,
+                receiving,
+                minLease,
+                maxLease,
+                time,
+                most,
+                advance,
+                steadyTime);
     }
 
     /** Returns these settings with another advance. */
     public JobSettings withAdvance(Duration other) {
         return new JobSettings(
-                limits, retry, retention, receiving, minLease, maxLease, lotTime, maxLot, other);
+                limits,
+                retry,
+                retention,
+                receiving,
+                minLease,
+                maxLease,
+                lotTime,
+                maxLot,
+                other,
+                steadyTime);
     }
 }
--- a/src/main/java/org/coltsfootproxy/job/JobShelf.java
+++ b/src/main/java/org/coltsfootproxy/job/JobShelf.java
@@ -26,6 +26,7 @@
     private long mTerm;
     private long mLastNumber;
     private long mBytes;
+    private long mLastMillis;
 
     private static final class Usage {
         private final Map<JobId, LedgerJob> mJobs = new LinkedHashMap<>();
@@ -40,10 +41,11 @@
     }
 
     /** Returns a shelf as a snapshot tells it; its jobs are still to be restored. */
-    static JobShelf restore(long term, long lastNumber) {
+    static JobShelf restore(long term, long lastNumber, long lastMillis) {
         JobShelf shelf = new JobShelf();
         shelf.mTerm = term;
         shelf.mLastNumber = lastNumber;
+        shelf.mLastMillis = lastMillis;
         return shelf;
     }
 
@@ -55,6 +57,15 @@
         return mLastNumber;
     }
 
+    /** Notes the time that a command brings. */
+    void sawTime(long epochMillis) {
+        mLastMillis = Math.max(mLastMillis, epochMillis);
+    }
+
+    long lastMillis() {
+        return mLastMillis;
+    }
+
     long nextTerm() {
         return ++mTerm;
     }
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -56,7 +56,7 @@
         for (var service : mState.takeFreshWork()) {
             mState.table()
                     .sessions()
-                    .filter(s -> s.pull() != null && s.pull().service().equals(service))
+                    .filter(s -> s.pull() != null && s.pull().service().covers(service))
                     .toList()
                     .forEach(this::serve);
         }
@@ -141,6 +141,7 @@
         return new LeasedItem(
                 ref,
                 job.organisation().value(),
+                job.spec().service(),
                 job.spec().repeatable(),
                 job.spec().method(),
                 job.spec().path(),
--- a/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
@@ -15,7 +15,7 @@
  * <p>Items are written field by field, so that the time is that of copying their payloads.
  */
 final class LedgerSnapshot {
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
     private static final ItemState[] STATES = ItemState.values();
     private static final ObjectMapper HEADS = new ObjectMapper(new MessagePackFactory());
 
@@ -24,6 +24,7 @@
     static byte[] encode(JobShelf shelf) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packInt(VERSION).packLong(shelf.term()).packLong(shelf.lastNumber());
+            packer.packLong(shelf.lastMillis());
             packer.packInt(shelf.size());
             for (LedgerJob job : (Iterable<LedgerJob>) shelf.jobs()::iterator) {
                 encode(job, packer);
@@ -44,6 +45,10 @@
             encode(items.trouble(i), packer);
             encode(items.run(i), packer);
         }
+        packer.packInt(items.ended());
+        for (int position = 0; position < items.ended(); position++) {
+            packer.packInt(items.endedAt(position));
+        }
     }
 
     private static void encode(ItemTable.Trouble trouble, MessageBufferPacker packer)
@@ -74,7 +79,9 @@
             if (version != VERSION) {
                 throw new IllegalStateException("unknown version of the job ledger " + version);
             }
-            JobShelf shelf = JobShelf.restore(unpacker.unpackLong(), unpacker.unpackLong());
+            JobShelf shelf =
+                    JobShelf.restore(
+                            unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
             int jobs = unpacker.unpackInt();
             for (int i = 0; i < jobs; i++) {
                 shelf.put(decodeJob(unpacker));
@@ -96,6 +103,10 @@
             ItemTable.Trouble trouble = decodeTrouble(unpacker);
             job.items().restore(state, hash, payload, trouble, decodeRun(unpacker));
         }
+        int ended = unpacker.unpackInt();
+        for (int position = 0; position < ended; position++) {
+            job.items().restoreEnded(unpacker.unpackInt());
+        }
         return job;
     }
 
--- a/src/main/java/org/coltsfootproxy/job/StepClock.java
+++ b/src/main/java/org/coltsfootproxy/job/StepClock.java
@@ -15,6 +15,7 @@
     private final EpochClock mEpochClock;
     private final List<Effect> mEffects = new ArrayList<>();
     private long mNowNanos;
+    private long mOffsetMillis;
 
     StepClock(EpochClock epochClock) {
         mEpochClock = epochClock;
@@ -29,7 +30,12 @@
     }
 
     long epochMillis() {
-        return mEpochClock.epochMillis(mNowNanos);
+        return mEpochClock.epochMillis(mNowNanos) + mOffsetMillis;
+    }
+
+    /** Has time go on from the given one. */
+    void continueFrom(long epochMillis) {
+        mOffsetMillis = epochMillis - mEpochClock.epochMillis(mNowNanos);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/message/JobMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/JobMessage.java
@@ -107,6 +107,22 @@
             byte[] result)
             implements Ask {}
 
+    /**
+     * Asks for the results of items in the order in which the items ended.
+     *
+     * @param from position from which on results are wanted, from 0
+     * @param waitMillis how long the answer may wait for a first result
+     */
+    @WireCode(609)
+    record AskEnded(
+            int group, long call, OrganisationId organisation, JobId job, int from, long waitMillis)
+            implements Ask {}
+
+    /** Asks for the body of an item that has not ended. */
+    @WireCode(610)
+    record AskBody(int group, long call, OrganisationId organisation, JobId job, String item)
+            implements Ask {}
+
     /** Control to entry: the order is committed, or the status asked for. */
     @WireCode(620)
     record Status(int group, long call, JobStatus status) implements Answer {}
@@ -148,6 +164,20 @@
             HostId leader)
             implements Answer {}
 
+    /**
+     * Results in the order in which items ended.
+     *
+     * @param total number of items of the job
+     * @param from position of the first result
+     */
+    @WireCode(624)
+    record Ended(int group, long call, int total, int from, List<ItemResult> results)
+            implements Answer {}
+
+    /** The body of an item. */
+    @WireCode(625)
+    record Body(int group, long call, byte[] body) implements Answer {}
+
     /** Agent to control. */
     sealed interface FromAgent extends JobMessage {
         /** Returns the agent's life; a new life owns no lease of an earlier one. */
@@ -185,10 +215,13 @@
     record Report(int group, Incarnation incarnation, List<ItemReport> reports)
             implements FromAgent {}
 
+    /** What the leader tells a host that runs items. */
+    sealed interface ToAgent extends JobMessage {}
+
     /** Control to agent: a lot of items. */
     @WireCode(640)
     record Lot(int group, long sequence, long leaseMillis, List<LeasedItem> items)
-            implements JobMessage {}
+            implements ToAgent {}
 
     /**
      * Control to agent: leases are extended from when the renewal was sent.
@@ -197,7 +230,7 @@
      */
     @WireCode(641)
     record Renewed(int group, long sequence, long leaseMillis, List<LeaseRef> lost)
-            implements JobMessage {}
+            implements ToAgent {}
 
     /**
      * Control to agent: the durable start is committed.
@@ -206,19 +239,18 @@
      * @param refused items that may not run under these leases
      */
     @WireCode(642)
-    record Started(int group, List<LeaseRef> granted, List<LeaseRef> refused)
-            implements JobMessage {}
+    record Started(int group, List<LeaseRef> granted, List<LeaseRef> refused) implements ToAgent {}
 
     /** Control to agent: reports are committed, or will never be. */
     @WireCode(643)
-    record Reported(int group, List<Settled> settled) implements JobMessage {
+    record Reported(int group, List<Settled> settled) implements ToAgent {
         /** Verdict on the report of one lease. */
         public record Settled(LeaseRef lease, ReportVerdict verdict) {}
     }
 
     /** Control to agent: stop these items; their results would be dropped. */
     @WireCode(644)
-    record Revoke(int group, List<LeaseRef> leases) implements JobMessage {}
+    record Revoke(int group, List<LeaseRef> leases) implements ToAgent {}
 
     /**
      * Control to agent: not here, or not now.
@@ -227,5 +259,5 @@
      * @param retryAfterMillis time to wait before trying this host again
      */
     @WireCode(645)
-    record Redirect(int group, HostId leader, long retryAfterMillis) implements JobMessage {}
+    record Redirect(int group, HostId leader, long retryAfterMillis) implements ToAgent {}
 }
--- a/src/main/java/org/coltsfootproxy/message/JobSpec.java
+++ b/src/main/java/org/coltsfootproxy/message/JobSpec.java
@@ -14,9 +14,11 @@
  * @param path path of each item's call
  * @param repeatable whether a second run of an item would do no harm
  * @param timeoutMillis longest time for one call
- * @param deadlineEpochMillis when the job is due, in milliseconds since 1970
+ * @param deadlineEpochMillis when the job is due, in milliseconds since 1970; if the deadline as
+ *     given is {@link #RELATIVE}, milliseconds since submission until the job is accepted
  * @param deadlineAsGiven the deadline as the caller wrote it; a resend is compared by it
  * @param items number of items, at least 1
+ * @param maxAttempts failed attempts after which an item is given up; 0 for the fleet's own number
  */
 public record JobSpec(
         JobId id,
@@ -27,7 +29,11 @@
         long timeoutMillis,
         long deadlineEpochMillis,
         String deadlineAsGiven,
-        int items) {
+        int items,
+        int maxAttempts) {
+    /** Stands for a deadline that is a time after submission and isn't compared. */
+    public static final String RELATIVE = "+";
+
     /** Checks the parts. */
     public JobSpec {
         checkNotNull(id, "job id is missing");
@@ -37,6 +43,49 @@
         checkNotNull(deadlineAsGiven, "deadline is missing");
         checkArgument(items > 0, "number of items %s is below 1", items);
         checkArgument(timeoutMillis > 0, "timeout %s ms is not above 0", timeoutMillis);
+        checkArgument(maxAttempts >= 0, "maxAttempts %s is below 0", maxAttempts);
+    }
+
+    /** Returns a specification whose items have the fleet's own number of attempts. */
+    public static JobSpec of(
+            JobId id,
+            ServiceId service,
+            String method,
+            String path,
+            boolean repeatable,
+            long timeoutMillis,
+            long deadlineEpochMillis,
+            String deadlineAsGiven,
+            int items) {
+        return new JobSpec(
+                id,
+                service,
+                method,
+                path,
+                repeatable,
+                timeoutMillis,
+                deadlineEpochMillis,
+                deadlineAsGiven,
+                items,
+                0);
+    }
+
+    /** Returns this specification as submitted at the given time. */
+    public JobSpec submittedAt(long epochMillis) {
+        if (!deadlineAsGiven.equals(RELATIVE)) {
+            return this;
+        }
+        return new JobSpec(
+                id,
+                service,
+                method,
+                path,
+                repeatable,
+                timeoutMillis,
+                epochMillis + deadlineEpochMillis,
+                deadlineAsGiven,
+                items,
+                maxAttempts);
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/message/LeasedItem.java
+++ b/src/main/java/org/coltsfootproxy/message/LeasedItem.java
@@ -1,5 +1,7 @@
 package org.coltsfootproxy.message;
 
+import org.coltsfootproxy.base.ServiceId;
+
 /**
  * An item that an agent holds a lease of.
  *
@@ -9,6 +11,7 @@
 public record LeasedItem(
         LeaseRef lease,
         String organisation,
+        ServiceId service,
         boolean repeatable,
         String method,
         String path,
--- a/src/main/java/org/coltsfootproxy/message/Message.java
+++ b/src/main/java/org/coltsfootproxy/message/Message.java
@@ -5,10 +5,17 @@
  *
  * <p>Messages are immutable records; each has a {@link org.coltsfootproxy.base.WireCode}: 100-199
  * for {@link CallMessage}, 200-299 for {@link RaftMessage}, 300-399 for {@link ConfigMessage},
- * 400-499 for {@link LimitMessage} and 600-699 for {@link JobMessage}.
+ * 400-449 for {@link LimitMessage}, 450-499 for {@link OwnerMessage}, 600-699 for {@link
+ * JobMessage} and 700-799 for {@link FleetMessage}.
  */
 public sealed interface Message
-        permits CallMessage, RaftMessage, ConfigMessage, LimitMessage, OwnerMessage, JobMessage {
+        permits CallMessage,
+                RaftMessage,
+                ConfigMessage,
+                LimitMessage,
+                OwnerMessage,
+                JobMessage,
+                FleetMessage {
     /** Returns the connection that the message takes. */
     Lane lane();
 }
--- a/src/main/java/org/coltsfootproxy/net/AnswerCheck.java
+++ b/src/main/java/org/coltsfootproxy/net/AnswerCheck.java
@@ -8,8 +8,8 @@
 /**
  * Decides whether the head of a target's answer says how the answer ends.
  *
- * <p>An answer that ends with its connection can't be told from one that broke off, so it is
- * refused.
+ * <p>An answer that ends with its connection can hardly be told from one that broke off, so it is
+ * refused unless the target is known to send such answers.
  */
 final class AnswerCheck {
     private static final int NO_CONTENT = 204;
@@ -17,8 +17,12 @@
 
     private AnswerCheck() {}
 
-    /** Returns what is wrong with the head of an answer to {@code method}, or empty. */
-    static Optional<String> fault(HttpResponse head, String method) {
+    /**
+     * Returns what is wrong with the head of an answer to {@code method}, or empty.
+     *
+     * @param endsByClosing whether an answer without a length may end with its connection
+     */
+    static Optional<String> fault(HttpResponse head, String method, boolean endsByClosing) {
         List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         List<String> lengths = head.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
         if (!codings.isEmpty() && !lengths.isEmpty()) {
@@ -31,7 +35,7 @@
         if (!codings.isEmpty() && !chunked) {
             return Optional.of("answer with Transfer-Encoding other than chunked");
         }
-        return chunked || lengths.size() == 1
+        return chunked || lengths.size() == 1 || endsByClosing && lengths.isEmpty()
                 ? Optional.empty()
                 : Optional.of("answer without Content-Length or chunks");
     }
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/net/FleetTargetClient.java
@@ -0,0 +1,93 @@
+package org.coltsfootproxy.net;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Function;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.Ran;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Input;
+
+/**
+ * The HTTP/1.1 client towards many targets that come and go, on one event loop.
+ *
+ * <p>Each call ends as those of a {@link TargetClient} do. Pools of addresses without connections
+ * are dropped. The methods may be called by any thread.
+ */
+public final class FleetTargetClient implements AutoCloseable {
+    /** Pools above which those without connections are dropped. */
+    private static final int MAX_UNUSED_POOLS = 64;
+
+    private final EventLoopGroup mLoops = Loops.create("targets", 1);
+    private final EventLoop mLoop = mLoops.next();
+    private final Function<String, TargetClientSettings> mSettings;
+    private final InputSink mSink;
+    private final NetEvents mEvents;
+    private final Map<String, TargetPool> mPools = new HashMap<>();
+
+    private FleetTargetClient(
+            Function<String, TargetClientSettings> settings, InputSink sink, NetEvents events) {
+        mSettings = checkNotNull(settings, "settings");
+        mSink = checkNotNull(sink, "sink");
+        mEvents = checkNotNull(events, "events");
+    }
+
+    /**
+     * Returns a client without connections.
+     *
+     * @param settings settings of all targets, whose address is replaced by that of a call
+     */
+    public static FleetTargetClient create(
+            TargetClientSettings settings, InputSink sink, NetEvents events) {
+        checkNotNull(settings, "settings");
+        return new FleetTargetClient(address -> settings.at(parse(address)), sink, events);
+    }
+
+    private static InetSocketAddress parse(String address) {
+        HostAndPort parts = HostAndPort.fromString(address);
+        return new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort());
+    }
+
+    /** Sends a call to the target at its address. */
+    public void carryOut(Effect.CallTarget call) {
+        mLoop.execute(() -> start(call));
+    }
+
+    private void start(Effect.CallTarget call) {
+        try {
+            TargetPool pool = mPools.computeIfAbsent(call.address(), this::newPool);
+            pool.call(call.call());
+        } catch (IllegalArgumentException e) {
+            Input failed =
+                    new Input.TargetFailed(
+                            call.call().call(), ErrorKind.TARGET_FAILED, Ran.NO, e.getMessage());
+            Intake.of(mLoop, mSink).offer(failed);
+        }
+    }
+
+    private TargetPool newPool(String address) {
+        if (mPools.size() >= MAX_UNUSED_POOLS) {
+            mPools.values().removeIf(TargetPool::isUnused);
+        }
+        return TargetPool.create(mLoop, mSettings.apply(address), mSink, mEvents);
+    }
+
+    /** Gives up a call and closes the connection that carries it. */
+    public void carryOut(Effect.TargetCancel cancel) {
+        mLoop.execute(() -> mPools.values().forEach(pool -> pool.cancel(cancel.call())));
+    }
+
+    /** Closes all connections; calls that have not ended get no further input. */
+    @Override
+    public void close() {
+        mLoop.submit(() -> mPools.values().forEach(TargetPool::closeNow)).awaitUninterruptibly();
+        Loops.stop(mLoops);
+    }
+}
--- a/src/main/java/org/coltsfootproxy/net/HttpFrontSettings.java
+++ b/src/main/java/org/coltsfootproxy/net/HttpFrontSettings.java
@@ -85,6 +85,22 @@
                 threads);
     }
 
+    /** Returns these settings with another number of threads. */
+    public HttpFrontSettings withThreads(int number) {
+        return new HttpFrontSettings(
+                address,
+                maxBodyBytes,
+                maxHeaderBytes,
+                maxHeaders,
+                maxConnections,
+                headTimeout,
+                bodyTimeout,
+                idleTimeout,
+                maxUnsentBytes,
+                stallTimeout,
+                number);
+    }
+
     /** Returns these settings with another time for heads, bodies and idle connections. */
     public HttpFrontSettings withTimeouts(Duration head, Duration body, Duration idle) {
         return new HttpFrontSettings(
--- a/src/main/java/org/coltsfootproxy/net/PeerSettings.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerSettings.java
@@ -3,7 +3,10 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.OptionalInt;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 
@@ -15,6 +18,7 @@
  * @param address where to listen; port 0 lets the system choose
  * @param secret the secret that all hosts of the fleet share, at least 16 bytes
  * @param maxFrameBytes most bytes of one message
+ * @param fleetPort port of all peers in a fleet whose hosts are named by IP numbers
  * @param maxUnsentBytes most bytes that wait for one peer in one lane
  */
 public record PeerSettings(
@@ -23,7 +27,8 @@
         InetSocketAddress address,
         byte[] secret,
         int maxFrameBytes,
-        long maxUnsentBytes) {
+        long maxUnsentBytes,
+        OptionalInt fleetPort) {
     /** Fewest bytes of a secret. */
     public static final int MIN_SECRET_BYTES = 16;
 
@@ -54,11 +59,35 @@
                 address,
                 secret,
                 DEFAULT_MAX_FRAME_BYTES,
-                DEFAULT_MAX_UNSENT_BYTES);
+                DEFAULT_MAX_UNSENT_BYTES,
+                OptionalInt.empty());
     }
 
     /** Returns these settings with other bounds. */
     public PeerSettings withBounds(int frameBytes, long unsentBytes) {
-        return new PeerSettings(host, incarnation, address, secret, frameBytes, unsentBytes);
+        return new PeerSettings(
+                host, incarnation, address, secret, frameBytes, unsentBytes, fleetPort);
+    }
+
+    /** Returns these settings for a fleet whose hosts are named by IP numbers and share a port. */
+    public PeerSettings withFleetPort(int port) {
+        return new PeerSettings(
+                host,
+                incarnation,
+                address,
+                secret,
+                maxFrameBytes,
+                maxUnsentBytes,
+                OptionalInt.of(port));
+    }
+
+    /** Returns the address of a host of which nothing but the name is known. */
+    Optional<InetSocketAddress> addressOf(HostId other) {
+        boolean isKnown = fleetPort.isPresent() && InetAddresses.isInetAddress(other.value());
+        return isKnown
+                ? Optional.of(
+                        new InetSocketAddress(
+                                InetAddresses.forString(other.value()), fleetPort.getAsInt()))
+                : Optional.empty();
     }
 }
--- a/src/main/java/org/coltsfootproxy/net/PeerTransport.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerTransport.java
@@ -93,9 +93,13 @@
     }
 
     private PeerLink link(HostId host, Lane lane) {
-        return mLinks.computeIfAbsent(
-                new LinkKey(host, lane),
-                k -> PeerLink.create(mContext, host, lane, mLoops.get(lane)));
+        return mLinks.computeIfAbsent(new LinkKey(host, lane), k -> newLink(host, lane));
+    }
+
+    private PeerLink newLink(HostId host, Lane lane) {
+        PeerLink link = PeerLink.create(mContext, host, lane, mLoops.get(lane));
+        mSettings.addressOf(host).ifPresent(link::address);
+        return link;
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/net/TargetClient.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetClient.java
@@ -2,7 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.node.Effect;
@@ -16,6 +20,7 @@
  * connections and event loops of their own. The methods may be called by any thread.
  */
 public final class TargetClient implements AutoCloseable {
+    private final List<EventLoopGroup> mLoops = new ArrayList<>();
     private final Map<TrafficClass, TargetPool> mPools = new EnumMap<>(TrafficClass.class);
 
     private TargetClient(TargetClientSettings settings, InputSink sink, NetEvents events) {
@@ -23,7 +28,10 @@
         checkNotNull(sink, "sink");
         checkNotNull(events, "events");
         for (TrafficClass trafficClass : TrafficClass.values()) {
-            mPools.put(trafficClass, TargetPool.create(trafficClass, settings, sink, events));
+            String duty = "target-" + trafficClass.name().toLowerCase(Locale.ROOT);
+            EventLoopGroup loops = Loops.create(duty, 1);
+            mLoops.add(loops);
+            mPools.put(trafficClass, TargetPool.create(loops.next(), settings, sink, events));
         }
     }
 
@@ -47,5 +55,6 @@
     @Override
     public void close() {
         mPools.values().forEach(TargetPool::close);
+        mLoops.forEach(Loops::stop);
     }
 }
--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
@@ -39,6 +40,8 @@
     private boolean mKeepAlive;
     private boolean mWritten;
     private boolean mAnswerEnded;
+    private boolean mIsForeign;
+    private OptionalLong mKeepAliveNanos = OptionalLong.empty();
     private ScheduledFuture<?> mIdleTimer;
 
     TargetConnection(TargetPool pool, Channel channel, AnswerDecoder decoder) {
@@ -59,8 +62,11 @@
         mTask = task;
         mAnswerEnded = false;
         mInterim = false;
+        mIsForeign = false;
         task.carriedBy(this);
-        FullHttpRequest request = TargetRequests.encode(task.request(), mPool.hostField());
+        FullHttpRequest request =
+                TargetRequests.encode(
+                        task.request(), mPool.hostField(), mPool.dialect().keepsHost());
         mDecoder.expect(task.request().method().equals("HEAD"));
         task.advance(TargetTask.Step.SENT);
         mWritten = false;
@@ -106,13 +112,27 @@
             return;
         }
         if (message instanceof HttpResponse head) {
-            readHead(head);
+            mIsForeign = isForeign(head);
+            if (mIsForeign) {
+                mPool.events().log(EventCode.TARGET_UNSOLICITED, mPool.hostField());
+            } else {
+                readHead(head);
+            }
         }
-        if (mTask != null && message instanceof HttpContent content) {
+        if (mTask != null && !mIsForeign && message instanceof HttpContent content) {
             readContent(content);
         }
     }
 
+    /** Tells whether an answer belongs to another call, one that was given up or sent twice. */
+    private boolean isForeign(HttpResponse head) {
+        return mPool.dialect()
+                .correlationHeader()
+                .filter(name -> head.headers().contains(name))
+                .filter(name -> !mTask.request().hasHeader(name, head.headers().get(name)))
+                .isPresent();
+    }
+
     private void readHead(HttpResponse head) {
         mInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (head.status().code() == SWITCHING_PROTOCOLS) {
@@ -122,17 +142,28 @@
             return;
         }
         mTask.advance(TargetTask.Step.ANSWERED);
-        Optional<String> fault = AnswerCheck.fault(head, mTask.request().method());
+        Optional<String> fault =
+                AnswerCheck.fault(head, mTask.request().method(), mPool.dialect().endsByClosing());
         if (fault.isPresent()) {
             fail(ErrorKind.TARGET_FAILED, fault.get());
             return;
         }
-        mKeepAlive = HttpUtil.isKeepAlive(head);
+        mKeepAlive = HttpUtil.isKeepAlive(head) && isFramed(head);
+        mKeepAliveNanos = KeepAlive.nanos(head.headers().get("keep-alive"));
         mIntake.offer(
                 new Input.TargetHead(
                         mTask.call(), head.status().code(), HopByHop.endToEnd(head.headers())));
     }
 
+    private static boolean isFramed(HttpResponse head) {
+        return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+    }
+
+    /** Returns how long the target keeps the connection unused, if its last answer said so. */
+    OptionalLong keepAliveNanos() {
+        return mKeepAliveNanos;
+    }
+
     private void readContent(HttpContent content) {
         if (mInterim) {
             return;
--- a/src/main/java/org/coltsfootproxy/net/TargetPool.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetPool.java
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -17,24 +17,22 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.Ran;
-import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Input;
 
-/** The connections of one traffic class to the target, on one event loop of their own. */
+/** The connections to one target, on one event loop. */
 final class TargetPool {
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     private final TargetClientSettings mSettings;
     private final InputSink mSink;
     private final NetEvents mEvents;
-    private final EventLoopGroup mLoops;
+    private final EventLoop mLoop;
     private final String mHostField;
     private final Deque<TargetConnection> mIdle = new ArrayDeque<>();
     private final Set<TargetConnection> mOpen = new HashSet<>();
@@ -43,15 +41,12 @@
     private int mConnecting;
 
     private TargetPool(
-            TrafficClass trafficClass,
-            TargetClientSettings settings,
-            InputSink sink,
-            NetEvents events) {
+            EventLoop loop, TargetClientSettings settings, InputSink sink, NetEvents events) {
         mSettings = settings;
         mSink = sink;
         mEvents = events;
-        mLoops = Loops.create("target-" + trafficClass.name().toLowerCase(Locale.ROOT), 1);
-        mIntake = Intake.of(mLoops.next(), sink);
+        mLoop = loop;
+        mIntake = Intake.of(loop, sink);
         mHostField =
                 HostAndPort.fromParts(
                                 settings.address().getAddress().getHostAddress(),
@@ -61,31 +56,33 @@
 
     /** Returns a pool without connections. */
     static TargetPool create(
-            TrafficClass trafficClass,
-            TargetClientSettings settings,
-            InputSink sink,
-            NetEvents events) {
-        return new TargetPool(trafficClass, settings, sink, events);
+            EventLoop loop, TargetClientSettings settings, InputSink sink, NetEvents events) {
+        return new TargetPool(loop, settings, sink, events);
     }
 
     /** Sends a call. Any thread. */
     void call(Effect.TargetCall call) {
-        mLoops.next().execute(() -> start(TargetTask.of(call)));
+        onLoop(() -> start(TargetTask.of(call)));
+    }
+
+    private void onLoop(Runnable task) {
+        if (mLoop.inEventLoop()) {
+            task.run();
+        } else {
+            mLoop.execute(task);
+        }
     }
 
     /** Gives up a call. Any thread. */
     void cancel(long call) {
-        mLoops.next().execute(() -> abandon(call));
+        onLoop(() -> abandon(call));
     }
 
     private void start(TargetTask task) {
         mTasks.put(task.call(), task);
         task.timer(
-                mLoops.next()
-                        .schedule(
-                                () -> timedOut(task),
-                                task.request().timeoutNanos(),
-                                TimeUnit.NANOSECONDS));
+                mLoop.schedule(
+                        () -> timedOut(task), task.request().timeoutNanos(), TimeUnit.NANOSECONDS));
         TargetConnection idle = takeIdle();
         if (idle != null) {
             begin(idle, task);
@@ -116,7 +113,7 @@
     private void connect(TargetTask task) {
         mConnecting++;
         new Bootstrap()
-                .group(mLoops)
+                .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(
@@ -185,19 +182,28 @@
         ended(task);
         task.abandon();
         if (ran == Ran.MAYBE) {
-            // What lost track of this connection may have lost track of the others as well.
-            List.copyOf(mIdle).forEach(TargetConnection::close);
-            mIdle.clear();
+            closeIdle();
         }
         mIntake.offer(
                 new Input.TargetFailed(
                         task.call(), ErrorKind.TARGET_TIMEOUT, ran, "no whole answer in time"));
     }
 
+    /** What lost track of one connection may have lost track of the others as well. */
+    private void closeIdle() {
+        List.copyOf(mIdle).forEach(TargetConnection::close);
+        mIdle.clear();
+    }
+
     private void abandon(long call) {
         TargetTask task = mTasks.remove(call);
-        if (task != null) {
-            task.abandon();
+        if (task == null) {
+            return;
+        }
+        boolean isUnanswered = task.step().ran() == Ran.MAYBE;
+        task.abandon();
+        if (isUnanswered) {
+            closeIdle();
         }
     }
 
@@ -210,10 +216,14 @@
     void release(TargetConnection connection) {
         if (connection.isUsable()) {
             mIdle.addFirst(connection);
-            connection.idle(mSettings.idleTimeout().toNanos());
+            connection.idle(connection.keepAliveNanos().orElse(mSettings.idleTimeout().toNanos()));
         }
     }
 
+    TargetDialect dialect() {
+        return mSettings.dialect();
+    }
+
     /** Forgets a closed connection. */
     void closed(TargetConnection connection) {
         mOpen.remove(connection);
@@ -222,10 +232,17 @@
 
     /** Closes all connections. Any thread. */
     void close() {
-        mLoops.next()
-                .submit(() -> new ArrayList<>(mOpen).forEach(TargetConnection::close))
-                .awaitUninterruptibly();
-        Loops.stop(mLoops);
+        mLoop.submit(this::closeNow).awaitUninterruptibly();
+    }
+
+    /** Closes all connections. Only on the loop. */
+    void closeNow() {
+        new ArrayList<>(mOpen).forEach(TargetConnection::close);
+    }
+
+    /** Tells whether there is neither a connection nor a call. Only on the loop. */
+    boolean isUnused() {
+        return mOpen.isEmpty() && mConnecting == 0 && mTasks.isEmpty();
     }
 
     InputSink sink() {
--- a/src/main/java/org/coltsfootproxy/net/TargetRequests.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetRequests.java
@@ -21,7 +21,7 @@
      *
      * @throws IllegalArgumentException if a field can't be sent
      */
-    static FullHttpRequest encode(Effect.TargetCall call, String host) {
+    static FullHttpRequest encode(Effect.TargetCall call, String host, boolean keepsHost) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -30,7 +30,9 @@
                         Unpooled.wrappedBuffer(call.body()));
         HttpHeaders headers = request.headers();
         HopByHop.endToEnd(call.headers()).forEach(h -> headers.add(h.name(), h.value()));
-        headers.set(HttpHeaderNames.HOST, host);
+        if (!keepsHost || !headers.contains(HttpHeaderNames.HOST)) {
+            headers.set(HttpHeaderNames.HOST, host);
+        }
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (call.body().length > 0 || METHODS_WITH_BODY.contains(call.method())) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
--- a/src/main/java/org/coltsfootproxy/node/Effect.java
+++ b/src/main/java/org/coltsfootproxy/node/Effect.java
@@ -47,7 +47,20 @@
             List<Header> headers,
             byte[] body,
             long timeoutNanos)
-            implements Effect {}
+            implements Effect {
+        /** Tells whether the call carries a header with the given value. */
+        public boolean hasHeader(String name, String value) {
+            return headers.stream()
+                    .anyMatch(h -> h.name().equalsIgnoreCase(name) && h.value().equals(value));
+        }
+    }
+
+    /**
+     * Call one of many targets.
+     *
+     * @param address IP number and port of the target
+     */
+    record CallTarget(String address, TargetCall call) implements Effect {}
 
     /** Give up a call to the target and close its connection; no input follows. */
     record TargetCancel(long call) implements Effect {}
@@ -55,6 +68,14 @@
     /** Write to the store of a replicated log's group and report it by token once synced. */
     record Persist(int group, long token, StoreWrite write) implements Effect {}
 
+    /** Write an event with named values, such as the inputs and outcome of a decision. */
+    record LogFields(EventCode code, List<LogField> fields) implements Effect {
+        /** Copies the list. */
+        public LogFields {
+            fields = List.copyOf(fields);
+        }
+    }
+
     /** Log an event. */
     record Log(EventCode code, String detail) implements Effect {}
 
--- a/src/main/java/org/coltsfootproxy/node/Effects.java
+++ b/src/main/java/org/coltsfootproxy/node/Effects.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.node;
 
+import java.util.List;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Metric;
@@ -21,6 +22,11 @@
         add(new Effect.Log(code, detail));
     }
 
+    /** Writes an event with named values. */
+    default void log(EventCode code, LogField... fields) {
+        add(new Effect.LogFields(code, List.of(fields)));
+    }
+
     /** Adds {@link Effect.Measure}. */
     default void measure(Metric metric, String organisation, String trafficClass, double value) {
         add(new Effect.Measure(metric, organisation, trafficClass, value));
--- a/src/main/java/org/coltsfootproxy/node/Input.java
+++ b/src/main/java/org/coltsfootproxy/node/Input.java
@@ -68,6 +68,21 @@
     /** The platform's list of hosts could not be read. */
     record HostsUnreadable(String detail) implements Input {}
 
+    /** The settings name other seeds. */
+    record SeedsChanged(List<HostId> seeds) implements Input {
+        /** Copies the list. */
+        public SeedsChanged {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
+    /**
+     * The clocks of this host moved apart: it may have stood still while other hosts went on.
+     *
+     * @param nanos how far the time of day moved more than the monotonic clock
+     */
+    record ClockJumped(long nanos) implements Input {}
+
     /** A planned stop begins: take no new work, finish what runs. */
     record PlannedStop() implements Input {}
 }
--- a/src/main/java/org/coltsfootproxy/node/Problem.java
+++ b/src/main/java/org/coltsfootproxy/node/Problem.java
@@ -16,9 +16,9 @@
  *
  * @param ran what is known about whether the request ran
  * @param detail what went wrong, for people
- * @param retryAfterSeconds value of {@code Retry-After}, or 0 for none
+ * @param retryAfterMillis when to come back, in milliseconds, or 0 for no advice
  */
-public record Problem(ErrorKind kind, Ran ran, String detail, long retryAfterSeconds) {
+public record Problem(ErrorKind kind, Ran ran, String detail, long retryAfterMillis) {
     /** The media type of the body. */
     public static final String MEDIA_TYPE = "application/problem+json";
 
@@ -40,14 +40,19 @@
     }
 
     /** Returns the same problem with a time after which to come back. */
-    public Problem withRetryAfterSeconds(long seconds) {
-        return new Problem(kind, ran, detail, seconds);
+    public Problem withRetryAfterMillis(long millis) {
+        return new Problem(kind, ran, detail, millis);
     }
 
     /** Answers a call with this problem. */
     public void answer(long call, Effects out) {
+        answer(call, RetryAfter.WHOLE_SECONDS, out);
+    }
+
+    /** Answers a call with this problem, with the time to come back in the given format. */
+    public void answer(long call, RetryAfter format, Effects out) {
         byte[] body = body();
-        out.add(new Effect.HttpHead(call, kind.status(), headers(body.length)));
+        out.add(new Effect.HttpHead(call, kind.status(), headers(body.length, format)));
         out.add(new Effect.HttpChunk(call, body));
         out.add(new Effect.HttpEnd(call));
     }
@@ -70,11 +75,15 @@
 
     /** Returns the header fields of an answer whose body has {@code length} bytes. */
     public List<Header> headers(int length) {
+        return headers(length, RetryAfter.WHOLE_SECONDS);
+    }
+
+    private List<Header> headers(int length, RetryAfter format) {
         List<Header> headers = new ArrayList<>();
         headers.add(Header.of("Content-Type", MEDIA_TYPE));
         headers.add(Header.of("Content-Length", Integer.toString(length)));
-        if (retryAfterSeconds > 0) {
-            headers.add(Header.of("Retry-After", Long.toString(retryAfterSeconds)));
+        if (retryAfterMillis > 0) {
+            headers.add(format.header(retryAfterMillis));
         }
         return headers;
     }
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformCallers.java
@@ -0,0 +1,180 @@
+package org.coltsfootproxy.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.JobId;
+import org.coltsfootproxy.base.Names;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.direct.CallerCall;
+import org.coltsfootproxy.direct.CallerProtocol;
+import org.coltsfootproxy.direct.JobSubmission;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.message.ItemResult;
+import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.JobMessage;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.RetryAfter;
+
+/** How the platform's callers speak to entries. */
+public final class PlatformCallers implements CallerProtocol {
+    /** Calls on batch jobs, which the platform calls lots. */
+    private static final String JOBS = "/coltsfootproxy/lots/";
+
+    private static final String BODIES = "/coltsfootproxy/items/";
+    private static final int MAX_ITEMS = 200;
+
+    /** Patience of a caller that states none, in milliseconds. */
+    private static final long DEFAULT_PATIENCE_MILLIS = 60_000;
+
+    /** Longest wait of a reader of results, in milliseconds. */
+    private static final long MAX_WAIT_MILLIS = 1_000;
+
+    @Override
+    public CallerCall read(Input.HttpCall call) throws ProxyException {
+        String path = call.path().split("\\?", 2)[0];
+        if (path.startsWith(JOBS)) {
+            return job(call, jobId(path.substring(JOBS.length())));
+        } else if (path.startsWith(BODIES) && call.method().equals("GET")) {
+            String item = query(call).getOrDefault("id", "");
+            return new CallerCall.ReadBody(jobId(path.substring(BODIES.length())), item);
+        }
+        String host = Wire.value(call.headers(), Wire.HOST).orElse("").replaceFirst(":\\d+$", "");
+        long patience = Wire.millis(call.headers(), Wire.DEADLINE_MS, DEFAULT_PATIENCE_MILLIS);
+        return new CallerCall.Forward(
+                host.toLowerCase(Locale.ROOT),
+                call.path(),
+                Wire.value(call.headers(), Wire.REQUEST_ID).orElse(""),
+                Math.max(1, patience));
+    }
+
+    private static CallerCall job(Input.HttpCall call, JobId job) throws ProxyException {
+        return switch (call.method()) {
+            case "GET" ->
+                    new CallerCall.ReadResults(
+                            job,
+                            position(query(call).getOrDefault("after", "0")),
+                            Math.min(
+                                    MAX_WAIT_MILLIS, Wire.millis(call.headers(), Wire.WAIT_MS, 0)));
+            case "DELETE" -> new CallerCall.EndJob(job);
+            default ->
+                    throw ProxyException.of(
+                            ErrorKind.METHOD_NOT_ALLOWED, call.method() + " is not allowed here");
+        };
+    }
+
+    private static JobId jobId(String name) throws ProxyException {
+        if (!Names.isValid(name)) {
+            throw ProxyException.of(ErrorKind.NOT_FOUND, "no job has the id '" + name + "'");
+        }
+        return JobId.of(name);
+    }
+
+    private static int position(String text) throws ProxyException {
+        try {
+            return Math.max(0, Integer.parseInt(text));
+        } catch (NumberFormatException e) {
+            throw Wire.malformed("'after' is not a position: " + text, e);
+        }
+    }
+
+    private static Map<String, String> query(Input.HttpCall call) throws ProxyException {
+        String[] parts = call.path().split("\\?", 2);
+        try {
+            return Stream.of(parts.length > 1 ? parts[1].split("&") : new String[0])
+                    .map(pair -> pair.split("=", 2))
+                    .filter(pair -> pair.length == 2)
+                    .collect(
+                            Collectors.toMap(
+                                    pair -> pair[0],
+                                    pair -> URLDecoder.decode(pair[1], StandardCharsets.UTF_8),
+                                    (first, second) -> first));
+        } catch (IllegalArgumentException e) {
+            throw Wire.malformed("the query can't be decoded: " + parts[1], e);
+        }
+    }
+
+    @Override
+    public JobSubmission readJob(Input.HttpCall call) throws ProxyException {
+        ErrorKind kind = ErrorKind.MALFORMED_REQUEST;
+        String id = Wire.value(call.headers(), Wire.REQUEST_ID).orElse("");
+        if (!Names.isValid(id)) {
+            throw ProxyException.of(kind, "job id '" + id + "' is not a valid name");
+        }
+        JsonNode list = Json.list(Json.object(call.body(), kind), "items", kind);
+        if (list.isEmpty() || list.size() > MAX_ITEMS) {
+            throw ProxyException.of(kind, "a job has 1 to " + MAX_ITEMS + " items");
+        }
+        Set<String> names = new HashSet<>();
+        List<JobSubmission.Item> items = new ArrayList<>();
+        for (JsonNode node : list) {
+            JobSubmission.Item item = item(call, node);
+            if (!names.add(item.id())) {
+                throw ProxyException.of(kind, "two items have the id " + item.id());
+            }
+            items.add(item);
+        }
+        return new JobSubmission(JobId.of(id), items);
+    }
+
+    private static JobSubmission.Item item(Input.HttpCall call, JsonNode node)
+            throws ProxyException {
+        ErrorKind kind = ErrorKind.MALFORMED_REQUEST;
+        String id = Json.text(node, "id", kind);
+        List<Header> headers = new ArrayList<>();
+        headers.add(
+                Header.of(Wire.HOST, Wire.value(call.headers(), Wire.HOST).orElse("localhost")));
+        headers.add(Header.of(Wire.REQUEST_ID, id));
+        node.path("headers")
+                .properties()
+                .forEach(h -> headers.add(Header.of(h.getKey(), h.getValue().asText())));
+        try {
+            byte[] body = Base64.getDecoder().decode(node.path("body").asText(""));
+            return new JobSubmission.Item(id, Json.text(node, "path", kind), headers, body);
+        } catch (IllegalArgumentException e) {
+            throw Wire.malformed("the body of item " + id + " is not base64", e);
+        }
+    }
+
+    @Override
+    public byte[] results(JobMessage.Ended ended) {
+        ObjectNode json = Json.MAPPER.createObjectNode();
+        json.put("total", ended.total());
+        json.put("next_token", ended.from() + ended.results().size());
+        var list = json.putArray("results");
+        ended.results().forEach(result -> list.add(result(result)));
+        try {
+            return Json.MAPPER.writeValueAsBytes(json);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("can't write results", e);
+        }
+    }
+
+    private static ObjectNode result(ItemResult result) {
+        boolean isDone = result.state() == ItemState.DONE;
+        ObjectNode json = Json.MAPPER.createObjectNode();
+        json.put("id", result.id());
+        json.put("state", isDone ? "complete" : "errored");
+        json.put("output", isDone ? new String(result.body(), StandardCharsets.UTF_8) : "");
+        return json;
+    }
+
+    /** The platform's callers understand fractions of a second. */
+    @Override
+    public RetryAfter retryAfter() {
+        return millis ->
+                Header.of("Retry-After", String.format(Locale.ROOT, "%.3f", millis / 1_000.0));
+    }
+}
--- a/src/main/java/org/coltsfootproxy/runtime/ControlRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/ControlRoleParts.java
@@ -13,10 +13,17 @@
 import org.coltsfootproxy.consensus.RecoveredState;
 import org.coltsfootproxy.control.ControlNode;
 import org.coltsfootproxy.control.ControlSettings;
+import org.coltsfootproxy.control.FleetParts;
 import org.coltsfootproxy.job.EpochClock;
 import org.coltsfootproxy.job.JobSettings;
+import org.coltsfootproxy.net.FleetTargetClient;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.net.NetEvents;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.platform.PlatformList;
+import org.coltsfootproxy.platform.PlatformOperators;
+import org.coltsfootproxy.platform.PlatformTargets;
 import org.coltsfootproxy.storage.DataFolder;
 import org.coltsfootproxy.storage.FileDisk;
 import org.coltsfootproxy.storage.LogStore;
@@ -26,14 +33,22 @@
     private final DataFolder mFolder;
     private final Node mNode;
     private final DiskDuty mDisk;
+    private final Optional<FleetTargetClient> mTargets;
 
-    private ControlRoleParts(DataFolder folder, Node node, DiskDuty disk) {
+    private ControlRoleParts(
+            DataFolder folder, Node node, DiskDuty disk, Optional<FleetTargetClient> targets) {
         mFolder = folder;
         mNode = node;
         mDisk = disk;
+        mTargets = targets;
     }
 
-    static ControlRoleParts create(Settings settings, Consumer<Input> toNode, Random random)
+    static ControlRoleParts create(
+            Settings settings,
+            InputSink toNode,
+            Consumer<Input> waitingToNode,
+            NetEvents events,
+            Random random)
             throws ProxyException {
         Settings.ControlRole role = settings.controlRole().orElseThrow();
         DataFolder folder = DataFolder.open(FileDisk.open(role.dataFolder()), random);
@@ -46,9 +61,25 @@
             recovered.add(store.recovered());
         }
         EpochClock clock = EpochClock.of(System.nanoTime(), System.currentTimeMillis());
-        Node node = ControlNode.create(control, recovered, clock, random);
-        DiskDuty disk = DiskDuty.create(settings.host() + "-disk", stores, toNode);
-        return new ControlRoleParts(folder, node, disk);
+        Optional<FleetParts> fleet = settings.fleet().map(f -> fleetParts(settings, f, role));
+        Node node = ControlNode.create(control, recovered, clock, random, fleet);
+        DiskDuty disk = DiskDuty.create(settings.host() + "-disk", stores, waitingToNode);
+        Optional<FleetTargetClient> targets =
+                fleet.map(parts -> TargetClients.create(parts.targets(), toNode, events));
+        return new ControlRoleParts(folder, node, disk, targets);
+    }
+
+    private static FleetParts fleetParts(
+            Settings settings, Settings.Fleet fleet, Settings.ControlRole role) {
+        return new FleetParts(
+                fleet.seedHosts(),
+                fleet.firstStart(),
+                FleetSettings.voters(fleet),
+                FleetSettings.addresses(settings),
+                role.targetList().orElseThrow(),
+                new PlatformOperators(),
+                new PlatformTargets(),
+                new PlatformList());
     }
 
     private static ControlSettings controlSettings(
@@ -57,10 +88,12 @@
                 settings.host(),
                 settings.dataCentre(),
                 incarnation,
-                Role.controlHosts(settings),
-                ConfigTiming.DEFAULT,
+                settings.fleet()
+                        .map(f -> FleetSettings.addresses(settings).controlHosts(f.seedHosts()))
+                        .orElseGet(() -> Role.controlHosts(settings)),
+                settings.fleet().map(FleetSettings::timing).orElse(ConfigTiming.DEFAULT),
                 role.operatorKeyDigest(),
-                settings.jobGroups(),
+                settings.fleet().isPresent() ? 0 : settings.jobGroups(),
                 role.replaceEmpty(),
                 JobSettings.defaults());
     }
@@ -85,6 +118,11 @@
         return Optional.of(mDisk);
     }
 
+    @Override
+    public Optional<FleetTargetClient> targets() {
+        return mTargets;
+    }
+
     @Override
     public void start() {
         mDisk.start();
@@ -92,6 +130,7 @@
 
     @Override
     public void close() throws InterruptedException {
+        mTargets.ifPresent(FleetTargetClient::close);
         mDisk.stop();
         mFolder.close();
     }
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleParts.java
@@ -0,0 +1,100 @@
+package org.coltsfootproxy.runtime;
+
+import java.util.Optional;
+import java.util.Random;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.direct.DirectEntryNode;
+import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.membership.PeerAddresses;
+import org.coltsfootproxy.message.FleetRole;
+import org.coltsfootproxy.net.FleetTargetClient;
+import org.coltsfootproxy.net.HttpFront;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.net.NetEvents;
+import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.platform.PlatformCallers;
+import org.coltsfootproxy.platform.PlatformTargets;
+
+/** The parts of an entry host that calls targets itself. */
+final class DirectEntryRoleParts implements Role {
+    private final Incarnation mIncarnation;
+    private final DirectEntryNode mNode;
+    private final HttpFront mFront;
+    private final FleetTargetClient mTargets;
+
+    private DirectEntryRoleParts(
+            Incarnation incarnation,
+            DirectEntryNode node,
+            HttpFront front,
+            FleetTargetClient targets) {
+        mIncarnation = incarnation;
+        mNode = node;
+        mFront = front;
+        mTargets = targets;
+    }
+
+    static DirectEntryRoleParts create(
+            Settings settings, InputSink toNode, NetEvents events, Random random) {
+        Settings.DirectEntryRole role = settings.directEntry().orElseThrow();
+        Settings.Fleet fleet = settings.fleet().orElseThrow();
+        PeerAddresses addresses = FleetSettings.addresses(settings);
+        PlatformTargets protocol = new PlatformTargets();
+        DirectEntryNode node =
+                DirectEntryNode.create(
+                        EntrySettings.of(settings.host(), settings.dataCentre()),
+                        new DirectEntryNode.Protocols(new PlatformCallers(), protocol),
+                        addresses,
+                        FleetSettings.subscriber(settings, fleet, random),
+                        FleetSettings.membership(settings, fleet, FleetRole.ENTRY),
+                        random);
+        HttpFront front =
+                HttpFront.create(
+                        HostProcess.frontSettings(role.callerAddress())
+                                .withMaxBodyBytes(role.maxBodyBytes())
+                                .withThreads(1),
+                        toNode,
+                        events);
+        return new DirectEntryRoleParts(
+                Role.newIncarnation(random),
+                node,
+                front,
+                TargetClients.create(protocol, toNode, events));
+    }
+
+    @Override
+    public Node node() {
+        return mNode;
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        return mIncarnation;
+    }
+
+    @Override
+    public boolean isReady() {
+        return mNode.isReady();
+    }
+
+    @Override
+    public Optional<HttpFront> front() {
+        return Optional.of(mFront);
+    }
+
+    @Override
+    public Optional<FleetTargetClient> targets() {
+        return Optional.of(mTargets);
+    }
+
+    @Override
+    public void start() throws ProxyException {
+        mFront.start();
+    }
+
+    @Override
+    public void close() {
+        mFront.close();
+        mTargets.close();
+    }
+}
--- a/src/main/java/org/coltsfootproxy/runtime/DiskDuty.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DiskDuty.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +39,7 @@
     private DiskDuty(String name, Map<Integer, LogStore> stores, Consumer<Input> node) {
         mStores = Map.copyOf(stores);
         mNode = checkNotNull(node, "node");
-        mGenerations = new AtomicIntegerArray(stores.size());
+        mGenerations = new AtomicIntegerArray(1 + Collections.max(stores.keySet()));
         mThread = new Thread(this::run, name);
         mRing.consumedBy(mThread);
     }
@@ -46,7 +47,7 @@
     /**
      * Returns the duty, not yet started.
      *
-     * @param stores the store of each group, numbered from 0 without gaps
+     * @param stores the store of each group by its number, at least one
      * @param node told what was synced and what failed; it may wait
      */
     static DiskDuty create(String name, Map<Integer, LogStore> stores, Consumer<Input> node) {
--- a/src/main/java/org/coltsfootproxy/runtime/EffectRouter.java
+++ b/src/main/java/org/coltsfootproxy/runtime/EffectRouter.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static com.google.common.base.Preconditions.checkState;
 
+import org.coltsfootproxy.net.FleetTargetClient;
 import org.coltsfootproxy.net.HttpFront;
 import org.coltsfootproxy.net.PeerTransport;
 import org.coltsfootproxy.net.TargetClient;
@@ -21,6 +22,7 @@
     private final HttpFront mFront;
     private final TargetClient mTarget;
     private final DiskDuty mDisk;
+    private final FleetTargetClient mTargets;
 
     private EffectRouter(
             PeerTransport peers,
@@ -28,13 +30,15 @@
             Metrics metrics,
             HttpFront front,
             TargetClient target,
-            DiskDuty disk) {
+            DiskDuty disk,
+            FleetTargetClient targets) {
         mPeers = checkNotNull(peers, "peers");
         mLog = checkNotNull(log, "log");
         mMetrics = checkNotNull(metrics, "metrics");
         mFront = front;
         mTarget = target;
         mDisk = disk;
+        mTargets = targets;
     }
 
     /**
@@ -43,6 +47,7 @@
      * @param front null unless the role answers HTTP calls
      * @param target null unless the role calls a target
      * @param disk null unless the role has durable state
+     * @param targets null unless the role calls the targets of the platform's list
      */
     static EffectRouter create(
             PeerTransport peers,
@@ -50,8 +55,9 @@
             Metrics metrics,
             HttpFront front,
             TargetClient target,
-            DiskDuty disk) {
-        return new EffectRouter(peers, log, metrics, front, target, disk);
+            DiskDuty disk,
+            FleetTargetClient targets) {
+        return new EffectRouter(peers, log, metrics, front, target, disk, targets);
     }
 
     @Override
@@ -62,6 +68,8 @@
             mPeers.carryOut(address);
         } else if (effect instanceof Effect.Log log) {
             mLog.write(log.code(), log.detail());
+        } else if (effect instanceof Effect.LogFields log) {
+            mLog.write(log.code(), log.fields());
         } else if (effect instanceof Effect.Measure m) {
             mMetrics.record(m.metric(), m.organisation(), m.trafficClass(), m.value());
         } else if (effect instanceof Effect.Persist persist) {
@@ -69,13 +77,28 @@
             mDisk.write(persist);
         } else if (effect instanceof Effect.TargetCall call) {
             target().carryOut(call);
+        } else if (effect instanceof Effect.CallTarget call) {
+            targets().carryOut(call);
         } else if (effect instanceof Effect.TargetCancel cancel) {
-            target().carryOut(cancel);
+            cancel(cancel);
         } else {
             answer(effect);
         }
     }
 
+    private void cancel(Effect.TargetCancel cancel) {
+        if (mTargets != null) {
+            mTargets.carryOut(cancel);
+        } else {
+            target().carryOut(cancel);
+        }
+    }
+
+    private FleetTargetClient targets() {
+        checkState(mTargets != null, "this role has no list of targets");
+        return mTargets;
+    }
+
     private TargetClient target() {
         checkState(mTarget != null, "this role has no target");
         return mTarget;
--- a/src/main/java/org/coltsfootproxy/runtime/EventLog.java
+++ b/src/main/java/org/coltsfootproxy/runtime/EventLog.java
@@ -1,14 +1,25 @@
 package org.coltsfootproxy.runtime;
 
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import java.io.PrintStream;
+import java.time.Instant;
 import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.node.LogField;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Writes numbered events of one host to the log. */
+/**
+ * Writes numbered events as lines of JSON; {@code docs/EVENTS.md} lists them.
+ *
+ * <p>Lines go through a bounded ring and are dropped rather than waited for.
+ */
 public final class EventLog {
     private static final int STACK_FRAMES = 8;
+    private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     private final Logger mLogger;
     private final String mHost;
@@ -23,10 +34,24 @@
         return new EventLog(host);
     }
 
-    /** Writes one event. */
+    /** Names the stream that the process's log goes to; standard error until then. */
+    public static void writeTo(PrintStream out) {
+        LogWriter.shared().writeTo(out);
+    }
+
+    /** Waits a moment until what was logged is written, as the process is about to end. */
+    public static void drain() {
+        LogWriter.shared().drain(DRAIN_NANOS);
+    }
+
+    /** Writes an event with a text for people. */
     public void write(EventCode code, String detail) {
-        String line =
-                String.format("event=%d host=%s %s: %s", code.number(), mHost, code.text(), detail);
+        write(code, detail.isEmpty() ? List.of() : List.of(LogField.of("detail", detail)));
+    }
+
+    /** Writes an event with named values. */
+    public void write(EventCode code, List<LogField> fields) {
+        String line = line(code, fields);
         switch (code.level()) {
             case INFO -> mLogger.info(line);
             case WARN -> mLogger.warn(line);
@@ -35,7 +60,24 @@
         }
     }
 
-    /** Returns an exception with the top of its stack on one line. */
+    private String line(EventCode code, List<LogField> fields) {
+        StringBuilder json = new StringBuilder(200).append('{');
+        add(json, "time", Instant.now().toString());
+        add(json.append(','), "level", code.level().name());
+        json.append(",\"event\":").append(code.number());
+        add(json.append(','), "host", mHost);
+        add(json.append(','), "what", code.text());
+        fields.forEach(field -> add(json.append(','), field.name(), field.value()));
+        return json.append('}').toString();
+    }
+
+    private static void add(StringBuilder json, String name, String value) {
+        JsonStringEncoder encoder = JsonStringEncoder.getInstance();
+        json.append('"').append(name).append("\":\"");
+        encoder.quoteAsString(value, json);
+        json.append('"');
+    }
+
     static String describe(Throwable error) {
         return Arrays.stream(error.getStackTrace())
                 .limit(STACK_FRAMES)
--- a/src/main/java/org/coltsfootproxy/runtime/HostProcess.java
+++ b/src/main/java/org/coltsfootproxy/runtime/HostProcess.java
@@ -4,7 +4,9 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +21,7 @@
 import org.coltsfootproxy.net.PeerSettings;
 import org.coltsfootproxy.net.PeerTransport;
 import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.node.Node;
 
 /**
@@ -27,7 +30,10 @@
  * <p>A host has one role; a process may hold several hosts.
  */
 public final class HostProcess {
-    private final Settings mSettings;
+    /** Largest configuration that operators may put as one document. */
+    private static final int MAX_DOCUMENT_BYTES = 8 << 20;
+
+    private volatile Settings mSettings;
     private final EventLog mLog;
     private final Metrics mMetrics = Metrics.create();
     private final SocketEvents mEvents;
@@ -37,6 +43,7 @@
     private final NodeDuty mDuty;
     private final Optional<HostListDuty> mHostList;
     private volatile boolean mReady;
+    private volatile SettingsWatch mWatch;
 
     /** Reports what happens to sockets. */
     private final class SocketEvents implements NetEvents {
@@ -62,10 +69,10 @@
         AdminSink adminSink =
                 AdminSink.create(
                         mMetrics,
-                        () -> mReady,
+                        () -> mReady && mRole.isReady(),
                         this::admin,
                         mRole.takesOperators() ? toNode : null);
-        mAdmin = HttpFront.create(frontSettings(settings.adminAddress()), adminSink, mEvents);
+        mAdmin = HttpFront.create(adminSettings(settings), adminSink, mEvents);
         EffectRouter effects =
                 EffectRouter.create(
                         mPeers,
@@ -73,7 +80,8 @@
                         mMetrics,
                         mRole.takesOperators() ? mAdmin : mRole.front().orElse(null),
                         mRole.target().orElse(null),
-                        mRole.disk().orElse(null));
+                        mRole.disk().orElse(null),
+                        mRole.targets().orElse(null));
         Node node = mRole.node();
         mDuty = NodeDuty.create(settings.host() + "-decisions", node, effects, mRole::observe);
         mHostList =
@@ -110,11 +118,21 @@
     }
 
     private PeerSettings peerSettings(Incarnation incarnation) {
-        return PeerSettings.defaults(
-                mSettings.host(),
-                incarnation,
-                Addresses.parse(mSettings.peerAddress()),
-                mSettings.fleetSecret().getBytes(StandardCharsets.UTF_8));
+        InetSocketAddress address = Addresses.parse(mSettings.peerAddress());
+        PeerSettings defaults =
+                PeerSettings.defaults(
+                        mSettings.host(),
+                        incarnation,
+                        address,
+                        mSettings.fleetSecret().getBytes(StandardCharsets.UTF_8));
+        return mSettings.fleet().isPresent() ? defaults.withFleetPort(address.getPort()) : defaults;
+    }
+
+    private static HttpFrontSettings adminSettings(Settings settings) {
+        HttpFrontSettings usual = frontSettings(settings.adminAddress());
+        return settings.fleet().isPresent()
+                ? usual.withMaxBodyBytes(MAX_DOCUMENT_BYTES).withThreads(1)
+                : usual;
     }
 
     static HttpFrontSettings frontSettings(String address) {
@@ -128,7 +146,40 @@
         mPeers.start();
         InetSocketAddress admin = mAdmin.start();
         mReady = true;
-        mLog.write(EventCode.PROCESS_STARTED, "peers and operators connect, admin at " + admin);
+        mLog.write(
+                EventCode.PROCESS_STARTED,
+                List.of(
+                        LogField.of("dataCentre", mSettings.dataCentre()),
+                        LogField.of("peers", mSettings.peerAddress()),
+                        LogField.of("admin", admin),
+                        LogField.of("incarnation", mRole.incarnation()),
+                        LogField.of("fleet", mSettings.fleet().map(Object::toString).orElse(""))));
+    }
+
+    /**
+     * Follows changes of the file that holds the settings.
+     *
+     * @throws ProxyException if the file can't be read
+     */
+    public void watch(Path file) throws ProxyException {
+        mWatch = SettingsWatch.create(file, mLog, this::reload);
+        mWatch.start();
+    }
+
+    /** Has the settings file read again at once, if it is followed. */
+    public void readSettingsAgain() {
+        Optional.ofNullable(mWatch).ifPresent(SettingsWatch::look);
+    }
+
+    /** Takes changed settings into use as far as that goes without a restart: the seeds. */
+    void reload(Settings settings) {
+        Settings.Fleet before = mSettings.fleet().orElse(null);
+        Settings.Fleet after = settings.fleet().orElse(null);
+        boolean hasOtherSeeds =
+                before != null && after != null && !before.seedHosts().equals(after.seedHosts());
+        if (hasOtherSeeds && mDuty.put(new Input.SeedsChanged(after.seedHosts()))) {
+            mSettings = settings;
+        }
     }
 
     /** Returns the settings that the host runs by. */
@@ -149,6 +200,7 @@
         boolean drained = mDuty.awaitDrained(TimeUnit.SECONDS.toNanos(mSettings.stopSeconds()));
         close();
         mLog.write(EventCode.PROCESS_STOPPED, drained ? "all had finished" : "time was up");
+        EventLog.drain();
         return drained;
     }
 
@@ -157,6 +209,9 @@
         if (mHostList.isPresent()) {
             mHostList.get().stop();
         }
+        if (mWatch != null) {
+            mWatch.stop();
+        }
         mDuty.stop();
         mRole.close();
         mAdmin.close();
--- a/src/main/java/org/coltsfootproxy/runtime/NodeDuty.java
+++ b/src/main/java/org/coltsfootproxy/runtime/NodeDuty.java
@@ -33,6 +33,7 @@
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private final Thread mThread;
     private volatile boolean mRunning = true;
+    private ClockWatch mClocks;
 
     private NodeDuty(String name, Node node, Effects effects, Consumer<Input> observer) {
         mNode = checkNotNull(node, "node");
@@ -79,7 +80,9 @@
 
     private void run() {
         guard(() -> mNode.start(System.nanoTime(), mEffects));
+        mClocks = ClockWatch.create(System::currentTimeMillis, System.nanoTime());
         while (mRunning) {
+            checkClocks();
             int handled = mRing.drain(this::handle, BATCH);
             guard(this::tickIfDue);
             if (mNode.isDrained()) {
@@ -91,6 +94,11 @@
         }
     }
 
+    /** The node must know that it stood still before it decides anything else. */
+    private void checkClocks() {
+        mClocks.jump(System.nanoTime()).ifPresent(nanos -> handle(new Input.ClockJumped(nanos)));
+    }
+
     private void handle(Input input) {
         guard(
                 () -> {
--- a/src/main/java/org/coltsfootproxy/runtime/Ring.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Ring.java
@@ -69,6 +69,10 @@
         return mQueue.drain(consumer, limit);
     }
 
+    boolean isEmpty() {
+        return mQueue.isEmpty();
+    }
+
     /** Parks the consuming thread until an element arrives or {@code nanos} have passed. */
     void awaitElement(long nanos) {
         mParked = true;
--- a/src/main/java/org/coltsfootproxy/runtime/Role.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Role.java
@@ -9,6 +9,7 @@
 import org.coltsfootproxy.config.ConfigSubscriber;
 import org.coltsfootproxy.config.ConfigTiming;
 import org.coltsfootproxy.config.ControlHost;
+import org.coltsfootproxy.net.FleetTargetClient;
 import org.coltsfootproxy.net.HttpFront;
 import org.coltsfootproxy.net.InputSink;
 import org.coltsfootproxy.net.NetEvents;
@@ -29,10 +30,16 @@
         if (settings.entry().isPresent()) {
             return EntryRoleParts.create(settings, toNode, events, random);
         }
+        if (settings.directEntry().isPresent()) {
+            return DirectEntryRoleParts.create(settings, toNode, events, random);
+        }
+        if (settings.storeRole().isPresent()) {
+            return StoreRoleParts.create(settings, toNode, waitingToNode, events, random);
+        }
         if (settings.agent().isPresent()) {
             return AgentRoleParts.create(settings, toNode, events, random);
         }
-        return ControlRoleParts.create(settings, waitingToNode, random);
+        return ControlRoleParts.create(settings, toNode, waitingToNode, events, random);
     }
 
     /** Returns the decisions of the role. */
@@ -51,6 +58,16 @@
         return Optional.empty();
     }
 
+    /** Returns the client of the targets that the platform lists. */
+    default Optional<FleetTargetClient> targets() {
+        return Optional.empty();
+    }
+
+    /** Tells whether the host takes new work; safe for use by any thread. */
+    default boolean isReady() {
+        return true;
+    }
+
     /** Returns the client of the target. */
     default Optional<TargetClient> target() {
         return Optional.empty();
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -23,35 +23,47 @@
  * The settings of one host, checked as a whole.
  *
  * @param host the host's id
+ * @param name name by which operators know the host, if it is another one; otherwise empty
  * @param dataCentre where the host stands
  * @param fleetSecret what the peers of one fleet prove to each other
  * @param peerAddress where peers connect
  * @param adminAddress where operators connect: metrics, health, and on control hosts the tickets
  * @param control the control hosts
+ * @param fleet how the hosts find each other, if they do so by seeds
  * @param hostList file or HTTP address of the platform's list of hosts, if there is one
  * @param jobGroups number of groups that batch jobs are spread over; the same on all hosts
  * @param stopSeconds longest time that a planned stop waits for what runs
  * @param entry settings of the entry role, if the host has it
+ * @param directEntry settings of an entry that calls targets itself, if the host is one
  * @param agent settings of the agent role, if the host has it
  * @param controlRole settings of the control role, if the host has it
+ * @param storeRole settings of a host that keeps jobs, if the host is one
  */
 public record Settings(
         HostId host,
+        String name,
         DataCentre dataCentre,
         String fleetSecret,
         String peerAddress,
         String adminAddress,
         List<Peer> control,
+        Optional<Fleet> fleet,
         Optional<URI> hostList,
         int jobGroups,
         long stopSeconds,
         Optional<EntryRole> entry,
+        Optional<DirectEntryRole> directEntry,
         Optional<AgentRole> agent,
-        Optional<ControlRole> controlRole) {
+        Optional<ControlRole> controlRole,
+        Optional<StoreRole> storeRole) {
     private static final int MIN_SECRET_LENGTH = 16;
     private static final long MAX_STOP_SECONDS = 3_600;
     private static final long DEFAULT_STOP_SECONDS = 60;
     private static final int MAX_JOB_GROUPS = 64;
+    private static final int MAX_LOSSES = 3;
+    private static final long DEFAULT_KEY_MILLIS = 5_000;
+    private static final long MIN_KEY_MILLIS = 2_000;
+    private static final long MAX_KEY_MILLIS = 60_000;
     private static final long MEBIBYTE = 1 << 20;
 
     /** Another host. */
@@ -112,7 +124,42 @@
      * @param operatorKeyDigest SHA-256 of the operators' key in lower-case hexadecimal
      * @param replaceEmpty whether a host that comes back with an empty disk is taken in by itself
      */
-    public record ControlRole(Path dataFolder, String operatorKeyDigest, boolean replaceEmpty) {}
+    public record ControlRole(
+            Path dataFolder,
+            String operatorKeyDigest,
+            boolean replaceEmpty,
+            Optional<String> targetList) {}
+
+    /**
+     * A fleet whose hosts find each other by seeds, are named by their IP numbers and listen for
+     * each other at one port.
+     *
+     * @param seeds addresses of control hosts, of which only the IP numbers count
+     * @param firstStart whether the fleet starts for the first time, so that its logs are founded
+     * @param losses control hosts with their disks that may be lost at once
+     * @param keyMillis time after which a key that was taken away is honoured nowhere
+     */
+    public record Fleet(List<String> seeds, boolean firstStart, int losses, long keyMillis) {
+        /** Copies the list. */
+        public Fleet {
+            seeds = ImmutableList.copyOf(seeds);
+        }
+
+        /** Returns the seeds as hosts. */
+        public List<HostId> seedHosts() {
+            return seeds.stream()
+                    .map(seed -> HostId.of(Addresses.parse(seed).getAddress().getHostAddress()))
+                    .sorted()
+                    .distinct()
+                    .toList();
+        }
+    }
+
+    /** Role of a host that keeps and runs batch jobs in a fleet with seeds. */
+    public record StoreRole(Path dataFolder) {}
+
+    /** Role of an entry that calls the targets of the platform's list itself. */
+    public record DirectEntryRole(String callerAddress, int maxBodyBytes) {}
 
     /** Copies the lists. */
     public Settings {
@@ -128,11 +175,15 @@
         try {
             return parse(file.toString(), Files.readString(file));
         } catch (IOException e) {
-            String detail = file + " can't be read: " + e.getMessage();
-            throw ProxyException.of(ErrorKind.SETTINGS_INVALID, detail, e);
+            throw unreadable(file, e);
         }
     }
 
+    static ProxyException unreadable(Path file, IOException e) {
+        String detail = file + " can't be read: " + e.getMessage();
+        return ProxyException.of(ErrorKind.SETTINGS_INVALID, detail, e);
+    }
+
     /**
      * Checks the text of a settings file.
      *
@@ -159,33 +210,68 @@
         return settings;
     }
 
+    /** Returns the name by which operators know the host. */
+    public String operatorsName() {
+        return name.isEmpty() ? host.value() : name;
+    }
+
     private static Settings read(SettingsReader in) {
         Settings settings =
                 new Settings(
                         HostId.of(in.name("host")),
+                        in.optionalText("name").orElse(""),
                         DataCentre.of(in.name("dataCentre")),
                         in.text("fleetSecret", MIN_SECRET_LENGTH),
                         in.address("peerAddress"),
                         in.address("adminAddress"),
                         in.children("control", Settings::readPeer),
+                        in.optionalChild("fleet", Settings::readFleet),
                         in.optionalUri("hostList"),
                         (int) in.number("jobGroups", 1, 1, MAX_JOB_GROUPS),
                         in.number("stopSeconds", DEFAULT_STOP_SECONDS, 1, MAX_STOP_SECONDS),
                         in.optionalChild("entry", Settings::readEntry),
+                        in.optionalChild("directEntry", Settings::readDirectEntry),
                         in.optionalChild("agent", Settings::readAgent),
-                        in.optionalChild("controlRole", Settings::readControl));
+                        in.optionalChild("controlRole", Settings::readControl),
+                        in.optionalChild("storeRole", Settings::readStore));
         settings.checkRoles(in);
         return settings;
     }
 
     private void checkRoles(SettingsReader in) {
         long roles =
-                java.util.stream.Stream.of(entry, agent, controlRole)
+                java.util.stream.Stream.of(entry, directEntry, agent, controlRole, storeRole)
                         .filter(Optional::isPresent)
                         .count();
         if (roles != 1) {
-            in.fault("exactly one of entry, agent and controlRole must be given, not " + roles);
+            in.fault(
+                    "exactly one of entry, directEntry, agent, controlRole and storeRole must be"
+                            + " given, not "
+                            + roles);
         }
+        if (fleet.isPresent()) {
+            checkFleet(in);
+        } else {
+            checkFixed(in);
+        }
+    }
+
+    private void checkFleet(SettingsReader in) {
+        if (fleet.get().seeds().isEmpty()) {
+            in.fault("fleet.seeds must name at least one control host");
+        }
+        if (!Addresses.parse(peerAddress).getAddress().getHostAddress().equals(host.value())) {
+            in.fault("host must be the IP number of peerAddress in a fleet with seeds");
+        }
+        if (entry.isPresent() || agent.isPresent()) {
+            in.fault("entry and agent need a list of control hosts and not a fleet with seeds");
+        }
+        if (controlRole.isPresent() && controlRole.get().targetList().isEmpty()) {
+            in.fault("controlRole.targetList must be given in a fleet with seeds");
+        }
+    }
+
+    private void checkFixed(SettingsReader in) {
         if (control.isEmpty()) {
             in.fault("control must name at least one control host");
         }
@@ -197,6 +283,9 @@
                 && entry.get().entries().stream().noneMatch(peer -> peer.host().equals(host))) {
             in.fault("entry.entries must name this host '" + host + "'");
         }
+        if (directEntry.isPresent() || storeRole.isPresent()) {
+            in.fault("directEntry and storeRole need a fleet with seeds");
+        }
     }
 
     private static Peer readPeer(SettingsReader in) {
@@ -226,6 +315,25 @@
         return new ControlRole(
                 Path.of(in.text("dataFolder", 1)),
                 in.text("operatorKeyDigest", 64),
-                in.flag("replaceEmpty", true));
+                in.flag("replaceEmpty", true),
+                in.has("targetList") ? Optional.of(in.address("targetList")) : Optional.empty());
+    }
+
+    private static StoreRole readStore(SettingsReader in) {
+        return new StoreRole(Path.of(in.text("dataFolder", 1)));
+    }
+
+    private static Fleet readFleet(SettingsReader in) {
+        return new Fleet(
+                in.addresses("seeds"),
+                in.flag("firstStart", false),
+                (int) in.number("losses", 1, 0, MAX_LOSSES),
+                in.number("keyMillis", DEFAULT_KEY_MILLIS, MIN_KEY_MILLIS, MAX_KEY_MILLIS));
+    }
+
+    private static DirectEntryRole readDirectEntry(SettingsReader in) {
+        return new DirectEntryRole(
+                in.address("callerAddress"),
+                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE));
     }
 }
--- a/src/main/java/org/coltsfootproxy/runtime/SettingsReader.java
+++ b/src/main/java/org/coltsfootproxy/runtime/SettingsReader.java
@@ -114,6 +114,20 @@
         return "0.0.0.0:0";
     }
 
+    /** Returns a list of addresses, which may be empty. */
+    List<String> addresses(String name) {
+        JsonNode value = get(name);
+        boolean isList =
+                value.isArray()
+                        && StreamSupport.stream(value.spliterator(), false)
+                                .allMatch(v -> v.isTextual() && Addresses.isValid(v.asText()));
+        if (!isList) {
+            fault(name, "a list of IP numbers with ports, such as [10.1.2.3:7000]");
+            return List.of();
+        }
+        return StreamSupport.stream(value.spliterator(), false).map(JsonNode::asText).toList();
+    }
+
     /** Reads a whole number between two bounds, both included. */
     long number(String name, long otherwise, long min, long max) {
         JsonNode value = get(name);
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/StoreRoleParts.java
@@ -0,0 +1,102 @@
+package org.coltsfootproxy.runtime;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.control.StoreNode;
+import org.coltsfootproxy.control.StoreSettings;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.message.FleetRole;
+import org.coltsfootproxy.net.FleetTargetClient;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.net.NetEvents;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.platform.PlatformTargets;
+import org.coltsfootproxy.storage.DataFolder;
+import org.coltsfootproxy.storage.FileDisk;
+import org.coltsfootproxy.storage.LogStore;
+
+/** The parts of a host that keeps and runs batch jobs in a fleet with seeds. */
+final class StoreRoleParts implements Role {
+    private final DataFolder mFolder;
+    private final Node mNode;
+    private final DiskDuty mDisk;
+    private final FleetTargetClient mTargets;
+
+    private StoreRoleParts(DataFolder folder, Node node, DiskDuty disk, FleetTargetClient targets) {
+        mFolder = folder;
+        mNode = node;
+        mDisk = disk;
+        mTargets = targets;
+    }
+
+    static StoreRoleParts create(
+            Settings settings,
+            InputSink toNode,
+            Consumer<Input> waitingToNode,
+            NetEvents events,
+            Random random)
+            throws ProxyException {
+        Settings.Fleet fleet = settings.fleet().orElseThrow();
+        Settings.StoreRole role = settings.storeRole().orElseThrow();
+        DataFolder folder = DataFolder.open(FileDisk.open(role.dataFolder()), random);
+        LogStore store = folder.openGroup(StoreNode.GROUP);
+        PlatformTargets protocol = new PlatformTargets();
+        StoreNode node =
+                StoreNode.create(
+                        new StoreSettings(
+                                settings.host(),
+                                settings.dataCentre(),
+                                folder.incarnation(),
+                                FleetSettings.voters(fleet),
+                                FleetSettings.addresses(settings),
+                                protocol,
+                                FleetSettings.jobs()),
+                        store.recovered(),
+                        FleetSettings.subscriber(settings, fleet, random),
+                        FleetSettings.membership(settings, fleet, FleetRole.STORE),
+                        EpochClock.of(System.nanoTime(), System.currentTimeMillis()),
+                        random);
+        DiskDuty disk =
+                DiskDuty.create(
+                        settings.host() + "-disk", Map.of(StoreNode.GROUP, store), waitingToNode);
+        FleetTargetClient targets = TargetClients.create(protocol, toNode, events);
+        return new StoreRoleParts(folder, node, disk, targets);
+    }
+
+    @Override
+    public Node node() {
+        return mNode;
+    }
+
+    @Override
+    public Incarnation incarnation() {
+        return mFolder.incarnation();
+    }
+
+    @Override
+    public Optional<DiskDuty> disk() {
+        return Optional.of(mDisk);
+    }
+
+    @Override
+    public Optional<FleetTargetClient> targets() {
+        return Optional.of(mTargets);
+    }
+
+    @Override
+    public void start() {
+        mDisk.start();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        mTargets.close();
+        mDisk.stop();
+        mFolder.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/coltsfootproxy/runtime/TargetClients.java
@@ -0,0 +1,32 @@
+package org.coltsfootproxy.runtime;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import org.coltsfootproxy.direct.TargetProtocol;
+import org.coltsfootproxy.net.FleetTargetClient;
+import org.coltsfootproxy.net.InputSink;
+import org.coltsfootproxy.net.NetEvents;
+import org.coltsfootproxy.net.TargetClientSettings;
+import org.coltsfootproxy.net.TargetDialect;
+
+/** Makes the client of the targets that the platform lists. */
+final class TargetClients {
+    /** Longest time to open a connection; the way to any target takes a few milliseconds. */
+    private static final Duration CONNECT = Duration.ofMillis(150);
+
+    /** How long an unused connection is kept if the target states no time. */
+    private static final Duration IDLE = Duration.ofMillis(400);
+
+    private TargetClients() {}
+
+    static FleetTargetClient create(TargetProtocol protocol, InputSink sink, NetEvents events) {
+        TargetDialect dialect =
+                new TargetDialect(Optional.of(protocol.correlationHeader()), true, true);
+        TargetClientSettings settings =
+                TargetClientSettings.defaults(new InetSocketAddress(0))
+                        .withTimeouts(CONNECT, IDLE)
+                        .withDialect(dialect);
+        return FleetTargetClient.create(settings, sink, events);
+    }
+}
--- a/src/test/java/org/coltsfootproxy/config/ConfigStateMeasurement.java
+++ b/src/test/java/org/coltsfootproxy/config/ConfigStateMeasurement.java
@@ -161,7 +161,7 @@
     }
 
     private ConfigChange route(int n) {
-        return new Route(
+        return Route.of(
                 RouteId.of("route-" + n),
                 "/route-" + n,
                 ServiceId.of("service-" + n % SERVICES),
--- a/src/test/java/org/coltsfootproxy/config/RandomTickets.java
+++ b/src/test/java/org/coltsfootproxy/config/RandomTickets.java
@@ -63,7 +63,7 @@
             case 2 -> key(name(), name(), mRandom.nextInt(NAMES));
             case 3 -> Service.of(ServiceId.of(name()), false, 1 + mRandom.nextInt(3), List.of());
             default ->
-                    new Route(
+                    Route.of(
                             RouteId.of(name()),
                             "/" + name(),
                             ServiceId.of(name()),
--- a/src/test/java/org/coltsfootproxy/job/JobFaultMatrixTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobFaultMatrixTest.java
@@ -128,7 +128,7 @@
 
     private static JobMessage.Submit submit(boolean repeatable) {
         JobSpec spec =
-                new JobSpec(
+                JobSpec.of(
                         JOB,
                         FakeFleet.SERVICE,
                         "POST",
--- a/src/test/java/org/coltsfootproxy/job/JobFuzzTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobFuzzTest.java
@@ -134,7 +134,7 @@
         int items = 1 + mRandom.nextInt(6);
         boolean repeatable = mRandom.nextBoolean();
         JobSpec spec =
-                new JobSpec(
+                JobSpec.of(
                         JobId.of(name),
                         FakeFleet.SERVICE,
                         "POST",
--- a/src/test/java/org/coltsfootproxy/job/JobGatewayTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobGatewayTest.java
@@ -49,7 +49,7 @@
 
     private static ConfigView config() {
         Route route =
-                new Route(
+                Route.of(
                         RouteId.of("assistant"),
                         "/assistant",
                         ServiceId.of("rota-assistant"),
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -48,7 +48,7 @@
     }
 
     private static JobSpec spec(String id, int items) {
-        return new JobSpec(
+        return JobSpec.of(
                 JobId.of(id), FakeFleet.SERVICE, "POST", "/p", true, 1_000, HOUR, "later", items);
     }
 
--- a/src/test/java/org/coltsfootproxy/job/JobMeasurements.java
+++ b/src/test/java/org/coltsfootproxy/job/JobMeasurements.java
@@ -53,7 +53,7 @@
     private static JobMessage.Submit job(
             OrganisationId organisation, String id, int items, int bytes, long deadline) {
         JobSpec spec =
-                new JobSpec(
+                JobSpec.of(
                         JobId.of(id),
                         FakeFleet.SERVICE,
                         "POST",
--- a/src/test/java/org/coltsfootproxy/job/JobServiceTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobServiceTest.java
@@ -102,7 +102,7 @@
 
     private void submit(String id, boolean repeatable, int items) {
         JobSpec spec =
-                new JobSpec(
+                JobSpec.of(
                         JobId.of(id),
                         SERVICE,
                         "POST",
