Let hosts tell each other their calls, and batch items make room for online requests

Change: entries and stores tell each other their calls at each target, at most once in 5 ms for each host that gets it. An online request goes where a slot is free, next where a batch item can make room, then where the queue is shortest; items leave a slot free, are stopped on demand and go on after their last event, unless their job would be late.

Ruled out: the processor of the entries (0.05 of a core in the mean).

--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -18,6 +18,7 @@
 import org.coltsfootproxy.consensus.RaftStatus;
 import org.coltsfootproxy.consensus.RecoveredState;
 import org.coltsfootproxy.direct.ItemWorker;
+import org.coltsfootproxy.direct.LoadBoard;
 import org.coltsfootproxy.direct.TargetCalls;
 import org.coltsfootproxy.direct.Targets;
 import org.coltsfootproxy.job.EpochClock;
@@ -63,6 +64,7 @@
     private final JobService mJobs;
     private final TargetCalls mCalls = TargetCalls.create();
     private final Targets mTargets;
+    private final LoadBoard mLoads;
     private final ItemWorker mWorker;
     private List<HostId> mLedMembers = List.of();
     private boolean mIsStopping;
@@ -93,6 +95,7 @@
                         this::weight,
                         clock);
         mTargets = Targets.create(settings.dataCentre(), random);
+        mLoads = LoadBoard.create(settings.self(), mTargets);
         mWorker =
                 ItemWorker.create(
                         settings.incarnation(),
@@ -190,19 +193,24 @@
             mTargets.update(listing, mOut);
         } else if (message instanceof FleetMessage.FoundJobs found) {
             mGroup.node().found(found.members(), nowNanos, mOut);
+        } else if (message instanceof FleetMessage.InFlight inFlight) {
+            mLoads.handle(from, inFlight, nowNanos);
+        } else if (message instanceof FleetMessage.Yield yield) {
+            mWorker.makeRoom(yield.target(), nowNanos, mOut);
         }
     }
 
     private void hostsChanged(long nowNanos) {
         FleetMessage.Roster roster = mMembership.roster();
         mConfig.hosts(mSettings.addresses().controlHosts(mMembership.controls()), nowNanos, mOut);
-        Stream.concat(roster.stores().stream(), roster.jobMembers().stream())
+        Stream.concat(mMembership.callers().stream(), roster.jobMembers().stream())
                 .filter(host -> !host.equals(mSettings.self()))
                 .distinct()
                 .forEach(h -> mOut.add(new Effect.PeerAddress(h, mSettings.addresses().of(h))));
         boolean isRetiring = roster.retiring().contains(mSettings.self());
         mGroup.node().askToJoin(isRetiring ? List.of() : roster.jobMembers());
         mGroup.node().retire(new HashSet<>(roster.retiring()));
+        mLoads.hosts(mMembership.callers());
         mWorker.controls(mMembership.jobHosts(), Math.max(1, roster.stores().size()));
         if (isRetiring && !mIsStopping) {
             mWorker.stop(nowNanos, mOut);
@@ -232,6 +240,7 @@
             if (mWorker.nextTickNanos() <= nowNanos) {
                 mWorker.tick(nowNanos, mOut);
             }
+            mLoads.tick(nowNanos, mOut);
             isBusy = receiveFromSelf(nowNanos) || mGroup.isDue(nowNanos);
         }
         enrol(nowNanos);
@@ -292,6 +301,7 @@
                         mGroup.node().nextTickNanos(),
                         mJobs.nextTickNanos(),
                         mWorker.nextTickNanos(),
+                        mLoads.nextTickNanos(),
                         mNextHandover)
                 .min()
                 .getAsLong();
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -52,6 +52,7 @@
     private final TargetProtocol mProtocol;
     private final TargetCalls mCalls;
     private final Targets mTargets;
+    private final LoadBoard mLoads;
     private final Limiter mLimiter;
     private final Map<Long, DirectRequest> mRequests = new HashMap<>();
     private final Timers<Long> mTimers = Timers.create();
@@ -61,11 +62,13 @@
             TargetProtocol protocol,
             TargetCalls calls,
             Targets targets,
+            LoadBoard loads,
             Limiter limiter) {
         mAnswers = answers;
         mProtocol = protocol;
         mCalls = calls;
         mTargets = targets;
+        mLoads = loads;
         mLimiter = limiter;
     }
 
@@ -109,10 +112,13 @@
             giveUp(request, otherwise, now, out);
             return;
         }
+        if (target.get().inFlight(now) >= target.get().slots()) {
+            mLoads.makeRoom(target.get(), out);
+        }
         long call = mCalls.nextCall();
         Optional<String> resumeAfter = request.events().lastId();
         request.sentTo(target.get(), call, now);
-        target.get().began();
+        mTargets.began(target.get(), TrafficClass.ONLINE);
         mCalls.start(
                 target.get().listed().address(),
                 targetCall(request, target.get(), call, left),
@@ -125,7 +131,8 @@
                 LogField.of("route", request.route().id()),
                 LogField.of("organisation", request.organisation().id()),
                 LogField.of("target", target.get().listed().id()),
-                LogField.of("load", target.get().load(now)),
+                LogField.of("online", target.get().online()),
+                LogField.of("batch", target.get().batch()),
                 LogField.of("listing", mTargets.listing().number()),
                 LogField.of("send", request.sends()),
                 LogField.of("after", resumeAfter.orElse("")),
@@ -289,8 +296,8 @@
     }
 
     /** Nothing of the request is at its target any more. */
-    private static void leave(DirectRequest request) {
-        request.target().ifPresent(Target::ended);
+    private void leave(DirectRequest request) {
+        request.target().ifPresent(target -> mTargets.ended(target, TrafficClass.ONLINE));
         request.leftTarget();
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -46,6 +46,7 @@
     private final FleetMembership mMembership;
     private final Targets mTargets;
     private final TargetCalls mTargetCalls = TargetCalls.create();
+    private final LoadBoard mLoads;
     private final SharedCountLimiter mLimiter;
     private final CallerAnswers mAnswers;
     private final DirectCalls mCalls;
@@ -79,9 +80,12 @@
         mMembership = checkNotNull(membership, "membership");
         mRandom = checkNotNull(random, "random");
         mTargets = Targets.create(settings.dataCentre(), random);
+        mLoads = LoadBoard.create(settings.host(), mTargets);
         mLimiter = SharedCountLimiter.create(settings.host());
         mAnswers = new CallerAnswers(protocols.callers().retryAfter());
-        mCalls = new DirectCalls(mAnswers, protocols.targets(), mTargetCalls, mTargets, mLimiter);
+        mCalls =
+                new DirectCalls(
+                        mAnswers, protocols.targets(), mTargetCalls, mTargets, mLoads, mLimiter);
         JobCourier courier = JobCourier.create(membership.jobHosts(), random.nextLong() >>> 1);
         mJobs = new DirectJobs(protocols.callers(), courier);
     }
@@ -223,15 +227,18 @@
             mTargets.update(listing, out);
         } else if (message instanceof FleetMessage.Usage usage) {
             mLimiter.handle(from, usage, now);
+        } else if (message instanceof FleetMessage.InFlight inFlight) {
+            mLoads.handle(from, inFlight, now);
         }
     }
 
     private void hostsChanged(long now, Effects out) {
         mConfig.hosts(mAddresses.controlHosts(mMembership.controls()), now, out);
         mJobs.controls(mMembership.jobHosts());
-        mMembership.entries().stream()
-                .filter(entry -> !entry.equals(mSettings.host()))
-                .forEach(e -> out.add(new Effect.PeerAddress(e, mAddresses.of(e))));
+        mMembership.callers().stream()
+                .filter(host -> !host.equals(mSettings.host()))
+                .forEach(host -> out.add(new Effect.PeerAddress(host, mAddresses.of(host))));
+        mLoads.hosts(mMembership.callers());
         mLimiter.entries(mMembership.entries(), now);
     }
 
@@ -240,6 +247,7 @@
         mConfig.tick(nowNanos, out);
         mMembership.tick(mTargets.listing().number(), null, nowNanos, out);
         mLimiter.tick(nowNanos, out);
+        mLoads.tick(nowNanos, out);
         mCalls.tick(nowNanos, out);
         mJobs.tick(nowNanos, out);
         if (mStopping && !mRefusing && nowNanos - mRefuseFrom >= 0) {
@@ -271,6 +279,7 @@
                                 mConfig.nextTickNanos(),
                                 mMembership.nextTickNanos(),
                                 mLimiter.nextTickNanos(),
+                                mLoads.nextTickNanos(),
                                 mCalls.nextTickNanos(),
                                 mJobs.nextTickNanos())
                         .min()
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
@@ -19,6 +20,8 @@
     private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
     private Target mTarget;
     private long mTargetCall;
+    private long mSentAt;
+    private long mActiveNanos;
     private boolean mHasSuccess;
     private int mBreaks;
     private long mHeard;
@@ -60,6 +63,7 @@
         mTried.add(target.listed().id());
         mEvents.dropPartial();
         mHasSuccess = false;
+        mSentAt = nowNanos;
         mHeard = nowNanos;
     }
 
@@ -71,10 +75,23 @@
         return mTargetCall;
     }
 
-    void leftTarget() {
+    void leftTarget(long nowNanos) {
+        if (mTarget != null) {
+            mActiveNanos += nowNanos - mSentAt;
+        }
         mTarget = null;
     }
 
+    /** Returns how long the item was at targets, the present one included. */
+    long activeNanos(long nowNanos) {
+        return mActiveNanos + (mTarget == null ? 0 : nowNanos - mSentAt);
+    }
+
+    /** Returns when the item's job is due. */
+    long dueNanos() {
+        return mBegan + TimeUnit.MILLISECONDS.toNanos(mItem.dueMillis());
+    }
+
     /** Notes that the target has begun to send events. */
     void began(long nowNanos) {
         mHasSuccess = true;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -3,21 +3,22 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.config.ConfigView;
@@ -41,12 +42,6 @@
  * nothing is made twice. Only a target's own failure counts as an attempt of the item.
  */
 public final class ItemWorker {
-    /** Part of the targets' slots that batch items of the whole fleet take. */
-    private static final double BATCH_PART = 0.5;
-
-    /** Load at a target above which it gets no further item, in requests for each slot. */
-    private static final double MAX_LOAD = 0.75;
-
     /** Pause before an item is tried again after all targets have refused or broken off. */
     private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -56,9 +51,18 @@
     /** Breaks without any progress after which an item goes back to be run elsewhere. */
     private static final int MAX_BREAKS = 20;
 
-    /** Time between two looks at how many slots are free. */
+    /** Time between two looks at how many slots are free: what hosts tell comes that often. */
     private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** Weight of the last run in the mean time of a run. */
+    private static final double WEIGHT_OF_LAST = 0.1;
+
+    /** Mean time of a run as long as none has ended. */
+    private static final long FIRST_RUN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Part of the mean run that must be left beside an item's own rest for it to make room. */
+    private static final double SPARE_RUNS = 0.5;
+
     private static final int NEVER_DONE = 422;
     private static final int FAILED = 500;
     private static final int GROUP = 1;
@@ -73,6 +77,7 @@
     private int mWorkers;
     private boolean mIsStopping;
     private long mNextLook;
+    private double mRunNanos = FIRST_RUN_NANOS;
 
     private ItemWorker(
             Incarnation incarnation,
@@ -153,14 +158,18 @@
             if (run != null) {
                 mTimers.clear(lease);
                 mCalls.cancel(run.targetCall(), out);
-                leave(run);
+                leave(run, now);
                 logTry(run, "the item was revoked", out);
             }
         }
     }
 
     private void send(ItemRun run, long now, Effects out) {
-        Optional<Target> target = mTargets.choose(run.item().service(), run.tried(), now);
+        ServiceId service = run.item().service();
+        Optional<Target> target = mTargets.chooseForBatch(service, run.tried(), now);
+        if (target.isEmpty() && !maySpareTime(run, now)) {
+            target = mTargets.choose(service, run.tried(), now);
+        }
         if (target.isEmpty()) {
             run.tried().clear();
             mTimers.set(run.lease(), now + PAUSE_NANOS);
@@ -183,7 +192,7 @@
                         run.call().body(),
                         TimeUnit.MILLISECONDS.toNanos(run.item().timeoutMillis()));
         run.sentTo(target.get(), call, now);
-        target.get().began();
+        mTargets.began(target.get(), TrafficClass.BATCH);
         mCalls.start(target.get().listed().address(), request, new Answer(run), out);
         mTimers.set(run.lease(), now + SILENT_NANOS);
         out.log(
@@ -192,7 +201,8 @@
                 LogField.of("item", run.lease().item()),
                 LogField.of("lease", run.lease().fence()),
                 LogField.of("target", target.get().listed().id()),
-                LogField.of("load", target.get().load(now)),
+                LogField.of("online", target.get().online()),
+                LogField.of("batch", target.get().batch()),
                 LogField.of("listing", mTargets.listing().number()),
                 LogField.of("after", run.lastEvent().orElse("")));
     }
@@ -232,7 +242,8 @@
                 broken(mRun, "ended within an event", now, out);
                 return;
             }
-            leave(mRun);
+            leave(mRun, now);
+            mRunNanos += WEIGHT_OF_LAST * (mRun.activeNanos(now) - mRunNanos);
             end(mRun, done(mRun, now), now, out);
         }
 
@@ -249,11 +260,11 @@
                 200,
                 run.output(),
                 "",
-                Math.max(1, TimeUnit.NANOSECONDS.toMillis(now - run.began())));
+                Math.max(1, TimeUnit.NANOSECONDS.toMillis(run.activeNanos(now))));
     }
 
     private void refused(ItemRun run, Target target, TargetAnswer answer, long now, Effects out) {
-        leave(run);
+        leave(run, now);
         String why = "the target answered " + answer.status();
         if (answer.verdict() == TargetAnswer.Verdict.OTHER_TARGET) {
             target.moved(now);
@@ -273,7 +284,7 @@
 
     private void broken(ItemRun run, String why, long now, Effects out) {
         run.target().ifPresent(target -> target.broke(now));
-        leave(run);
+        leave(run, now);
         again(run, why, now, out);
     }
 
@@ -286,9 +297,9 @@
         }
     }
 
-    private static void leave(ItemRun run) {
-        run.target().ifPresent(Target::ended);
-        run.leftTarget();
+    private void leave(ItemRun run, long now) {
+        run.target().ifPresent(target -> mTargets.ended(target, TrafficClass.BATCH));
+        run.leftTarget(now);
     }
 
     private static void logTry(ItemRun run, String why, Effects out) {
@@ -345,28 +356,47 @@
         }
     }
 
+    /** Stops an item at a target, so that an online request gets its slot at once. */
+    public void makeRoom(TargetId target, long now, Effects out) {
+        mRuns.values().stream()
+                .filter(run -> run.target().filter(t -> t.listed().id().equals(target)).isPresent())
+                .filter(run -> maySpareTime(run, now))
+                .max(Comparator.comparingLong(ItemRun::dueNanos))
+                .ifPresent(run -> pause(run, now, out));
+    }
+
+    /** An item that would miss its job's deadline by waiting keeps its slot. */
+    private boolean maySpareTime(ItemRun run, long now) {
+        double rest = Math.max(0, mRunNanos - run.activeNanos(now));
+        return run.dueNanos() - now > rest + SPARE_RUNS * mRunNanos;
+    }
+
+    private void pause(ItemRun run, long now, Effects out) {
+        mCalls.cancel(run.targetCall(), out);
+        leave(run, now);
+        logTry(run, "made room for an online request", out);
+        out.measure(Metric.BATCH_STOPPED, "", "", 1);
+        run.tried().clear();
+        mTimers.set(run.lease(), now + PAUSE_NANOS);
+    }
+
+    /** Takes this host's part of the slots that are free, once its own items have theirs. */
     private void offerSlots(long now, Effects out) {
-        Set<ServiceId> services =
+        List<Target> targets =
                 mConfig.get()
                         .routes()
                         .filter(route -> route.policy().kind() == RequestKind.BATCH)
                         .flatMap(Route::services)
-                        .collect(Collectors.toSet());
-        int capacity = (int) Math.max(1, slots(services) * BATCH_PART / mWorkers);
-        mPuller.setCapacity(capacity);
-        boolean hasRoom =
-                services.stream()
+                        .distinct()
                         .flatMap(mTargets::staying)
-                        .anyMatch(t -> !t.isAvoided(now) && t.load(now) < MAX_LOAD);
-        int free = hasRoom && !mIsStopping ? Math.max(0, capacity - mRuns.size()) : 0;
-        mPuller.slotsFree(free, now, out);
-    }
-
-    private int slots(Set<ServiceId> services) {
-        return services.stream()
-                .flatMap(mTargets::staying)
-                .mapToInt(target -> target.listed().slots())
-                .sum();
+                        .toList();
+        int slots = targets.stream().mapToInt(Target::slots).sum();
+        mPuller.setCapacity(Math.max(1, slots / mWorkers));
+        int room = targets.stream().mapToInt(target -> Targets.batchRoom(target, now)).sum();
+        long waiting = mRuns.values().stream().filter(run -> run.target().isEmpty()).count();
+        // One item waits here even without room, so that it is noticed once it can't wait longer.
+        long free = Math.max(1, (room + mWorkers - 1) / mWorkers) - waiting;
+        mPuller.slotsFree(mIsStopping ? 0 : (int) Math.max(0, free), now, out);
     }
 
     /** Returns the time of the next due {@link #tick}. */
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -1,6 +1,12 @@
 package org.coltsfootproxy.direct;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
 
 /** One target as this host knows it: its place in the list, its load and how its calls end. */
@@ -21,9 +27,13 @@
     private static final long MOVED_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private ListedTarget mListed;
-    private int mInFlight;
-    private int mElsewhere;
-    private long mLoadAt = Long.MIN_VALUE / 2;
+    private final Map<HostId, FleetMessage.TargetUse> mUses = new HashMap<>();
+    private int mOnline;
+    private int mBatch;
+    private int mOnlineElsewhere;
+    private int mBatchElsewhere;
+    private int mToldElsewhere;
+    private long mToldAt = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAvoidUntil = Long.MIN_VALUE / 2;
 
@@ -40,19 +50,64 @@
     }
 
     /** Notes a call from this host. */
-    void began() {
-        mInFlight++;
+    void began(TrafficClass type) {
+        count(type, 1);
     }
 
     /** Notes that a call from this host is over, however it ended. */
-    void ended() {
-        mInFlight--;
+    void ended(TrafficClass type) {
+        count(type, -1);
+    }
+
+    private void count(TrafficClass type, int change) {
+        if (type == TrafficClass.ONLINE) {
+            mOnline += change;
+        } else {
+            mBatch += change;
+        }
+    }
+
+    /** Returns this host's own calls. */
+    FleetMessage.TargetUse ownUse() {
+        return new FleetMessage.TargetUse(mListed.id(), mOnline, mBatch);
+    }
+
+    /** Takes another host's word on its calls; empty if it has none. */
+    void use(HostId host, Optional<FleetMessage.TargetUse> use) {
+        FleetMessage.TargetUse before =
+                use.isPresent() ? mUses.put(host, use.get()) : mUses.remove(host);
+        mOnlineElsewhere += use.map(FleetMessage.TargetUse::online).orElse(0);
+        mBatchElsewhere += use.map(FleetMessage.TargetUse::batch).orElse(0);
+        if (before != null) {
+            mOnlineElsewhere -= before.online();
+            mBatchElsewhere -= before.batch();
+        }
+    }
+
+    /** Returns the other host that has most batch items here. */
+    Optional<HostId> batchHolder() {
+        return mUses.entrySet().stream()
+                .filter(entry -> entry.getValue().batch() > 0)
+                .max(Map.Entry.comparingByValue((a, b) -> Integer.compare(a.batch(), b.batch())))
+                .map(Map.Entry::getKey);
+    }
+
+    /** Counts one batch item of a host as gone, as it was asked to give its place up. */
+    void yielded(HostId host) {
+        FleetMessage.TargetUse use = mUses.get(host);
+        if (use != null && use.batch() > 0) {
+            use(
+                    host,
+                    Optional.of(
+                            new FleetMessage.TargetUse(
+                                    use.target(), use.online(), use.batch() - 1)));
+        }
     }
 
     /** Takes the target's word on its load, which includes this host's own calls. */
     void told(TargetLoad load, long nowNanos) {
-        mElsewhere = Math.max(0, load.running() + load.waiting() - mInFlight);
-        mLoadAt = nowNanos;
+        mToldElsewhere = Math.max(0, load.running() + load.waiting() - mOnline - mBatch);
+        mToldAt = nowNanos;
     }
 
     /** Notes an answer. */
@@ -85,13 +140,27 @@
         return mAvoidUntil;
     }
 
-    int inFlight() {
-        return mInFlight;
+    int slots() {
+        return mListed.slots();
+    }
+
+    /** Returns the online requests there, as far as hosts have told. */
+    int online() {
+        return mOnline + mOnlineElsewhere;
+    }
+
+    /** Returns the batch items there, as far as hosts have told. */
+    int batch() {
+        return mBatch + mBatchElsewhere;
     }
 
-    /** Returns the requests that run or wait there for each slot, as far as they are known. */
-    double load(long nowNanos) {
-        boolean isKnown = nowNanos - mLoadAt < LOAD_NANOS;
-        return (double) (mInFlight + (isKnown ? mElsewhere : 0)) / mListed.slots();
+    /**
+     * Returns all that runs or waits there. The target's own word counts if it names more than the
+     * hosts have told.
+     */
+    int inFlight(long nowNanos) {
+        boolean isKnown = nowNanos - mToldAt < LOAD_NANOS;
+        int elsewhere = mOnlineElsewhere + mBatchElsewhere;
+        return mOnline + mBatch + (mUses.isEmpty() && isKnown ? mToldElsewhere : elsewhere);
     }
 }
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,26 +10,46 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.TargetId;
+import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
 import org.coltsfootproxy.node.Effects;
+import org.coltsfootproxy.node.LogField;
 
-/** The targets that the platform lists, and the choice among them. */
+/**
+ * The targets that the platform lists, and the choice among them.
+ *
+ * <p>Targets run what comes first, so a request that has to wait there waits behind whatever came
+ * before it. An online request therefore goes where a slot is free, next where a batch item can
+ * make room, and only then where the queue is shortest. A batch item goes only where a slot stays
+ * free beside it.
+ */
 public final class Targets {
     /** Load for each slot that makes up for a way to another data centre: one of eight slots. */
     private static final double DISTANCE_LOAD = 0.125;
 
+    /** Load above any target with a free slot, for one where a batch item can make room. */
+    private static final double YIELDING_LOAD = 2;
+
+    /** Load above any target where a batch item can make room, for one with only a queue. */
+    private static final double QUEUEING_LOAD = 4;
+
+    /** Fewest slots of a target at which batch items leave one free for online requests. */
+    private static final int LEAST_SLOTS_TO_RESERVE = 4;
+
     private final DataCentre mHome;
     private final RandomGenerator mRandom;
     private final Map<TargetId, Target> mById = new HashMap<>();
     private Map<ServiceId, List<Target>> mByService = Map.of();
     private FleetMessage.Listing mListing = new FleetMessage.Listing(0, List.of());
+    private long mChanges;
 
     private Targets(DataCentre home, RandomGenerator random) {
         mHome = checkNotNull(home, "home data centre is missing");
@@ -57,24 +78,43 @@
             Target target = mById.computeIfAbsent(entry.id(), id -> new Target(entry));
             target.listed(entry);
             listed.add(entry.id());
-            byService
-                    .computeIfAbsent(entry.service(), s -> new java.util.ArrayList<>())
-                    .add(target);
+            byService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(target);
         }
         mById.keySet().retainAll(listed);
         mByService = byService;
-        out.log(EventCode.TARGETS_LISTED, describe(listing));
+        out.log(
+                EventCode.TARGETS_LISTED,
+                LogField.of("listing", listing.number()),
+                LogField.of("targets", listing.targets().size()),
+                LogField.of(
+                        "leaving",
+                        listing.targets().stream().filter(ListedTarget::leaving).count()));
         return true;
     }
 
-    private static String describe(FleetMessage.Listing listing) {
-        long leaving = listing.targets().stream().filter(ListedTarget::leaving).count();
-        return "number "
-                + listing.number()
-                + " targets "
-                + listing.targets().size()
-                + " leaving "
-                + leaving;
+    /** Notes a call from this host. */
+    void began(Target target, TrafficClass type) {
+        mChanges++;
+        target.began(type);
+    }
+
+    /** Notes that a call from this host is over, however it ended. */
+    void ended(Target target, TrafficClass type) {
+        mChanges++;
+        target.ended(type);
+    }
+
+    /** Returns how often a call from this host has begun or ended. */
+    long changes() {
+        return mChanges;
+    }
+
+    Optional<Target> byId(TargetId id) {
+        return Optional.ofNullable(mById.get(id));
+    }
+
+    Stream<Target> all() {
+        return mById.values().stream();
     }
 
     /** Returns the targets of a service that take new work. */
@@ -83,13 +123,9 @@
                 .filter(target -> !target.listed().leaving());
     }
 
-    /** Returns the services that have targets. */
-    Set<ServiceId> services() {
-        return mByService.keySet();
-    }
-
     /**
-     * Returns the least loaded target of a service, the nearer one of two alike.
+     * Returns the target of a service that serves an online request soonest, the nearer one of two
+     * alike.
      *
      * @param tried targets that had the request before and don't get it again
      */
@@ -99,17 +135,47 @@
         List<Target> sound = able.stream().filter(t -> !t.isAvoided(nowNanos)).toList();
         return sound.isEmpty()
                 ? able.stream().min(Comparator.comparingLong(Target::avoidUntil))
-                : leastLoaded(sound, nowNanos);
+                : least(sound, target -> onlineLoad(target, nowNanos));
+    }
+
+    private static double onlineLoad(Target target, long nowNanos) {
+        double slots = target.slots();
+        int inFlight = target.inFlight(nowNanos);
+        if (inFlight < slots) {
+            return inFlight / slots;
+        }
+        return target.batch() > 0
+                ? YIELDING_LOAD + Math.min(1, target.online() / slots)
+                : QUEUEING_LOAD + (inFlight - slots) / slots;
+    }
+
+    /** Returns the least loaded target of a service that has room for a batch item. */
+    Optional<Target> chooseForBatch(ServiceId service, Set<TargetId> tried, long nowNanos) {
+        List<Target> able =
+                staying(service)
+                        .filter(target -> !tried.contains(target.listed().id()))
+                        .filter(target -> batchRoom(target, nowNanos) > 0)
+                        .toList();
+        return able.isEmpty()
+                ? Optional.empty()
+                : least(able, t -> t.inFlight(nowNanos) / (double) t.slots());
+    }
+
+    /** Returns how many further batch items a target has room for. */
+    static int batchRoom(Target target, long nowNanos) {
+        int reserved = Math.min(1, target.slots() / LEAST_SLOTS_TO_RESERVE);
+        int free = target.slots() - reserved - target.inFlight(nowNanos);
+        return target.isAvoided(nowNanos) ? 0 : Math.max(0, free);
     }
 
-    private Optional<Target> leastLoaded(List<Target> targets, long nowNanos) {
+    private Optional<Target> least(List<Target> targets, ToDoubleFunction<Target> loadOf) {
         Target best = null;
         double least = Double.MAX_VALUE;
         int first = mRandom.nextInt(targets.size());
         for (int i = 0; i < targets.size(); i++) {
             Target target = targets.get((first + i) % targets.size());
             boolean isNear = target.listed().dataCentre().equals(mHome);
-            double load = target.load(nowNanos) + (isNear ? 0 : DISTANCE_LOAD);
+            double load = loadOf.applyAsDouble(target) + (isNear ? 0 : DISTANCE_LOAD);
             if (load < least) {
                 best = target;
                 least = load;
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -146,6 +146,7 @@
                 job.spec().method(),
                 job.spec().path(),
                 job.spec().timeoutMillis(),
+                job.spec().deadlineEpochMillis() - mStep.epochMillis(),
                 ItemPayload.content(job.items().payload(item)));
     }
 
--- a/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
@@ -107,6 +107,14 @@
         return Stream.concat(mRoster.entries().stream(), self).sorted().distinct().toList();
     }
 
+    /** Returns all hosts that call targets: entries and stores, those that retire included. */
+    public List<HostId> callers() {
+        return Stream.of(entries(), mRoster.stores(), mRoster.retiring())
+                .flatMap(List::stream)
+                .distinct()
+                .toList();
+    }
+
     /**
      * Returns the hosts to ask about batch jobs, the likeliest first; seeds as long as none is
      * known.
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.WireCode;
 
 /** Messages of hosts that find each other and their targets while the fleet changes. */
@@ -103,6 +104,26 @@
     @WireCode(703)
     record ListingRead(long number) implements FleetMessage {}
 
+    /**
+     * Entry or store to entries and stores: the calls that the sender has under way at targets.
+     *
+     * @param uses targets with a call of the sender; all others have none
+     */
+    @WireCode(706)
+    record InFlight(List<TargetUse> uses) implements FleetMessage {
+        /** Copies the list. */
+        public InFlight {
+            uses = List.copyOf(uses);
+        }
+    }
+
+    /** Calls of one host at one target. */
+    record TargetUse(TargetId target, int online, int batch) {}
+
+    /** Entry to store: an online request needs the place of a batch item at this target. */
+    @WireCode(707)
+    record Yield(TargetId target) implements FleetMessage {}
+
     /**
      * Entry to entry: how many requests the sender has admitted since it started.
      *
--- a/src/main/java/org/coltsfootproxy/message/LeasedItem.java
+++ b/src/main/java/org/coltsfootproxy/message/LeasedItem.java
@@ -7,6 +7,7 @@
  *
  * @param repeatable whether it may run without a durable start
  * @param timeoutMillis longest time for the call
+ * @param dueMillis time from the grant of the lease until the job is due; below 0 if it was due
  */
 public record LeasedItem(
         LeaseRef lease,
@@ -16,4 +17,5 @@
         String method,
         String path,
         long timeoutMillis,
+        long dueMillis,
         byte[] body) {}
