--- a/src/main/java/org/coltsfootproxy/job/JobSettings.java
+++ b/src/main/java/org/coltsfootproxy/job/JobSettings.java
@@ -60,6 +60,26 @@
                 false);
     }
 
+    /**
+     * Returns the settings of stores of a few hundred megabytes whose jobs are due within seconds:
+     * short leases, so that a lost worker's items are soon free, and a result that stays readable
+     * for the platform's two minutes and what the end of a job lags.
+     */
+    public static JobSettings forFleet() {
+        JobLimits limits = new JobLimits(1_000, 4_000, 100_000, 48L << 20, 48L << 20);
+        return new JobSettings(
+                limits,
+                new RetryPolicy(5, 200, 2_000),
+                Duration.ofSeconds(180),
+                Duration.ofSeconds(180),
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(3),
+                Duration.ZERO,
+                64,
+                Duration.ofSeconds(10),
+                true);
+    }
+
     /** Returns these settings with other limits. */
     public JobSettings withLimits(JobLimits other) {
         return new JobSettings(
--- a/src/main/java/org/coltsfootproxy/runtime/StoreRoleParts.java
+++ b/src/main/java/org/coltsfootproxy/runtime/StoreRoleParts.java
@@ -9,6 +9,7 @@
 import org.coltsfootproxy.control.StoreNode;
 import org.coltsfootproxy.control.StoreSettings;
 import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobSettings;
 import org.coltsfootproxy.message.FleetRole;
 import org.coltsfootproxy.net.FleetTargetClient;
 import org.coltsfootproxy.net.InputSink;
@@ -55,7 +56,7 @@
                                 FleetSettings.voters(fleet),
                                 FleetSettings.addresses(settings),
                                 protocol,
-                                FleetSettings.jobs()),
+                                JobSettings.forFleet()),
                         store.recovered(),
                         FleetSettings.subscriber(settings, fleet, random),
                         FleetSettings.membership(settings, fleet, FleetRole.STORE),
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/consensus/StoredWrites.java
@@ -0,0 +1,35 @@
+package org.coltsfootproxy.consensus;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.coltsfootproxy.message.LogEntry;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.StoreWrite;
+
+/** Makes of what a host has synced in a test what a real store would recover. */
+public final class StoredWrites {
+    private StoredWrites() {}
+
+    /** Returns the state of a group after the given writes, in order. */
+    public static RecoveredState recovered(int group, List<Effect.Persist> stored) {
+        StoreWrite.Vote vote = StoreWrite.Vote.NONE;
+        Optional<StoreWrite.Snapshot> snapshot = Optional.empty();
+        TreeMap<Long, LogEntry> entries = new TreeMap<>();
+        for (Effect.Persist persist : stored) {
+            if (persist.group() != group) {
+                continue;
+            }
+            vote = persist.write().vote().orElse(vote);
+            if (persist.write().snapshot().isPresent()) {
+                snapshot = persist.write().snapshot();
+                entries.clear();
+            }
+            for (LogEntry entry : persist.write().entries()) {
+                entries.tailMap(entry.index(), true).clear();
+                entries.put(entry.index(), entry);
+            }
+        }
+        return new RecoveredState(vote, snapshot, List.copyOf(entries.values()));
+    }
+}
--- a/src/test/java/org/coltsfootproxy/control/ControlFleet.java
+++ b/src/test/java/org/coltsfootproxy/control/ControlFleet.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
@@ -16,16 +15,14 @@
 import org.coltsfootproxy.config.ConfigTiming;
 import org.coltsfootproxy.config.ControlHost;
 import org.coltsfootproxy.config.KeyDigest;
-import org.coltsfootproxy.consensus.RecoveredState;
+import org.coltsfootproxy.consensus.StoredWrites;
 import org.coltsfootproxy.job.EpochClock;
 import org.coltsfootproxy.message.ConfigMessage;
 import org.coltsfootproxy.message.Header;
-import org.coltsfootproxy.message.LogEntry;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
-import org.coltsfootproxy.node.StoreWrite;
 import org.coltsfootproxy.node.VirtualFleet;
 
 /** Control hosts with disks, subscribers, and operators who call. */
@@ -99,7 +96,7 @@
         ControlNode node =
                 ControlNode.create(
                         settings,
-                        List.of(recovered(0, kept), recovered(1, kept)),
+                        List.of(StoredWrites.recovered(0, kept), StoredWrites.recovered(1, kept)),
                         EpochClock.of(0, 0),
                         new Random(host.hashCode() + life));
         mNodes.put(host, node);
@@ -111,27 +108,6 @@
         mLostWrites.put(host, mFleet.stored(host).size());
     }
 
-    private static RecoveredState recovered(int group, List<Effect.Persist> stored) {
-        StoreWrite.Vote vote = StoreWrite.Vote.NONE;
-        Optional<StoreWrite.Snapshot> snapshot = Optional.empty();
-        TreeMap<Long, LogEntry> entries = new TreeMap<>();
-        for (Effect.Persist persist : stored) {
-            if (persist.group() != group) {
-                continue;
-            }
-            vote = persist.write().vote().orElse(vote);
-            if (persist.write().snapshot().isPresent()) {
-                snapshot = persist.write().snapshot();
-                entries.clear();
-            }
-            for (LogEntry entry : persist.write().entries()) {
-                entries.tailMap(entry.index(), true).clear();
-                entries.put(entry.index(), entry);
-            }
-        }
-        return new RecoveredState(vote, snapshot, List.copyOf(entries.values()));
-    }
-
     private void startSubscriber(int number) {
         HostId host = HostId.of("subscriber-" + number);
         var subscriber =
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformWorld.java
@@ -0,0 +1,457 @@
+package org.coltsfootproxy.platform;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.config.ConfigSubscriber;
+import org.coltsfootproxy.config.ConfigTiming;
+import org.coltsfootproxy.consensus.StoredWrites;
+import org.coltsfootproxy.control.ControlNode;
+import org.coltsfootproxy.control.ControlSettings;
+import org.coltsfootproxy.control.FleetParts;
+import org.coltsfootproxy.control.StoreNode;
+import org.coltsfootproxy.control.StoreSettings;
+import org.coltsfootproxy.direct.DirectEntryNode;
+import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.job.EpochClock;
+import org.coltsfootproxy.job.JobSettings;
+import org.coltsfootproxy.membership.FleetMembership;
+import org.coltsfootproxy.membership.PeerAddresses;
+import org.coltsfootproxy.message.FleetRole;
+import org.coltsfootproxy.message.Header;
+import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.node.VirtualFleet;
+
+/**
+ * The whole system on a stand-in of the platform in virtual time: control hosts, stores and entries
+ * that find each other by seeds, engines and plain services, operators and callers.
+ */
+final class PlatformWorld {
+    static final long MILLI = 1_000_000;
+    static final long SECOND = 1_000 * MILLI;
+    static final String LM = "lm";
+    static final String APP = "app";
+    static final String KEY = "key-of-alpha";
+    static final String OTHER_KEY = "key-of-beta";
+
+    private static final String LIST = "10.9.0.1:80";
+    private static final PeerAddresses ADDRESSES = new PeerAddresses(7000);
+
+    final Map<String, FakeEngine> mEngines = new LinkedHashMap<>();
+    final List<String> mDamaged = new ArrayList<>();
+    final List<EventCode> mLogged = new ArrayList<>();
+    private final VirtualFleet mFleet;
+    private final Random mRandom;
+    private final List<HostId> mSeeds;
+    private final List<HostId> mControls = new ArrayList<>();
+    private final List<HostId> mStores = new ArrayList<>();
+    private final List<HostId> mEntries = new ArrayList<>();
+    private final Map<Long, Answer> mAnswers = new HashMap<>();
+    private final Map<HostId, Integer> mLostWrites = new HashMap<>();
+    private final Map<HostId, Integer> mLives = new HashMap<>();
+    private final Map<HostId, DirectEntryNode> mEntryNodes = new HashMap<>();
+    private long mLastCall;
+
+    /** What a caller got. */
+    static final class Answer {
+        final long mAsked;
+        int mStatus;
+        long mFirstAt;
+        long mEndAt;
+        boolean mIsWhole;
+        boolean mIsCut;
+        private List<Header> mHeaders = List.of();
+        private final StringBuilder mBody = new StringBuilder();
+
+        Answer(long asked) {
+            mAsked = asked;
+        }
+
+        String body() {
+            return mBody.toString();
+        }
+
+        Optional<String> header(String name) {
+            return Wire.value(mHeaders, name);
+        }
+
+        @Override
+        public String toString() {
+            return mStatus + (mIsWhole ? " whole " : mIsCut ? " cut " : " open ") + mBody;
+        }
+    }
+
+    PlatformWorld(long seed, int stores, int entries) {
+        mFleet = new VirtualFleet(seed, this::carryOut);
+        mRandom = new Random(seed);
+        mSeeds = List.of(host(0, 1), host(0, 2), host(0, 3));
+        mSeeds.forEach(this::startControl);
+        IntStream.rangeClosed(1, stores).forEach(n -> startStore(host(1, n)));
+        IntStream.rangeClosed(1, entries).forEach(n -> startEntry(host(2, n)));
+    }
+
+    /** Returns a world that serves: three control hosts, four stores, two engines, a service. */
+    static PlatformWorld serving(long seed, int entries) {
+        PlatformWorld world = new PlatformWorld(seed, 4, entries);
+        world.engine("lm-1", LM, "z1");
+        world.engine("lm-2", LM, "z2");
+        world.engine("app-1", APP, "z1").mIsPlain = true;
+        world.run(8 * SECOND);
+        Answer answer = world.operate("PUT", "/coltsfootproxy/config", config(1, 1_000));
+        world.run(2 * SECOND);
+        if (answer.mStatus != 200) {
+            throw new AssertionError("the first configuration was not taken: " + answer);
+        }
+        return world;
+    }
+
+    static HostId host(int role, int number) {
+        return HostId.of("10.0." + role + "." + number);
+    }
+
+    HostId entry(int number) {
+        return mEntries.get(number);
+    }
+
+    HostId control(int number) {
+        return mControls.get(number);
+    }
+
+    HostId store(int number) {
+        return mStores.get(number);
+    }
+
+    VirtualFleet fleet() {
+        return mFleet;
+    }
+
+    boolean isReady(HostId entry) {
+        return mEntryNodes.get(entry).isReady();
+    }
+
+    void run(long nanos) {
+        mFleet.run(nanos);
+    }
+
+    FakeEngine engine(String id, String service, String zone) {
+        String address = "10.8.0." + (mEngines.size() + 1) + ":80";
+        FakeEngine engine = new FakeEngine(mFleet, id, service, zone, address);
+        mEngines.put(address, engine);
+        return engine;
+    }
+
+    FakeEngine engine(String id) {
+        return mEngines.values().stream()
+                .filter(engine -> engine.mId.equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Puts another life at an engine's address, which the list still shows under the old one. */
+    void takeAddress(FakeEngine engine, String id) {
+        FakeEngine next =
+                new FakeEngine(mFleet, id, engine.mService, engine.mZone, engine.mAddress);
+        mEngines.put(engine.mAddress, next);
+    }
+
+    List<FakeEngine.Run> runsOf(String request) {
+        return mEngines.values().stream()
+                .flatMap(engine -> engine.mRuns.stream())
+                .filter(run -> run.mRequest.equals(request))
+                .toList();
+    }
+
+    private DataCentre zone(HostId host) {
+        int last = Integer.parseInt(host.value().substring(host.value().lastIndexOf('.') + 1));
+        return DataCentre.of("z" + (1 + (last - 1) % 3));
+    }
+
+    void startControl(HostId host) {
+        if (!mControls.contains(host)) {
+            mControls.add(host);
+        }
+        var settings =
+                new ControlSettings(
+                        host,
+                        zone(host),
+                        incarnation(host),
+                        ADDRESSES.controlHosts(mSeeds),
+                        ConfigTiming.DEFAULT,
+                        "0".repeat(64),
+                        0,
+                        true,
+                        JobSettings.defaults());
+        var parts =
+                new FleetParts(
+                        mSeeds,
+                        mFleet.now() < SECOND,
+                        3,
+                        ADDRESSES,
+                        LIST,
+                        new PlatformOperators(),
+                        new PlatformTargets(),
+                        new PlatformList());
+        ControlNode node =
+                ControlNode.create(
+                        settings,
+                        List.of(StoredWrites.recovered(0, stored(host))),
+                        EpochClock.of(0, 1_000_000),
+                        new Random(mRandom.nextLong()),
+                        Optional.of(parts));
+        start(host, node);
+    }
+
+    void startStore(HostId host) {
+        if (!mStores.contains(host)) {
+            mStores.add(host);
+        }
+        var settings =
+                new StoreSettings(
+                        host,
+                        zone(host),
+                        incarnation(host),
+                        3,
+                        ADDRESSES,
+                        new PlatformTargets(),
+                        JobSettings.forFleet());
+        StoreNode node =
+                StoreNode.create(
+                        settings,
+                        StoredWrites.recovered(StoreNode.GROUP, stored(host)),
+                        subscriber(host),
+                        membership(host, FleetRole.STORE),
+                        EpochClock.of(0, 1_000_000 + mRandom.nextInt(5_000_000)),
+                        new Random(mRandom.nextLong()));
+        start(host, node);
+    }
+
+    void startEntry(HostId host) {
+        if (!mEntries.contains(host)) {
+            mEntries.add(host);
+        }
+        DirectEntryNode node =
+                DirectEntryNode.create(
+                        EntrySettings.of(host, zone(host)),
+                        new DirectEntryNode.Protocols(new PlatformCallers(), new PlatformTargets()),
+                        ADDRESSES,
+                        subscriber(host),
+                        membership(host, FleetRole.ENTRY),
+                        new Random(mRandom.nextLong()));
+        mEntryNodes.put(host, node);
+        start(host, node);
+    }
+
+    private void start(HostId host, Node node) {
+        int life = mLives.merge(host, 1, Integer::sum);
+        mFleet.start(host, Incarnation.of(life), node);
+    }
+
+    private ConfigSubscriber subscriber(HostId host) {
+        return ConfigSubscriber.create(
+                zone(host),
+                ADDRESSES.controlHosts(mSeeds),
+                ConfigTiming.DEFAULT,
+                new Random(mRandom.nextLong()));
+    }
+
+    private FleetMembership membership(HostId host, FleetRole role) {
+        return FleetMembership.create(
+                new FleetMembership.Self(host, "name-of-" + host, role, zone(host)), mSeeds);
+    }
+
+    private Incarnation incarnation(HostId host) {
+        return Incarnation.of(1 + mLostWrites.getOrDefault(host, 0));
+    }
+
+    private List<Effect.Persist> stored(HostId host) {
+        List<Effect.Persist> all = mFleet.stored(host);
+        return all.subList(mLostWrites.getOrDefault(host, 0), all.size());
+    }
+
+    /** Loses all that a crashed host had stored. */
+    void loseDisk(HostId host) {
+        mLostWrites.put(host, mFleet.stored(host).size());
+    }
+
+    private void carryOut(HostId host, Effect effect, long nowNanos) {
+        if (effect instanceof Effect.CallTarget call) {
+            callTarget(host, call);
+        } else if (effect instanceof Effect.TargetCancel cancel) {
+            mEngines.values().forEach(engine -> engine.cancel(host, cancel.call()));
+        } else if (effect instanceof Effect.HttpHead head) {
+            Answer answer = mAnswers.get(head.call());
+            answer.mStatus = head.status();
+            answer.mHeaders = head.headers();
+        } else if (effect instanceof Effect.HttpChunk chunk) {
+            Answer answer = mAnswers.get(chunk.call());
+            answer.mFirstAt = answer.mFirstAt == 0 ? nowNanos : answer.mFirstAt;
+            answer.mBody.append(new String(chunk.bytes(), StandardCharsets.UTF_8));
+        } else if (effect instanceof Effect.HttpEnd end) {
+            mAnswers.get(end.call()).mIsWhole = true;
+            mAnswers.get(end.call()).mEndAt = nowNanos;
+        } else if (effect instanceof Effect.HttpCut cut) {
+            mAnswers.get(cut.call()).mIsCut = true;
+            mAnswers.get(cut.call()).mEndAt = nowNanos;
+        } else if (effect instanceof Effect.Log log) {
+            mLogged.add(log.code());
+        } else if (effect instanceof Effect.LogFields log) {
+            mLogged.add(log.code());
+        }
+    }
+
+    private void callTarget(HostId host, Effect.CallTarget call) {
+        if (call.address().equals(LIST)) {
+            long number = call.call().call();
+            byte[] page = list().getBytes(StandardCharsets.UTF_8);
+            mFleet.after(MILLI, () -> deliverPage(host, number, page));
+        } else {
+            mEngines.get(call.address()).call(host, call.call());
+        }
+    }
+
+    private void deliverPage(HostId host, long call, byte[] page) {
+        mFleet.deliver(host, new Input.TargetHead(call, 200, List.of()));
+        mFleet.deliver(host, new Input.TargetChunk(call, page));
+        mFleet.deliver(host, new Input.TargetEnd(call));
+    }
+
+    private String list() {
+        List<String> entries = new ArrayList<>(mDamaged);
+        mEngines.values().stream().map(PlatformWorld::entry).forEach(entries::add);
+        return "{\"instances\":[" + String.join(",", entries) + "],\"next_token\":null}";
+    }
+
+    private static String entry(FakeEngine engine) {
+        return String.format(
+                "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%d,\"state\":\"%s\","
+                        + "\"id\":\"%s\"}",
+                engine.mService,
+                engine.mAddress,
+                engine.mZone,
+                engine.mSlots,
+                engine.mIsLeaving ? "draining" : "ready",
+                engine.mId);
+    }
+
+    /** Returns a configuration with a route of each kind and two organisations. */
+    static String config(long version, int rate) {
+        return config(version, rate, KEY);
+    }
+
+    static String config(long version, int rate, String key) {
+        return "{\"version\":"
+                + version
+                + ",\"routes\":["
+                + String.join(
+                        ",",
+                        route("ask", "streaming", LM, "\"resumable\":true,\"max_attempts\":2"),
+                        route("swap", "streaming", LM, "\"max_attempts\":1"),
+                        route("card", "idempotent", APP, "\"max_attempts\":2"),
+                        route("pay", "non_idempotent", APP, "\"max_attempts\":1"),
+                        route("free", "idempotent", APP, "\"no_auth\":true,\"max_attempts\":2"),
+                        route("jobs", "batch", LM, "\"max_attempts\":3,\"run_target_ms\":18000"))
+                + "],\"services\":[{\"name\":\"lm\",\"engine\":{\"slots\":8}},{\"name\":\"app\"}],"
+                + "\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\""
+                + key
+                + "\"],\"rate_per_s\":"
+                + rate
+                + ",\"burst\":"
+                + rate
+                + "},{\"name\":\"beta\",\"api_keys\":[\""
+                + OTHER_KEY
+                + "\"]}]}";
+    }
+
+    static String route(String name, String kind, String service, String more) {
+        return String.format(
+                "{\"name\":\"r-%s\",\"host\":\"svc.example\",\"path_prefix\":\"/%s/\","
+                        + "\"kind\":\"%s\",\"timeout_ms\":5000,\"goal_ms\":300,\"gap_aim_ms\":400,"
+                        + "\"service\":\"%s\",%s}",
+                name, name, kind, service, more);
+    }
+
+    Answer operate(String method, String path, String body) {
+        return operate(mControls.get(0), method, path, body);
+    }
+
+    Answer operate(HostId control, String method, String path, String body) {
+        return call(control, method, path, List.of(Header.of("Host", "control")), body);
+    }
+
+    /** Sends a request with the first organisation's key. */
+    Answer request(HostId entry, String name, String path) {
+        return request(entry, name, path, KEY);
+    }
+
+    Answer request(HostId entry, String name, String path, String key) {
+        List<Header> headers =
+                List.of(
+                        Header.of("Host", "svc.example"),
+                        Header.of("Request-Id", name),
+                        Header.of("Deadline-Ms", "5000"),
+                        Header.of("Authorization", "Bearer " + key));
+        return call(entry, "POST", path, headers, "body of " + name);
+    }
+
+    /** Submits a job whose items are named after it. */
+    Answer submit(HostId entry, String job, int items) {
+        String list =
+                IntStream.range(0, items)
+                        .mapToObj(n -> item(job + "-i" + n))
+                        .collect(Collectors.joining(","));
+        List<Header> headers =
+                List.of(
+                        Header.of("Host", "svc.example"),
+                        Header.of("Request-Id", job),
+                        Header.of("Authorization", "Bearer " + KEY));
+        return call(entry, "POST", "/jobs/" + job, headers, "{\"items\":[" + list + "]}");
+    }
+
+    private static String item(String id) {
+        String body =
+                Base64.getEncoder()
+                        .encodeToString(("body of " + id).getBytes(StandardCharsets.UTF_8));
+        return String.format(
+                "{\"id\":\"%s\",\"path\":\"/jobs/x/%s\",\"headers\":{\"Model\":\"m\"},"
+                        + "\"body\":\"%s\",\"tokens\":10}",
+                id, id, body);
+    }
+
+    /** Calls a job's own path. */
+    Answer job(HostId entry, String method, String path, long waitMillis) {
+        List<Header> headers =
+                List.of(
+                        Header.of("Host", "svc.example"),
+                        Header.of("Wait-Ms", Long.toString(waitMillis)),
+                        Header.of("Authorization", "Bearer " + KEY));
+        return call(entry, method, path, headers, "");
+    }
+
+    Answer call(HostId host, String method, String path, List<Header> headers, String body) {
+        long call = ++mLastCall;
+        Answer answer = new Answer(mFleet.now());
+        mAnswers.put(call, answer);
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        mFleet.deliver(host, new Input.HttpCall(call, method, path, headers, bytes));
+        return answer;
+    }
+
+    /** The caller of the latest call leaves. */
+    void leave(HostId entry) {
+        mFleet.deliver(entry, new Input.HttpGone(mLastCall));
+    }
+}
