--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
@@ -0,0 +1,131 @@
+package org.coltsfootproxy.direct;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.TargetId;
+import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.message.FleetMessage;
+import org.coltsfootproxy.message.ListedTarget;
+import org.coltsfootproxy.node.Effect;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** What hosts tell each other of their calls, and the choice of targets that follows from it. */
+public final class LoadBoardTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final HostId SELF = HostId.of("10.0.2.1");
+    private static final HostId STORE = HostId.of("10.0.1.1");
+    private static final ServiceId LM = ServiceId.of("lm");
+    private static final DataCentre NEAR = DataCentre.of("near");
+    private static final DataCentre FAR = DataCentre.of("far");
+
+    private final List<Effect> mEffects = new ArrayList<>();
+    private Targets mTargets;
+    private LoadBoard mBoard;
+
+    @BeforeMethod
+    public void begin() {
+        mEffects.clear();
+        mTargets = Targets.create(NEAR, new Random(1));
+        mTargets.update(
+                new FleetMessage.Listing(1, List.of(target("a", NEAR), target("b", FAR))),
+                mEffects::add);
+        mBoard = LoadBoard.create(SELF, mTargets);
+        mBoard.hosts(List.of(SELF, STORE));
+        mEffects.clear();
+    }
+
+    private static ListedTarget target(String id, DataCentre place) {
+        String address = "10.8.0." + (id.charAt(0) - 'a' + 1) + ":80";
+        return new ListedTarget(TargetId.of(id), LM, place, address, false, 8);
+    }
+
+    private Target target(String id) {
+        return mTargets.byId(TargetId.of(id)).orElseThrow();
+    }
+
+    private static FleetMessage.TargetUse use(String id, int online, int batch) {
+        return new FleetMessage.TargetUse(TargetId.of(id), online, batch);
+    }
+
+    private String chosen() {
+        return mTargets.choose(LM, Set.of(), 0).orElseThrow().listed().id().value();
+    }
+
+    @Test
+    public void theNearerOfTwoTargetsAlikeIsChosenUntilItIsBusier() {
+        assertEquals(chosen(), "a");
+        mTargets.began(target("a"), TrafficClass.ONLINE);
+        mTargets.began(target("a"), TrafficClass.ONLINE);
+
+        assertEquals(chosen(), "b");
+    }
+
+    @Test
+    public void whatOtherHostsHaveUnderWayCountsLikeOwnCalls() {
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 1, 4))), 0);
+        assertEquals(chosen(), "b");
+
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 0, 1))), MILLI);
+        assertEquals(target("a").inFlight(MILLI), 1);
+
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of()), 2 * MILLI);
+        assertEquals(target("a").inFlight(2 * MILLI), 0);
+    }
+
+    @Test
+    public void aTargetWhereABatchItemCanMakeRoomIsBetterThanOneWithAQueueOnly() {
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 8, 0), use("b", 4, 4))), 0);
+        assertEquals(chosen(), "b");
+
+        mBoard.makeRoom(target("b"), mEffects::add);
+        assertEquals(
+                mEffects,
+                List.of(new Effect.Send(STORE, new FleetMessage.Yield(TargetId.of("b")))));
+        assertEquals(target("b").batch(), 3);
+    }
+
+    @Test
+    public void aBatchItemGoesOnlyWhereASlotStaysFreeBesideIt() {
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 6, 0), use("b", 7, 0))), 0);
+
+        assertEquals(
+                mTargets.chooseForBatch(LM, Set.of(), 0).orElseThrow().listed().id().value(), "a");
+        mTargets.began(target("a"), TrafficClass.BATCH);
+        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 0).isEmpty());
+    }
+
+    @Test
+    public void whatASilentHostHasToldCountsNoMore() {
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 5, 0))), 0);
+        mBoard.tick(2_000 * MILLI, mEffects::add);
+
+        assertEquals(target("a").inFlight(2_000 * MILLI), 0);
+    }
+
+    @Test
+    public void aHostTellsTheOthersSoonAfterAChangeAndRarelyWithoutOne() {
+        mBoard.tick(1_000 * MILLI, mEffects::add);
+        mEffects.clear();
+        mTargets.began(target("a"), TrafficClass.ONLINE);
+        long due = mBoard.nextTickNanos();
+        assertTrue(due <= 1_020 * MILLI, "due at " + due);
+        mBoard.tick(due, mEffects::add);
+
+        assertEquals(
+                mEffects,
+                List.of(
+                        new Effect.Send(
+                                STORE, new FleetMessage.InFlight(List.of(use("a", 1, 0))))));
+        assertTrue(mBoard.nextTickNanos() >= due + 400 * MILLI);
+    }
+}
