--- a/src/main/java/org/coltsfootproxy/cli/Commands.java
+++ b/src/main/java/org/coltsfootproxy/cli/Commands.java
@@ -10,6 +10,7 @@
     static List<Command> all() {
         return Stream.of(
                         DemoCommand.all(),
+                        FleetDemoCommand.all(),
                         ServeCommands.all(),
                         FakeTargetCommand.all(),
                         KeyCommands.all(),
--- a/src/main/java/org/coltsfootproxy/cli/DemoCommand.java
+++ b/src/main/java/org/coltsfootproxy/cli/DemoCommand.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -10,8 +9,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apache.commons.cli.CommandLine;
@@ -24,28 +21,19 @@
     private static final int ITEMS = 200;
     private static final int IMPOSSIBLE_ITEM = 17;
     private static final int CALLS = 50;
-    private static final Duration PATIENCE = Duration.ofSeconds(60);
     private static final Duration WITHDRAWN_WITHIN = Duration.ofSeconds(4);
-    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final DemoFleet mFleet;
     private final Output mOut;
     private final OperatorClient mOperator;
     private final OperatorClient mSolway;
-    private final List<Check> mChecks = new ArrayList<>();
-
-    private record Check(String promise, boolean held) {}
-
-    /** A condition that may take some time to hold. */
-    @FunctionalInterface
-    private interface Condition {
-        boolean holds() throws ProxyException;
-    }
+    private final Checks mChecks;
 
     private DemoCommand(DemoFleet fleet, Output out) {
         mFleet = fleet;
         mOut = out;
+        mChecks = new Checks(out);
         mOperator = OperatorClient.of(fleet.admin(), DemoFleet.OPERATOR_KEY);
         mSolway = OperatorClient.of(fleet.caller(), DemoFleet.FLOOD_KEY);
     }
@@ -69,7 +57,7 @@
         try {
             DemoCommand demo = new DemoCommand(fleet, out);
             demo.play();
-            demo.summarise();
+            demo.mChecks.summarise();
             if (!line.hasOption("once")) {
                 demo.explain();
                 stayUp();
@@ -81,14 +69,14 @@
 
     private void play() throws ProxyException {
         mOut.line("applying the first change ticket");
-        await("a control host leads", () -> tryApply(mFleet.ticket()));
-        await(
+        mChecks.await("a control host leads", () -> tryApply(mFleet.ticket()));
+        mChecks.await(
                 "the first ticket is in force at the entry",
                 () -> status(mSolway, "/cards/1") == 200);
         online();
         batch();
         withdraw();
-        check(
+        mChecks.check(
                 "no key header reached a target",
                 keyFields(mFleet.engine().record().keyFields())
                         && keyFields(mFleet.plain().record().keyFields()));
@@ -116,17 +104,17 @@
                 IntStream.range(0, CALLS)
                         .filter(i -> isAnswered("/cards/" + i, "\"/cards/" + i + "\""))
                         .count();
-        check(CALLS + " calls each got the answer to its own request", good == CALLS);
+        mChecks.check(CALLS + " calls each got the answer to its own request", good == CALLS);
         String prompt = "{\"id\":\"demo-prompt\",\"prompt\":\"Who sits?\",\"stream\":true}";
         byte[] stream = mSolway.send("POST", "/assistant/ask", bytes(prompt), "application/json");
-        check("a stream of tokens came through", text(stream).contains("data: "));
+        mChecks.check("a stream of tokens came through", text(stream).contains("data: "));
         byte[] swap = bytes("{\"id\":\"demo-swap\"}");
         mSolway.send("POST", "/swaps", swap, "application/json");
         int runs = mFleet.plain().record().runs().getOrDefault("demo-swap", 0);
-        check("a swap ran exactly once", runs == 1);
+        mChecks.check("a swap ran exactly once", runs == 1);
         OperatorClient stranger = OperatorClient.of(mFleet.caller(), "");
-        check("a call without a key is refused", status(stranger, "/cards/1") == 401);
-        check("an open route needs no key", status(stranger, "/tides/today") == 200);
+        mChecks.check("a call without a key is refused", status(stranger, "/cards/1") == 401);
+        mChecks.check("an open route needs no key", status(stranger, "/tides/today") == 200);
     }
 
     private boolean isAnswered(String path, String expected) {
@@ -145,14 +133,14 @@
                         .mapToObj(DemoCommand::item)
                         .collect(Collectors.joining("\n"));
         String path = "/v1/jobs?id=briefings&service-path=/assistant/brief&deadline=600";
-        await("the job is accepted", () -> trySubmit(path, items));
-        await("the job ends", this::isJobEnded);
+        mChecks.await("the job is accepted", () -> trySubmit(path, items));
+        mChecks.await("the job ends", this::isJobEnded);
         List<JsonNode> results = results();
         long done = results.stream().filter(r -> r.path("status").asInt() == 200).count();
-        check("every possible item has its result", done == ITEMS - 1);
+        mChecks.check("every possible item has its result", done == ITEMS - 1);
         JsonNode bad = results.get(IMPOSSIBLE_ITEM);
-        check("the impossible item is reported", !bad.path("error").asText().isEmpty());
-        check(
+        mChecks.check("the impossible item is reported", !bad.path("error").asText().isEmpty());
+        mChecks.check(
                 "no item ran twice to its end",
                 mFleet.engine().record().completed().values().stream().allMatch(n -> n == 1));
     }
@@ -198,12 +186,12 @@
     private void withdraw() throws ProxyException {
         mOut.line("withdrawing a key");
         OperatorClient minch = OperatorClient.of(mFleet.caller(), DemoFleet.QUIET_KEY);
-        check("the key works before", status(minch, "/cards/1") == 200);
+        mChecks.check("the key works before", status(minch, "/cards/1") == 200);
         tryApply("ticket: 2\nremove:\n  keys: [minch-1]\n");
         long start = System.nanoTime();
-        await("the withdrawn key stops working", () -> status(minch, "/cards/1") == 401);
+        mChecks.await("the withdrawn key stops working", () -> status(minch, "/cards/1") == 401);
         boolean isQuick = System.nanoTime() - start < WITHDRAWN_WITHIN.toNanos();
-        check("it stopped within " + WITHDRAWN_WITHIN.toSeconds() + " s", isQuick);
+        mChecks.check("it stopped within " + WITHDRAWN_WITHIN.toSeconds() + " s", isQuick);
     }
 
     /** Returns the status that a call gets. */
@@ -216,35 +204,6 @@
         }
     }
 
-    private void await(String what, Condition condition) throws ProxyException {
-        long end = System.nanoTime() + PATIENCE.toNanos();
-        boolean holds = condition.holds();
-        while (!holds && System.nanoTime() < end) {
-            LockSupport.parkNanos(POLL_NANOS);
-            holds = condition.holds();
-        }
-        check(what, holds);
-        if (!holds) {
-            throw ProxyException.of(ErrorKind.INTERNAL, "gave up waiting: " + what);
-        }
-    }
-
-    private void check(String promise, boolean held) {
-        mChecks.add(new Check(promise, held));
-        mOut.line((held ? "  held    " : "  BROKEN  ") + promise);
-    }
-
-    private void summarise() throws ProxyException {
-        long broken = mChecks.stream().filter(check -> !check.held()).count();
-        ObjectNode summary = Output.object();
-        summary.put("checks", mChecks.size());
-        summary.put("broken", broken);
-        mOut.value(summary);
-        if (broken > 0) {
-            throw ProxyException.of(ErrorKind.INTERNAL, broken + " promises were broken");
-        }
-    }
-
     private void explain() {
         String caller = "http://" + mFleet.caller();
         mOut.line("");
--- a/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
@@ -43,6 +43,17 @@
         int wantedVoters) {
     private static final long HEARTBEAT_NANOS = Duration.ofMillis(200).toNanos();
     private static final long ELECTION_TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
+
+    /** In a fleet that callers wait for: a third of an election timeout, with a lost message. */
+    private static final long FLEET_HEARTBEAT_NANOS = Duration.ofMillis(120).toNanos();
+
+    /**
+     * In a fleet that callers wait for. A host that has its core for part of each 100 ms, and links
+     * of up to 30 ms, leave four heartbeats in it; a restarted fleet is without leader for at most
+     * twice this time.
+     */
+    private static final long FLEET_ELECTION_TIMEOUT_NANOS = Duration.ofMillis(480).toNanos();
+
     private static final double MAX_CLOCK_DRIFT = 0.02;
     private static final int KIB = 1024;
 
@@ -107,12 +118,12 @@
                 wantedVoters);
     }
 
-    /** Returns the same settings for hosts that let others in by themselves. */
+    /** Returns the same settings for a fleet whose hosts let others in by themselves. */
     public RaftSettings withGrowth(boolean founds, int voters) {
         return new RaftSettings(
                 hosts,
-                heartbeatNanos,
-                electionTimeoutNanos,
+                FLEET_HEARTBEAT_NANOS,
+                FLEET_ELECTION_TIMEOUT_NANOS,
                 maxClockDrift,
                 maxAppendBytes,
                 maxInFlight,
