Let calls that come just before an entry is ready wait for a moment

Cause: an entry listens 0.8 s before its configuration is confirmed (handshakes on cold code, then a leader, then a quorum).

Change: for 2 s after the start or a loss of touch, calls wait up to 0.8 s for readiness and are then judged by the confirmed configuration; the time they waited counts against their own. A host that stays out of touch refuses at once.

FleetConfigTest.aHostThatWasFrozenUnnoticedTrustsNothingItKnewBefore expected a refusal right after the freeze. The call now waits, so the test cuts the host off and also checks that nothing ran: as strict, and it no longer depends on when the next confirmation comes. Ruled out: listening only when ready: callers' tries are few, and a refused connection costs one.

--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -48,6 +48,7 @@
     private final TargetCalls mTargetCalls = TargetCalls.create();
     private final LoadBoard mLoads;
     private final Overload mOverload;
+    private final EarlyCalls mEarly = new EarlyCalls();
     private final SharedCountLimiter mLimiter;
     private final CallerAnswers mAnswers;
     private final DirectCalls mCalls;
@@ -126,6 +127,7 @@
 
     @Override
     public void start(long nowNanos, Effects out) {
+        mEarly.begin(nowNanos);
         mConfig.start(nowNanos, out);
         mMembership.start(nowNanos);
         mMembership.tick(mTargets.listing().number(), null, nowNanos, out);
@@ -139,6 +141,7 @@
         if (input instanceof Input.HttpCall call) {
             httpCall(call, nowNanos, out);
         } else if (input instanceof Input.HttpGone gone) {
+            mEarly.gone(gone.call());
             mCalls.gone(gone.call(), nowNanos, out);
             mJobs.gone(gone.call());
         } else if (input instanceof Input.FromPeer peer) {
@@ -163,12 +166,18 @@
     }
 
     private void httpCall(Input.HttpCall call, long now, Effects out) {
+        if (mIsReady || mStopping || !mEarly.hold(call, now)) {
+            decide(call, now, now, out);
+        }
+    }
+
+    private void decide(Input.HttpCall call, long arrivedAt, long now, Effects out) {
         String name = "";
         try {
             CallerCall asked = mProtocols.callers().read(call);
             if (asked instanceof CallerCall.Forward forward) {
                 name = forward.requestName();
-                forward(call, forward, now, out);
+                forward(call, forward, arrivedAt, now, out);
             } else {
                 checkTakesCalls();
                 mJobs.call(call, asked, organisation(call, now).id(), now, out);
@@ -188,7 +197,8 @@
         return CallerCheck.organisation(mConfig.view(), mConfig.isFresh(now), call.headers());
     }
 
-    private void forward(Input.HttpCall call, CallerCall.Forward forward, long now, Effects out)
+    private void forward(
+            Input.HttpCall call, CallerCall.Forward forward, long arrivedAt, long now, Effects out)
             throws ProxyException {
         checkTakesCalls();
         Route route = route(forward, now);
@@ -207,7 +217,9 @@
             return;
         }
         ServiceId service = route.serviceAt(mRandom.nextDouble());
-        mCalls.begin(DirectRequest.of(call, forward, route, service, organisation, now), now, out);
+        DirectRequest request =
+                DirectRequest.of(call, forward, route, service, organisation, arrivedAt);
+        mCalls.begin(request, now, out);
     }
 
     private Route route(CallerCall.Forward forward, long now) throws ProxyException {
@@ -257,6 +269,7 @@
     @Override
     public void tick(long nowNanos, Effects out) {
         mConfig.tick(nowNanos, out);
+        mEarly.takeLate(nowNanos).forEach(h -> decide(h.call(), h.arrivedAt(), nowNanos, out));
         mMembership.tick(mTargets.listing().number(), null, nowNanos, out);
         mLimiter.tick(nowNanos, out);
         mLoads.tick(nowNanos, out);
@@ -282,6 +295,11 @@
                     LogField.of("configFresh", isFresh),
                     LogField.of("configVersion", mConfig.view().version()),
                     LogField.of("listing", listing));
+            if (isReady) {
+                mEarly.takeAll().forEach(h -> decide(h.call(), h.arrivedAt(), now, out));
+            } else {
+                mEarly.begin(now);
+            }
         }
     }
 
@@ -294,6 +312,7 @@
                                 mLimiter.nextTickNanos(),
                                 mLoads.nextTickNanos(),
                                 mOverload.nextTickNanos(),
+                                mEarly.nextTickNanos(),
                                 mCalls.nextTickNanos(),
                                 mJobs.nextTickNanos())
                         .min()
@@ -303,6 +322,6 @@
 
     @Override
     public boolean isDrained() {
-        return mStopping && mCalls.isEmpty() && mJobs.isEmpty() && mRefusing;
+        return mStopping && mEarly.isEmpty() && mCalls.isEmpty() && mJobs.isEmpty() && mRefusing;
     }
 }
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -232,6 +232,39 @@
         assertFalse(mWorld.isReady(mWorld.entry(0)));
     }
 
+    @Test
+    public void aCallThatComesJustBeforeAStartedEntryIsReadyWaitsForIt() {
+        mWorld.fleet().crash(mWorld.entry(0));
+        mWorld.run(SECOND);
+        mWorld.startEntry(mWorld.entry(0));
+        Answer answer = mWorld.request(mWorld.entry(0), "q1", "/ask/1");
+        mWorld.run(1_500 * MILLI);
+
+        assertWhole(answer, "q1");
+        List<Header> headers = mWorld.runsOf("q1").get(0).mCall.headers();
+        long left = Long.parseLong(Wire.value(headers, "Deadline-Ms").orElse("0"));
+        long waited = mWorld.runsOf("q1").get(0).mAt - answer.mAsked;
+        assertTrue(left <= 5_001 - waited / MILLI, "left " + left + " after " + waited);
+    }
+
+    @Test
+    public void anEntryThatStaysOutOfTouchRefusesAtOnce() {
+        for (int n = 0; n < 3; n++) {
+            mWorld.fleet().crash(mWorld.control(n));
+        }
+        mWorld.fleet().crash(mWorld.entry(0));
+        mWorld.startEntry(mWorld.entry(0));
+        Answer early = mWorld.request(mWorld.entry(0), "q1", "/ask/1");
+        mWorld.run(3 * SECOND);
+        assertEquals(early.mStatus, 503, early.toString());
+        assertTrue(early.mEndAt - early.mAsked <= SECOND, "waited " + early.mEndAt);
+
+        Answer later = mWorld.request(mWorld.entry(0), "q2", "/ask/1");
+        mWorld.run(SECOND);
+        assertEquals(later.mStatus, 503, later.toString());
+        assertTrue(later.mEndAt - later.mAsked < 5 * MILLI, "waited " + later.mEndAt);
+    }
+
     @Test
     public void aWithdrawnKeyStopsAtAHostThatIsCutOff() {
         for (int n = 0; n < 3; n++) {
--- a/src/test/java/org/coltsfootproxy/platform/FleetConfigTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetConfigTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.platform.PlatformWorld.Answer;
@@ -145,13 +146,17 @@
     @Test
     public void aHostThatWasFrozenUnnoticedTrustsNothingItKnewBefore() {
         HostId entry = mWorld.entry(0);
+        IntStream.range(0, 3).forEach(n -> mWorld.fleet().cut(entry, mWorld.control(n)));
         mWorld.fleet().deliver(entry, new org.coltsfootproxy.node.Input.ClockJumped(3 * SECOND));
         Answer atOnce = mWorld.request(entry, "q1", "/ask/1");
         mWorld.run(SECOND);
+        assertEquals(atOnce.mStatus, 503, atOnce.toString());
+        assertTrue(mWorld.runsOf("q1").isEmpty());
+
+        IntStream.range(0, 3).forEach(n -> mWorld.fleet().heal(entry, mWorld.control(n)));
+        mWorld.run(4 * SECOND);
         Answer later = mWorld.request(entry, "q2", "/ask/1");
         mWorld.run(SECOND);
-
-        assertEquals(atOnce.mStatus, 503, atOnce.toString());
         assertEquals(later.mStatus, 200, later.toString());
     }
 
