Started entries learn how rates are used before they are ready

And until a service had answered, a request was taken to hold its slot for 0.3 s, which refuses a burst at a service that answers in 20 ms.

Change: an entry that starts waits, up to 0.4 s after it is informed, until every other entry has told its use or has ended; entries tell at once when they connect. A slot is taken to be held for a fifth of the goal until an answer shows better.

The test fails with 429 without the wait.

--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
 import org.coltsfootproxy.base.ErrorKind;
@@ -39,6 +40,12 @@
  * lately; without one it refuses, truthfully, as not run.
  */
 public final class DirectEntryNode implements Node {
+    /**
+     * How long a started entry waits for what the others have admitted. Connections take 0.2 to 0.4
+     * s under load; an entry that can't be reached must not keep others from starting.
+     */
+    private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     private final EntrySettings mSettings;
     private final Protocols mProtocols;
     private final PeerAddresses mAddresses;
@@ -54,6 +61,8 @@
     private final DirectCalls mCalls;
     private final DirectJobs mJobs;
     private final RandomGenerator mRandom;
+    private long mSettleBy = NEVER;
+    private boolean mIsSettled;
     private boolean mStopping;
     private long mRefuseFrom;
     private boolean mRefusing;
@@ -285,7 +294,8 @@
     private void updateReadiness(long now, Effects out) {
         boolean isFresh = mConfig.isFresh(now);
         long listing = mTargets.listing().number();
-        boolean isReady = !mStopping && isFresh && mConfig.view().version() > 0 && listing > 0;
+        boolean isInformed = isFresh && mConfig.view().version() > 0 && listing > 0;
+        boolean isReady = !mStopping && isInformed && isSettled(now);
         if (isReady != mIsReady) {
             mIsReady = isReady;
             out.log(
@@ -303,6 +313,19 @@
         }
     }
 
+    /** Tells whether the use of rates is known, or was waited for long enough. */
+    private boolean isSettled(long now) {
+        if (mIsSettled) {
+            return true;
+        }
+        if (mSettleBy == NEVER) {
+            mSettleBy = now + SETTLE_NANOS;
+        }
+        boolean hasRoster = !mMembership.entries().isEmpty();
+        mIsSettled = now - mSettleBy >= 0 || hasRoster && mLimiter.knowsAll(now);
+        return mIsSettled;
+    }
+
     @Override
     public long nextTickNanos() {
         long next =
@@ -317,7 +340,8 @@
                                 mJobs.nextTickNanos())
                         .min()
                         .getAsLong();
-        return mStopping && !mRefusing ? Math.min(next, mRefuseFrom) : next;
+        long settled = mIsSettled ? next : Math.min(next, mSettleBy);
+        return mStopping && !mRefusing ? Math.min(settled, mRefuseFrom) : settled;
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/direct/Overload.java
+++ b/src/main/java/org/coltsfootproxy/direct/Overload.java
@@ -30,8 +30,11 @@
  * refused.
  */
 final class Overload {
-    /** Time that a request holds a slot as long as none has ended. */
-    private static final double FIRST_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /**
+     * Part of the goal for which a request is taken to hold a slot until one has ended here. Most
+     * services answer well within their goal; a guess too high would refuse what can be served.
+     */
+    private static final double FIRST_HOLD_PART = 0.2;
 
     /** Weight of the last request in the mean time. */
     private static final double WEIGHT_OF_LAST = 0.05;
@@ -107,7 +110,8 @@
     OptionalLong refusal(DirectRequest request, long nowNanos) {
         ServiceId service = request.service();
         long goal = TimeUnit.MILLISECONDS.toNanos(request.route().policy().goalMillis());
-        double wait = waitNanos(service, nowNanos);
+        double hold = mHoldNanos.getOrDefault(service, FIRST_HOLD_PART * goal);
+        double wait = waitNanos(service, hold, nowNanos);
         if (goal == 0 || wait <= WAIT_PART * goal) {
             return OptionalLong.empty();
         }
@@ -120,13 +124,12 @@
         }
         remember(hash, nowNanos);
         mUntold.add(hash);
-        long comeBack = Math.min(latest, nextPlace(service, wait, nowNanos) - nowNanos);
+        long comeBack = Math.min(latest, nextPlace(service, hold, wait, nowNanos) - nowNanos);
         return OptionalLong.of(Math.max(1, TimeUnit.NANOSECONDS.toMillis(comeBack)));
     }
 
     /** Returns how long a request would wait for its turn at the target that takes it soonest. */
-    private double waitNanos(ServiceId service, long nowNanos) {
-        double hold = mHoldNanos.getOrDefault(service, FIRST_HOLD_NANOS);
+    private double waitNanos(ServiceId service, double hold, long nowNanos) {
         return mTargets.staying(service)
                 .filter(target -> !target.isAvoided(nowNanos))
                 .mapToDouble(target -> waitNanos(target, hold, nowNanos))
@@ -140,8 +143,7 @@
     }
 
     /** Gives the next caller the next place that gets free, as this entry's part of all places. */
-    private long nextPlace(ServiceId service, double wait, long nowNanos) {
-        double hold = mHoldNanos.getOrDefault(service, FIRST_HOLD_NANOS);
+    private long nextPlace(ServiceId service, double hold, double wait, long nowNanos) {
         int slots = mTargets.staying(service).mapToInt(Target::slots).sum();
         long spacing = (long) (hold * (1 + mOthers.size()) / Math.max(1, slots));
         long earliest = nowNanos + MIN_COME_BACK_NANOS + (long) wait;
--- a/src/main/java/org/coltsfootproxy/limit/SharedCountLimiter.java
+++ b/src/main/java/org/coltsfootproxy/limit/SharedCountLimiter.java
@@ -56,6 +56,7 @@
     private final Set<OrganisationId> mChanged = new LinkedHashSet<>();
     private ConfigView mView = ConfigView.empty();
     private long mTold;
+    private boolean mMustTell;
 
     /** The bucket of one organisation. */
     private static final class Account {
@@ -106,6 +107,7 @@
             fresh.mIncarnation = incarnation;
             mPeers.put(entry, fresh);
         }
+        mMustTell = true;
         mChanged.addAll(mAccounts.keySet());
     }
 
@@ -121,6 +123,11 @@
         }
     }
 
+    /** Tells whether all other entries have told what they admitted, or have ended. */
+    public boolean knowsAll(long nowNanos) {
+        return mPeers.values().stream().allMatch(peer -> peer.mIsGone || isHeard(peer, nowNanos));
+    }
+
     /** Takes what another entry has admitted. */
     public void handle(HostId from, FleetMessage.Usage usage, long nowNanos) {
         Peer peer = mPeers.get(from);
@@ -228,6 +235,7 @@
             return;
         }
         mTold = nowNanos;
+        mMustTell = false;
         List<FleetMessage.Use> uses = new ArrayList<>();
         double part = heardPart(nowNanos);
         mChanged.forEach(id -> uses.add(use(id, mAccounts.get(id), part, nowNanos)));
@@ -245,7 +253,8 @@
         if (mPeers.isEmpty()) {
             return Node.NEVER;
         }
-        return mTold + (mChanged.isEmpty() ? IDLE_TELL_NANOS : TELL_NANOS);
+        boolean isIdle = mChanged.isEmpty() && !mMustTell;
+        return mTold + (isIdle ? IDLE_TELL_NANOS : TELL_NANOS);
     }
 
     @Override
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -212,6 +212,27 @@
         assertTrue(served >= 0.9 * (5 * 20 + 20), "served " + served);
     }
 
+    @Test
+    public void entriesThatAllStartAgainGrantTheWholeBurstWhicheverIsAsked() {
+        mWorld.operate("PUT", "/coltsfootproxy/config", PlatformWorld.config(2, 20));
+        mWorld.run(3 * SECOND);
+        List.of(0, 1).forEach(n -> mWorld.fleet().crash(mWorld.entry(n)));
+        mWorld.run(SECOND);
+        mWorld.startEntry(mWorld.entry(0));
+        List<Answer> answers = new ArrayList<>();
+        for (int n = 0; n < 15; n++) {
+            answers.add(mWorld.request(mWorld.entry(0), "q" + n, "/card/1"));
+        }
+        mWorld.run(150 * MILLI);
+        mWorld.startEntry(mWorld.entry(1));
+        for (int n = 15; n < 18; n++) {
+            answers.add(mWorld.request(mWorld.entry(1), "q" + n, "/card/1"));
+        }
+        mWorld.run(2 * SECOND);
+
+        answers.forEach(answer -> assertEquals(answer.mStatus, 200, answer.toString()));
+    }
+
     @Test
     public void keysAndRoutesAreJudgedOnlyByAConfirmedConfiguration() {
         Answer unknown = mWorld.request(mWorld.entry(0), "q1", "/ask/1", "no-such-key");
