--- a/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
@@ -44,7 +44,7 @@
     private static final long HEARTBEAT_NANOS = Duration.ofMillis(200).toNanos();
     private static final long ELECTION_TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** In a fleet that callers wait for: a third of an election timeout, with a lost message. */
+    /** In a fleet that callers wait for: a quarter of the election timeout. */
     private static final long FLEET_HEARTBEAT_NANOS = Duration.ofMillis(120).toNanos();
 
     /**
--- a/src/main/java/org/coltsfootproxy/direct/EarlyCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/EarlyCalls.java
@@ -8,14 +8,17 @@
 import org.coltsfootproxy.node.Node;
 
 /**
- * Calls that came before the host was ready, just after it started or lost touch.
+ * Calls that came before the host was ready, just after it started or lost the control hosts.
  *
  * <p>A host that starts listens for callers a little before its configuration is confirmed and its
  * targets are known. What comes in between waits for a moment: the answer comes sooner than after a
- * refusal and another try. A host that stays out of touch refuses at once.
+ * refusal and another try. A host that stays without control hosts refuses at once.
  */
 final class EarlyCalls {
-    /** Time after the start, or after the loss of touch, during which calls may wait. */
+    /**
+     * Time after the start, or after readiness was lost, during which calls may wait: a start takes
+     * about one second, and an election at most another.
+     */
     private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Longest wait of a call: a start under load took 0.8 s from listening to ready. */
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -269,7 +269,7 @@
     }
 
     @Test
-    public void anEntryThatStaysOutOfTouchRefusesAtOnce() {
+    public void anEntryThatStaysWithoutControlHostsRefusesAtOnce() {
         for (int n = 0; n < 3; n++) {
             mWorld.fleet().crash(mWorld.control(n));
         }
