--- a/src/test/java/org/coltsfootproxy/limit/SharedCountLimiterTest.java
+++ b/src/test/java/org/coltsfootproxy/limit/SharedCountLimiterTest.java
@@ -196,6 +196,20 @@
         }
     }
 
+    @Test
+    public void anEntryAskedBeforeItHeardOfTheOthersTakesOverTheirLevelAfterwards() {
+        World world = new World(5);
+        Random random = new Random(1);
+        world.run(0, 5_000, 5, random);
+        world.restart(0, 5_000);
+        world.ask(0, 5_000 * MILLI);
+        world.run(5_000, 5_200, 0, random);
+        for (int n = 0; n < 25; n++) {
+            world.ask(0, 5_200 * MILLI);
+        }
+        assertEquals(world.mRefused, 0);
+    }
+
     @Test
     public void entriesThatStartAgainUnderLoadAdmitNoMoreThanTheRate() {
         for (int seed = 1; seed <= 10; seed++) {
