Renewals that found no leader wait for the next quorum read

Change: renewals of a failed read go back to those that wait for the next read. QuorumBatchTest fails without it (run).

Conclusion: readiness no longer waits for a second renewal; what the requests do that come back together is the next matter.

--- a/src/main/java/org/coltsfootproxy/config/QuorumBatch.java
+++ b/src/main/java/org/coltsfootproxy/config/QuorumBatch.java
@@ -7,7 +7,8 @@
 /**
  * Gathers renewals, so that one quorum confirmation in an interval serves all of them.
  *
- * <p>A renewal counts only for a confirmation that begins after it arrived.
+ * <p>A renewal counts only for a confirmation that begins after it arrived. If that one fails, as
+ * during an election, the renewal waits for the next: its sender would come again much later.
  *
  * @param <T> what describes a renewal
  */
@@ -89,6 +90,10 @@
 
         @Override
         public void failed() {
+            List<T> waiting = mWaiting;
+            mWaiting = new ArrayList<>();
+            mBatch.forEach(QuorumBatch.this::add);
+            waiting.forEach(QuorumBatch.this::add);
             end();
         }
 
