A host counts as long as any control host knows it

Change: a host merges the rosters of all control hosts that it is connected to; the members of the log of the jobs are those of the latest term. FleetMembershipTest: 5 of 5 fail without it (run).

--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -151,6 +151,9 @@
             mGroup.handle(failed, nowNanos, mOut);
         } else if (input instanceof Input.PeerLost lost) {
             mConfig.peerLost(lost.host(), nowNanos, mOut);
+            if (mMembership.peerLost(lost.host())) {
+                hostsChanged(nowNanos);
+            }
         } else if (input instanceof Input.SeedsChanged seeds) {
             mMembership.seeds(seeds.seeds());
             hostsChanged(nowNanos);
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -159,6 +159,9 @@
             mLimiter.entryUp(up.host(), up.incarnation());
         } else if (input instanceof Input.PeerLost lost) {
             mConfig.peerLost(lost.host(), nowNanos, out);
+            if (mMembership.peerLost(lost.host())) {
+                hostsChanged(nowNanos, out);
+            }
             mLimiter.entryLost(lost.host(), nowNanos);
         } else if (input instanceof Input.SeedsChanged seeds) {
             mMembership.seeds(seeds.seeds());
--- a/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
@@ -4,10 +4,13 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
@@ -20,16 +23,17 @@
  * learns the others from them.
  *
  * <p>It starts with the seeds and goes on asking them, so that it finds its way back even if all
- * control hosts that it has learnt are gone.
+ * control hosts that it has learnt are gone. A host counts as long as any control host knows it:
+ * one that is cut off from some hosts, or that has just started, doesn't hide them.
  */
 public final class FleetMembership {
     /** Time between two enrolments. */
     static final long ENROL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final Self mSelf;
-    private final Map<HostId, Long> mDigests = new HashMap<>();
-    private FleetMessage.Roster mRoster =
-            new FleetMessage.Roster(0, List.of(), List.of(), List.of(), List.of(), List.of());
+    private final Map<HostId, FleetMessage.Roster> mRosters = new LinkedHashMap<>();
+    private FleetMessage.Roster mRoster = merge(List.of());
+    private HostId mLastLost;
     private List<HostId> mSeeds;
     private long mNextEnrolment;
 
@@ -84,13 +88,58 @@
      * @return whether the hosts have changed
      */
     public boolean handle(HostId from, FleetMessage.Roster roster) {
-        mDigests.put(from, roster.digest());
-        boolean isChanged = roster.digest() != mRoster.digest();
-        mRoster = roster;
-        return isChanged;
+        mRosters.put(from, roster);
+        if (!from.equals(mLastLost)) {
+            mRosters.remove(mLastLost);
+        }
+        mLastLost = null;
+        return update();
+    }
+
+    /**
+     * Forgets what a control host has told, as its connection was lost; what the last one has told
+     * is kept until another one tells more.
+     *
+     * @return whether the hosts have changed
+     */
+    public boolean peerLost(HostId host) {
+        if (mRosters.size() == 1 && mRosters.containsKey(host)) {
+            mLastLost = host;
+            return false;
+        }
+        mRosters.remove(host);
+        return update();
+    }
+
+    private boolean update() {
+        FleetMessage.Roster before = mRoster;
+        mRoster = merge(mRosters.values());
+        return !mRoster.equals(before);
+    }
+
+    private static FleetMessage.Roster merge(Collection<FleetMessage.Roster> rosters) {
+        Optional<FleetMessage.Roster> latest =
+                rosters.stream().max(Comparator.comparingLong(FleetMessage.Roster::jobTerm));
+        List<HostId> retiring = union(rosters, FleetMessage.Roster::retiring);
+        return new FleetMessage.Roster(
+                0,
+                union(rosters, FleetMessage.Roster::controls),
+                union(rosters, FleetMessage.Roster::entries),
+                union(rosters, FleetMessage.Roster::stores).stream()
+                        .filter(host -> !retiring.contains(host))
+                        .toList(),
+                latest.map(FleetMessage.Roster::jobTerm).orElse(0L),
+                latest.map(FleetMessage.Roster::jobMembers).orElse(List.of()),
+                retiring);
+    }
+
+    private static List<HostId> union(
+            Collection<FleetMessage.Roster> rosters,
+            Function<FleetMessage.Roster, List<HostId>> part) {
+        return rosters.stream().map(part).flatMap(List::stream).sorted().distinct().toList();
     }
 
-    /** Returns the roster that came last; empty at the start. */
+    /** Returns the hosts that any control host knows; empty at the start. */
     public FleetMessage.Roster roster() {
         return mRoster;
     }
@@ -139,7 +188,8 @@
         }
         mNextEnrolment = nowNanos + ENROL_NANOS;
         for (HostId control : controls()) {
-            long digest = mDigests.getOrDefault(control, 0L);
+            FleetMessage.Roster roster = mRosters.get(control);
+            long digest = roster == null ? 0 : roster.digest();
             out.send(
                     control,
                     new FleetMessage.Enrol(
--- a/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
@@ -86,7 +86,7 @@
         if (!isLeader) {
             return false;
         }
-        boolean isChanged = !store.members().equals(mJobMembers);
+        boolean isChanged = store.term() != mJobTerm || !store.members().equals(mJobMembers);
         mJobTerm = store.term();
         mJobMembers = store.members();
         return isChanged;
@@ -160,8 +160,9 @@
                             hasher.putInt(hosts.size());
                             hosts.forEach(h -> hasher.putString(h.value(), StandardCharsets.UTF_8));
                         });
-        long digest = hasher.hash().asLong() | 1;
-        return new FleetMessage.Roster(digest, mControls, entries, stores, mJobMembers, retiring);
+        long digest = hasher.putLong(mJobTerm).hash().asLong() | 1;
+        return new FleetMessage.Roster(
+                digest, mControls, entries, stores, mJobTerm, mJobMembers, retiring);
     }
 
     private static List<HostId> sorted(Stream<HostId> hosts) {
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -56,6 +56,7 @@
      * Control to entry or store: the hosts of the fleet; sent if the other one has another roster.
      *
      * @param stores hosts that keep jobs or may, without those that are being emptied
+     * @param jobTerm term of the leader that told the members of the log of the jobs, 0 for none
      * @param jobMembers members of the log of the jobs, its leader first; empty if not known
      * @param retiring hosts that are being emptied
      */
@@ -65,6 +66,7 @@
             List<HostId> controls,
             List<HostId> entries,
             List<HostId> stores,
+            long jobTerm,
             List<HostId> jobMembers,
             List<HostId> retiring)
             implements FleetMessage {
