Items that keep their place count as busy; items that are late all the same make room

Entries preferred any target with a batch item to those with none, whatever queue it had, and asked for its place; the store declined, because items that would miss their deadline keep their place, which entries weren't told.

Change: hosts tell which items keep their place; only the others count as room. An item keeps it only if it can still be done in time and couldn't after making room.

Ruled out: an engine slower than others.

--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -12,6 +12,9 @@
 
 /** One batch item that this host runs: what it has made so far, and where it is. */
 final class ItemRun {
+    /** Part of the mean run that must be left beside an item's own rest for it to make room. */
+    private static final double SPARE_RUNS = 0.5;
+
     private final LeasedItem mItem;
     private final ItemCall.Post mCall;
     private final long mBegan;
@@ -24,6 +27,7 @@
     private long mActiveNanos;
     private boolean mHasSuccess;
     private int mBreaks;
+    private boolean mIsKept;
     private long mHeard;
 
     private ItemRun(LeasedItem item, ItemCall.Post call, long nowNanos) {
@@ -92,6 +96,27 @@
         return mBegan + TimeUnit.MILLISECONDS.toNanos(mItem.dueMillis());
     }
 
+    /**
+     * Tells whether the item needs its place to be done in time. One that can wait makes room, and
+     * so does one that would be late all the same.
+     *
+     * @param runNanos mean time of a run
+     */
+    boolean needsPlace(double runNanos, long nowNanos) {
+        double rest = Math.max(0, runNanos - activeNanos(nowNanos));
+        double spare = dueNanos() - nowNanos - rest;
+        return spare > 0 && spare <= SPARE_RUNS * runNanos;
+    }
+
+    /** Tells whether other hosts were told that the item keeps its place. */
+    boolean isKept() {
+        return mIsKept;
+    }
+
+    void kept(boolean isKept) {
+        mIsKept = isKept;
+    }
+
     /** Notes that the target has begun to send events. */
     void began(long nowNanos) {
         mHasSuccess = true;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -60,9 +60,6 @@
     /** Mean time of a run as long as none has ended. */
     private static final long FIRST_RUN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** Part of the mean run that must be left beside an item's own rest for it to make room. */
-    private static final double SPARE_RUNS = 0.5;
-
     private static final int NEVER_DONE = 422;
     private static final int FAILED = 500;
     private static final int GROUP = 1;
@@ -167,7 +164,7 @@
     private void send(ItemRun run, long now, Effects out) {
         ServiceId service = run.item().service();
         Optional<Target> target = mTargets.chooseForBatch(service, run.tried(), now);
-        if (target.isEmpty() && !maySpareTime(run, now)) {
+        if (target.isEmpty() && run.needsPlace(mRunNanos, now)) {
             target = mTargets.choose(service, run.tried(), now);
         }
         if (target.isEmpty()) {
@@ -298,6 +295,9 @@
     }
 
     private void leave(ItemRun run, long now) {
+        if (run.isKept()) {
+            kept(run, false);
+        }
         run.target().ifPresent(target -> mTargets.ended(target, TrafficClass.BATCH));
         run.leftTarget(now);
     }
@@ -341,6 +341,7 @@
         mPuller.tick(now, out);
         if (now - mNextLook >= 0) {
             mNextLook = now + LOOK_NANOS;
+            updateKept(now);
             offerSlots(now, out);
         }
     }
@@ -360,15 +361,22 @@
     public void makeRoom(TargetId target, long now, Effects out) {
         mRuns.values().stream()
                 .filter(run -> run.target().filter(t -> t.listed().id().equals(target)).isPresent())
-                .filter(run -> maySpareTime(run, now))
+                .filter(run -> !run.needsPlace(mRunNanos, now))
                 .max(Comparator.comparingLong(ItemRun::dueNanos))
                 .ifPresent(run -> pause(run, now, out));
     }
 
-    /** An item that would miss its job's deadline by waiting keeps its slot. */
-    private boolean maySpareTime(ItemRun run, long now) {
-        double rest = Math.max(0, mRunNanos - run.activeNanos(now));
-        return run.dueNanos() - now > rest + SPARE_RUNS * mRunNanos;
+    /** Tells the other hosts which items no longer make room, or do so again. */
+    private void updateKept(long now) {
+        mRuns.values().stream()
+                .filter(run -> run.target().isPresent())
+                .filter(run -> run.needsPlace(mRunNanos, now) != run.isKept())
+                .forEach(run -> kept(run, !run.isKept()));
+    }
+
+    private void kept(ItemRun run, boolean isKept) {
+        run.kept(isKept);
+        mTargets.kept(run.target().orElseThrow(), isKept);
     }
 
     private void pause(ItemRun run, long now, Effects out) {
--- a/src/main/java/org/coltsfootproxy/direct/Overload.java
+++ b/src/main/java/org/coltsfootproxy/direct/Overload.java
@@ -138,7 +138,7 @@
     }
 
     private static double waitNanos(Target target, double hold, long nowNanos) {
-        int ahead = target.inFlight(nowNanos) - target.batch() - target.slots() + 1;
+        int ahead = target.inFlight(nowNanos) - target.yielding() - target.slots() + 1;
         return Math.max(0, ahead) * hold / target.slots();
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.direct;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,8 @@
     private int mBatch;
     private int mOnlineElsewhere;
     private int mBatchElsewhere;
+    private int mKept;
+    private int mKeptElsewhere;
     private int mToldElsewhere;
     private long mToldAt = Long.MIN_VALUE / 2;
     private int mFailures;
@@ -69,7 +72,7 @@
 
     /** Returns this host's own calls. */
     FleetMessage.TargetUse ownUse() {
-        return new FleetMessage.TargetUse(mListed.id(), mOnline, mBatch);
+        return new FleetMessage.TargetUse(mListed.id(), mOnline, mBatch, mKept);
     }
 
     /** Takes another host's word on its calls; empty if it has none. */
@@ -78,29 +81,38 @@
                 use.isPresent() ? mUses.put(host, use.get()) : mUses.remove(host);
         mOnlineElsewhere += use.map(FleetMessage.TargetUse::online).orElse(0);
         mBatchElsewhere += use.map(FleetMessage.TargetUse::batch).orElse(0);
+        mKeptElsewhere += use.map(FleetMessage.TargetUse::kept).orElse(0);
         if (before != null) {
             mOnlineElsewhere -= before.online();
             mBatchElsewhere -= before.batch();
+            mKeptElsewhere -= before.kept();
         }
     }
 
-    /** Returns the other host that has most batch items here. */
+    /** Changes the number of this host's batch items that keep their place. */
+    void kept(int change) {
+        mKept += change;
+    }
+
+    /** Returns the other host that has most batch items here that make room. */
     Optional<HostId> batchHolder() {
         return mUses.entrySet().stream()
-                .filter(entry -> entry.getValue().batch() > 0)
-                .max(Map.Entry.comparingByValue((a, b) -> Integer.compare(a.batch(), b.batch())))
+                .filter(entry -> entry.getValue().yielding() > 0)
+                .max(
+                        Map.Entry.comparingByValue(
+                                Comparator.comparingInt(FleetMessage.TargetUse::yielding)))
                 .map(Map.Entry::getKey);
     }
 
     /** Counts one batch item of a host as gone, as it was asked to give its place up. */
     void yielded(HostId host) {
         FleetMessage.TargetUse use = mUses.get(host);
-        if (use != null && use.batch() > 0) {
+        if (use != null && use.yielding() > 0) {
             use(
                     host,
                     Optional.of(
                             new FleetMessage.TargetUse(
-                                    use.target(), use.online(), use.batch() - 1)));
+                                    use.target(), use.online(), use.batch() - 1, use.kept())));
         }
     }
 
@@ -154,6 +166,11 @@
         return mBatch + mBatchElsewhere;
     }
 
+    /** Returns the batch items there that would make room for an online request. */
+    int yielding() {
+        return batch() - mKept - mKeptElsewhere;
+    }
+
     /**
      * Returns all that runs or waits there. The target's own word counts if it names more than the
      * hosts have told.
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -104,6 +104,12 @@
         target.ended(type);
     }
 
+    /** Notes that a batch item of this host keeps its place from now on, or no longer does. */
+    void kept(Target target, boolean isKept) {
+        mChanges++;
+        target.kept(isKept ? 1 : -1);
+    }
+
     /** Returns how often a call from this host has begun or ended. */
     long changes() {
         return mChanges;
@@ -144,9 +150,10 @@
         if (inFlight < slots) {
             return inFlight / slots;
         }
-        return target.batch() > 0
-                ? YIELDING_LOAD + Math.min(1, target.online() / slots)
-                : QUEUEING_LOAD + (inFlight - slots) / slots;
+        int staying = inFlight - target.yielding();
+        return staying < slots
+                ? YIELDING_LOAD + staying / slots
+                : QUEUEING_LOAD + (staying - slots) / slots;
     }
 
     /** Returns the least loaded target of a service that has room for a batch item. */
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -119,8 +119,18 @@
         }
     }
 
-    /** Calls of one host at one target. */
-    record TargetUse(TargetId target, int online, int batch) {}
+    /**
+     * Calls of one host at one target.
+     *
+     * @param batch batch items, those that keep their place included
+     * @param kept batch items that would be late if they made room
+     */
+    record TargetUse(TargetId target, int online, int batch, int kept) {
+        /** Returns the batch items that would make room for an online request. */
+        public int yielding() {
+            return batch - kept;
+        }
+    }
 
     /**
      * Entry to entry: these requests were refused for want of room, and their callers told to come
--- a/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
@@ -54,7 +54,11 @@
     }
 
     private static FleetMessage.TargetUse use(String id, int online, int batch) {
-        return new FleetMessage.TargetUse(TargetId.of(id), online, batch);
+        return use(id, online, batch, 0);
+    }
+
+    private static FleetMessage.TargetUse use(String id, int online, int batch, int kept) {
+        return new FleetMessage.TargetUse(TargetId.of(id), online, batch, kept);
     }
 
     private String chosen() {
@@ -94,6 +98,23 @@
         assertEquals(target("b").batch(), 3);
     }
 
+    @Test
+    public void aBatchItemThatKeepsItsPlaceMakesNoRoom() {
+        mBoard.handle(
+                STORE, new FleetMessage.InFlight(List.of(use("a", 20, 4, 4), use("b", 9, 0))), 0);
+        assertEquals(chosen(), "b");
+
+        mBoard.makeRoom(target("a"), mEffects::add);
+        assertEquals(mEffects, List.of());
+    }
+
+    @Test
+    public void aLongQueueIsNotMadeUpForByOneItemThatCanMakeRoom() {
+        mBoard.handle(
+                STORE, new FleetMessage.InFlight(List.of(use("a", 20, 1), use("b", 9, 0))), 0);
+        assertEquals(chosen(), "b");
+    }
+
     @Test
     public void aBatchItemGoesOnlyWhereASlotStaysFreeBesideIt() {
         mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 6, 0), use("b", 7, 0))), 0);
