Questions on jobs go to the next host as soon as their leader is lost

The entry waited 1.5 s before it asked another host, and again after each refusal, so that the caller's 4 s passed without an answer; the next leader was there at 1.64 s. Nothing in the log showed the call.

Change: a question is asked again after 0.5 s (one election of a fleet's log), at once when the connection to the asked host is lost, and at once when the roster names another leader. A caller who leaves is logged with what was asked.

Ruled out: that the new leader refused.

--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -104,7 +104,7 @@
                         mLoads,
                         mOverload,
                         mLimiter);
-        JobCourier courier = JobCourier.create(membership.jobHosts(), random.nextLong() >>> 1);
+        JobCourier courier = DirectJobs.courier(membership.jobHosts(), random);
         mJobs = new DirectJobs(protocols.callers(), courier);
     }
 
@@ -152,7 +152,7 @@
         } else if (input instanceof Input.HttpGone gone) {
             mEarly.gone(gone.call());
             mCalls.gone(gone.call(), nowNanos, out);
-            mJobs.gone(gone.call());
+            mJobs.gone(gone.call(), out);
         } else if (input instanceof Input.FromPeer peer) {
             fromPeer(peer.from(), peer.message(), nowNanos, out);
         } else if (input instanceof Input.PeerUp up) {
@@ -163,6 +163,7 @@
                 hostsChanged(nowNanos, out);
             }
             mLimiter.entryLost(lost.host(), nowNanos);
+            mJobs.peerLost(lost.host(), nowNanos);
         } else if (input instanceof Input.SeedsChanged seeds) {
             mMembership.seeds(seeds.seeds());
             hostsChanged(nowNanos, out);
@@ -269,7 +270,7 @@
 
     private void hostsChanged(long now, Effects out) {
         mConfig.hosts(mAddresses.controlHosts(mMembership.controls()), now, out);
-        mJobs.controls(mMembership.jobHosts());
+        mJobs.controls(mMembership.jobHosts(), now);
         mMembership.callers().stream()
                 .filter(host -> !host.equals(mSettings.host()))
                 .forEach(host -> out.add(new Effect.PeerAddress(host, mAddresses.of(host))));
--- a/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
@@ -35,6 +36,9 @@
     /** Longest time for an answer besides a wait that was asked for: an election and a commit. */
     private static final long ANSWER_MILLIS = 3_500;
 
+    /** Silence after which another host is asked: one election of a fleet's log of jobs. */
+    private static final long ASK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /** When to come back after no control host has answered: about one election. */
     private static final long RETRY_MILLIS = 500;
 
@@ -50,8 +54,17 @@
         mCourier = courier;
     }
 
-    void controls(List<HostId> controls) {
-        mCourier.controls(controls);
+    /** Returns a courier to the leader of the jobs. */
+    static JobCourier courier(List<HostId> hosts, RandomGenerator random) {
+        return JobCourier.create(hosts, random.nextLong() >>> 1, ASK_AGAIN_NANOS);
+    }
+
+    void controls(List<HostId> controls, long now) {
+        mCourier.controls(controls, now);
+    }
+
+    void peerLost(HostId host, long now) {
+        mCourier.peerLost(host, now);
     }
 
     /** Submits the job that a call on a batch route brings. */
@@ -220,8 +233,15 @@
     }
 
     /** The caller of an HTTP call is gone; what it ordered may still be carried out. */
-    void gone(long call) {
-        mCourier.withdraw(call);
+    void gone(long call, Effects out) {
+        mCourier.withdraw(call)
+                .forEach(
+                        ask ->
+                                out.log(
+                                        EventCode.JOB_CALL_ANSWERED,
+                                        LogField.of("call", ask.getClass().getSimpleName()),
+                                        LogField.of("organisation", ask.organisation()),
+                                        LogField.of("outcome", "the caller has left")));
     }
 
     void handle(HostId from, JobMessage message, long now, Effects out) {
--- a/src/main/java/org/coltsfootproxy/job/JobCourier.java
+++ b/src/main/java/org/coltsfootproxy/job/JobCourier.java
@@ -21,9 +21,6 @@
 public final class JobCourier {
     private static final long MILLI = EpochClock.NANOS_PER_MILLI;
 
-    /** Silence after which another control host is asked: longer than a commit with an election. */
-    private static final long ASK_AGAIN_NANOS = 1_500 * MILLI;
-
     /** Pause before the host that a refusal names is asked. */
     private static final long PAUSE_NANOS = 100 * MILLI;
 
@@ -32,7 +29,8 @@
 
     private final Map<Long, Open> mOpen = new LinkedHashMap<>();
     private final Map<Integer, HostId> mAskedLast = new HashMap<>();
-    private List<HostId> mControls;
+    private final long mAskAgainNanos;
+    private List<HostId> mControls = List.of();
     private long mLastNumber;
     private long mOpenBytes;
 
@@ -69,9 +67,10 @@
         }
     }
 
-    private JobCourier(List<HostId> controls, long firstNumber) {
+    private JobCourier(List<HostId> controls, long firstNumber, long askAgainNanos) {
         mLastNumber = firstNumber;
-        controls(controls);
+        mAskAgainNanos = askAgainNanos;
+        controls(controls, 0);
     }
 
     /**
@@ -79,16 +78,36 @@
      *
      * @param controls control hosts of the groups, at least one
      * @param firstNumber random number, so that answers to an earlier life are told apart
+     * @param askAgainNanos silence after which another control host is asked
      */
-    public static JobCourier create(List<HostId> controls, long firstNumber) {
-        return new JobCourier(controls, firstNumber);
+    public static JobCourier create(List<HostId> controls, long firstNumber, long askAgainNanos) {
+        checkArgument(askAgainNanos > 0, "askAgainNanos %s is not positive", askAgainNanos);
+        return new JobCourier(controls, firstNumber, askAgainNanos);
     }
 
-    /** Replaces the control hosts that are asked. */
-    public void controls(List<HostId> controls) {
+    /**
+     * Replaces the control hosts that are asked, the likeliest leader first. If that is another one
+     * than before, it gets all open questions at once.
+     */
+    public void controls(List<HostId> controls, long nowNanos) {
         checkArgument(!controls.isEmpty(), "no control hosts are given");
+        HostId leader = controls.get(0);
+        boolean isOtherLeader = !mControls.isEmpty() && !mControls.get(0).equals(leader);
         mControls = List.copyOf(controls);
         mAskedLast.values().retainAll(mControls);
+        if (isOtherLeader) {
+            mAskedLast.clear();
+            mOpen.values().stream()
+                    .filter(open -> !open.mAsked.equals(leader))
+                    .forEach(open -> open.mAskNanos = nowNanos);
+        }
+    }
+
+    /** A connection was lost: what was asked there is asked elsewhere at once. */
+    public void peerLost(HostId host, long nowNanos) {
+        List<Open> asked = mOpen.values().stream().filter(o -> o.mAsked.equals(host)).toList();
+        asked.forEach(open -> turnFrom(host, open.mAsk.group(), null));
+        asked.forEach(open -> open.mAskNanos = nowNanos);
     }
 
     /** Returns the number for the next question. */
@@ -126,16 +145,19 @@
     }
 
     private void send(Open open, long nowNanos, Effects out) {
-        open.mAskNanos = nowNanos + ASK_AGAIN_NANOS;
+        open.mAskNanos = nowNanos + mAskAgainNanos;
         open.mAsked = mAskedLast.computeIfAbsent(open.mAsk.group(), group -> mControls.get(0));
         open.mUnrefused++;
         out.send(open.mAsked, open.mAsk);
     }
 
-    /** Forgets the owner's questions; what it ordered may still be carried out. */
-    public void withdraw(long owner) {
+    /**
+     * Forgets the owner's questions, and returns them; what it ordered may still be carried out.
+     */
+    public List<JobMessage.Ask> withdraw(long owner) {
         List<Open> gone = mOpen.values().stream().filter(o -> o.mOwner == owner).toList();
         gone.forEach(this::close);
+        return gone.stream().map(open -> open.mAsk).toList();
     }
 
     private void close(Open open) {
--- a/src/main/java/org/coltsfootproxy/job/JobGateway.java
+++ b/src/main/java/org/coltsfootproxy/job/JobGateway.java
@@ -27,6 +27,9 @@
  * <p>Single-threaded and deterministic like a {@link Node}.
  */
 public final class JobGateway {
+    /** Silence after which another control host is asked: longer than a commit with an election. */
+    private static final long ASK_AGAIN_NANOS = 1_500 * EpochClock.NANOS_PER_MILLI;
+
     private static final long ANSWER_NANOS = 10_000 * EpochClock.NANOS_PER_MILLI;
     private static final long RETRY_MILLIS = 1_000;
     private static final int OK = 200;
@@ -48,7 +51,7 @@
         mGroups = groups;
         mClock = clock;
         mRequests = new JobRequests(groups);
-        mCourier = JobCourier.create(controls, firstNumber);
+        mCourier = JobCourier.create(controls, firstNumber, ASK_AGAIN_NANOS);
     }
 
     /**
