No slot is reserved beside batch items

One slot an engine was kept free for online requests, although an item makes room within milliseconds.

Change: batch items take all free slots.

--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -28,8 +28,8 @@
  *
  * <p>Targets run what comes first, so a request that has to wait there waits behind whatever came
  * before it. An online request therefore goes where a slot is free, next where a batch item can
- * make room, and only then where the queue is shortest. A batch item goes only where a slot stays
- * free beside it.
+ * make room, and only then where the queue is shortest. A batch item goes only where a slot is
+ * free; none is reserved, as items make room within a few milliseconds.
  */
 public final class Targets {
     /** Load for each slot that makes up for a way to another data centre: one of eight slots. */
@@ -41,9 +41,6 @@
     /** Load above any target where a batch item can make room, for one with only a queue. */
     private static final double QUEUEING_LOAD = 4;
 
-    /** Fewest slots of a target at which batch items leave one free for online requests. */
-    private static final int LEAST_SLOTS_TO_RESERVE = 4;
-
     private final DataCentre mHome;
     private final RandomGenerator mRandom;
     private final Map<TargetId, Target> mById = new HashMap<>();
@@ -170,8 +167,7 @@
 
     /** Returns how many further batch items a target has room for. */
     static int batchRoom(Target target, long nowNanos) {
-        int reserved = Math.min(1, target.slots() / LEAST_SLOTS_TO_RESERVE);
-        int free = target.slots() - reserved - target.inFlight(nowNanos);
+        int free = target.slots() - target.inFlight(nowNanos);
         return target.isAvoided(nowNanos) ? 0 : Math.max(0, free);
     }
 
