Items go on after what a lost store had made

Change: stores tell the leader once a second what their items have made; it is committed to the log of jobs, so it outlasts the loss of stores, the leader's or all at once. A piece is kept only if it directly follows what is kept. A new lease brings it with it, and the run goes on after its last event.

Tests: FleetJobsTest (2) fail if stores tell nothing (run); JobLedgerTest (3) hold the pieces.

--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -17,6 +17,11 @@
     private boolean mIsLineEmpty = true;
     private Optional<String> mLastId = Optional.empty();
 
+    /** Notes that events up to this one were taken by an earlier reader. */
+    void goOnAfter(String id) {
+        mLastId = Optional.of(id);
+    }
+
     /** Takes bytes and returns the events that they make whole; empty if none. */
     byte[] take(byte[] bytes) {
         int end = endOfLastEvent(bytes);
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -2,13 +2,16 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.TargetId;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
+import org.coltsfootproxy.message.PartialOutput;
 
 /** One batch item that this host runs: what it has made so far, and where it is. */
 final class ItemRun {
@@ -28,12 +31,19 @@
     private boolean mHasSuccess;
     private int mBreaks;
     private boolean mIsKept;
+    private int mKeptBytes;
     private long mHeard;
 
     private ItemRun(LeasedItem item, ItemCall.Post call, long nowNanos) {
         mItem = item;
         mCall = call;
         mBegan = nowNanos;
+        PartialOutput made = item.made();
+        mOutput.writeBytes(made.bytes());
+        mKeptBytes = made.bytes().length;
+        if (!made.lastEvent().isEmpty()) {
+            mEvents.goOnAfter(made.lastEvent());
+        }
     }
 
     static ItemRun of(LeasedItem item, ItemCall.Post call, long nowNanos) {
@@ -152,6 +162,18 @@
         return mOutput.toByteArray();
     }
 
+    /** Returns the output since the last call, or since the item was leased; empty if none. */
+    Optional<ItemProgress> takeProgress() {
+        int offset = mKeptBytes;
+        mKeptBytes = mOutput.size();
+        if (mKeptBytes == offset) {
+            return Optional.empty();
+        }
+        byte[] piece = Arrays.copyOfRange(mOutput.toByteArray(), offset, mKeptBytes);
+        return lastEvent()
+                .map(id -> new ItemProgress(lease(), offset, new PartialOutput(piece, id)));
+    }
+
     /** Notes that a target broke off; returns how often that happened without a new event. */
     int broke() {
         return ++mBreaks;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -26,6 +27,7 @@
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.job.ItemPuller;
 import org.coltsfootproxy.job.ItemRunner;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LeaseRef;
@@ -54,6 +56,15 @@
     /** Time between two looks at how many slots are free: what hosts tell comes that often. */
     private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * Time between two messages with what items have made: a fifth of a usual run of some seconds,
+     * so that a lost host costs a tenth of a run in the mean.
+     */
+    private static final long PROGRESS_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Most bytes of output in one message; the rest goes with the next. */
+    private static final int MAX_PROGRESS_BYTES = 256 << 10;
+
     /** Weight of the last run in the mean time of a run. */
     private static final double WEIGHT_OF_LAST = 0.1;
 
@@ -74,6 +85,7 @@
     private int mWorkers;
     private boolean mIsStopping;
     private long mNextLook;
+    private long mNextProgress;
     private double mRunNanos = FIRST_RUN_NANOS;
 
     private ItemWorker(
@@ -342,6 +354,7 @@
         if (now - mNextLook >= 0) {
             mNextLook = now + LOOK_NANOS;
             updateKept(now);
+            tellProgress(now, out);
             offerSlots(now, out);
         }
     }
@@ -366,6 +379,24 @@
                 .ifPresent(run -> pause(run, now, out));
     }
 
+    private void tellProgress(long now, Effects out) {
+        if (now - mNextProgress < 0) {
+            return;
+        }
+        mNextProgress = now + PROGRESS_NANOS;
+        List<ItemProgress> items = new ArrayList<>();
+        int bytes = 0;
+        for (ItemRun run : mRuns.values()) {
+            Optional<ItemProgress> progress =
+                    bytes < MAX_PROGRESS_BYTES ? run.takeProgress() : Optional.empty();
+            progress.ifPresent(items::add);
+            bytes += progress.map(p -> p.piece().bytes().length).orElse(0);
+        }
+        if (!items.isEmpty()) {
+            mPuller.progress(items, out);
+        }
+    }
+
     /** Tells the other hosts which items no longer make room, or do so again. */
     private void updateKept(long now) {
         mRuns.values().stream()
--- a/src/main/java/org/coltsfootproxy/job/ItemLife.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemLife.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.job;
 
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobState;
@@ -68,6 +69,25 @@
                 && mItems.run(lease.item()).fence() == lease.fence();
     }
 
+    /**
+     * Keeps a piece of the output that directly follows what is kept; tells whether it did.
+     *
+     * <p>A piece of a run that began before the last one was kept has another offset and is
+     * ignored.
+     */
+    boolean progress(ItemProgress progress) {
+        LeaseRef lease = progress.lease();
+        boolean isWanted =
+                isKnown(lease)
+                        && mJob.spec().repeatable()
+                        && mItems.state(lease.item()) == ItemState.WAITING
+                        && mItems.made(lease.item()).bytes().length == progress.offset();
+        if (isWanted) {
+            mItems.addMade(lease.item(), progress.piece());
+        }
+        return isWanted;
+    }
+
     /** Records an agent's report. */
     ReportVerdict report(ItemReport report, RetryPolicy retry, long epochMillis) {
         if (!isKnown(report.lease())) {
--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -8,6 +8,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LeaseRef;
@@ -125,6 +126,11 @@
         proceed(nowNanos, out);
     }
 
+    /** Tells the control host what running items have made, so that others can go on after it. */
+    public void progress(List<ItemProgress> items, Effects out) {
+        out.send(mLink.host(), new JobMessage.Progress(mGroup, mIncarnation, items));
+    }
+
     /** Gives back what does not run and pulls no more; what runs is finished and reported. */
     public void stop(long nowNanos, Effects out) {
         mIsStopping = true;
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkElementIndex;
 
 import com.google.common.hash.Hashing;
+import com.google.common.primitives.Bytes;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.OptionalInt;
@@ -12,6 +13,7 @@
 import org.coltsfootproxy.message.ItemResult;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobItem;
+import org.coltsfootproxy.message.PartialOutput;
 
 /**
  * The items of one job in arrays by place; what only few items have is kept apart.
@@ -29,6 +31,7 @@
     private final int[] mCounts = new int[STATES.length];
     private final Int2ObjectHashMap<Trouble> mTroubles = new Int2ObjectHashMap<>();
     private final Int2ObjectHashMap<Run> mRuns = new Int2ObjectHashMap<>();
+    private final Int2ObjectHashMap<PartialOutput> mMade = new Int2ObjectHashMap<>();
     private final IntArrayList mEnded = new IntArrayList();
     private byte[] mStates = new byte[FIRST_CAPACITY];
     private long[] mHashes = new long[FIRST_CAPACITY];
@@ -165,6 +168,7 @@
 
     /** Replaces the body of the call by the result's status and body. */
     void setResult(int index, int status, byte[] body) {
+        setMade(index, PartialOutput.NONE);
         byte[] payload = ItemPayload.withContent(mPayloads[index], status, body);
         mBytes += payload.length - mPayloads[index].length;
         mPayloads[index] = payload;
@@ -208,6 +212,27 @@
         mRuns.remove(index);
     }
 
+    /** Returns the output that runs of an item which has not ended have made. */
+    PartialOutput made(int index) {
+        PartialOutput made = mMade.get(index);
+        return made == null ? PartialOutput.NONE : made;
+    }
+
+    /** Adds a piece to the output that runs have made. */
+    void addMade(int index, PartialOutput piece) {
+        byte[] bytes = Bytes.concat(made(index).bytes(), piece.bytes());
+        setMade(index, new PartialOutput(bytes, piece.lastEvent()));
+    }
+
+    void setMade(int index, PartialOutput made) {
+        mBytes += made.bytes().length - made(index).bytes().length;
+        if (made.bytes().length == 0) {
+            mMade.remove(index);
+        } else {
+            mMade.put(index, made);
+        }
+    }
+
     /** Returns what became of an item; its body only once it has ended with an answer. */
     ItemResult result(int index) {
         ItemState state = state(index);
--- a/src/main/java/org/coltsfootproxy/job/JobCommand.java
+++ b/src/main/java/org/coltsfootproxy/job/JobCommand.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.JobId;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.WireCode;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.JobItem;
 import org.coltsfootproxy.message.JobSpec;
@@ -81,6 +82,10 @@
             byte[] result)
             implements JobCommand {}
 
+    /** Keep what runs have made, so that others can go on after it. */
+    @WireCode(12)
+    record Progress(long epochMillis, List<ItemProgress> items) implements JobCommand {}
+
     /**
      * Remove what is kept no longer.
      *
--- a/src/main/java/org/coltsfootproxy/job/JobLedger.java
+++ b/src/main/java/org/coltsfootproxy/job/JobLedger.java
@@ -82,6 +82,8 @@
             return start(start);
         } else if (command instanceof JobCommand.Report report) {
             return report(report);
+        } else if (command instanceof JobCommand.Progress progress) {
+            return progress(progress);
         } else if (command instanceof JobCommand.Lose lose) {
             return lose(lose);
         } else if (command instanceof JobCommand.Cancel cancel) {
@@ -216,6 +218,20 @@
         return new JobOutcome.Verdicts(verdicts);
     }
 
+    private JobOutcome progress(JobCommand.Progress command) {
+        long kept =
+                command.items().stream()
+                        .filter(
+                                item ->
+                                        mShelf.change(
+                                                item.lease().job(),
+                                                command.epochMillis(),
+                                                false,
+                                                life -> life.progress(item)))
+                        .count();
+        return new JobOutcome.Count((int) kept);
+    }
+
     private JobOutcome lose(JobCommand.Lose lose) {
         long time = lose.epochMillis();
         long changed =
--- a/src/main/java/org/coltsfootproxy/job/JobService.java
+++ b/src/main/java/org/coltsfootproxy/job/JobService.java
@@ -138,6 +138,8 @@
             mReports.start(session, start);
         } else if (message instanceof JobMessage.Report report) {
             mReports.report(session, report);
+        } else if (message instanceof JobMessage.Progress progress) {
+            mReports.progress(session, progress);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -113,7 +113,7 @@
         while (item >= 0) {
             LeasedItem leased = lease(session, job, item, leaseNanos);
             taken.add(leased);
-            takenBytes += leased.body().length;
+            takenBytes += leased.body().length + leased.made().bytes().length;
             boolean isMore = taken.size() < items && takenBytes < bytes;
             item = isMore ? takeFree(choice.queue()) : -1;
         }
@@ -147,6 +147,7 @@
                 job.spec().path(),
                 job.spec().timeoutMillis(),
                 job.spec().deadlineEpochMillis() - mStep.epochMillis(),
+                job.items().made(item),
                 ItemPayload.content(job.items().payload(item)));
     }
 
--- a/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import org.coltsfootproxy.message.ItemState;
+import org.coltsfootproxy.message.PartialOutput;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -15,7 +16,11 @@
  * <p>Items are written field by field, so that the time is that of copying their payloads.
  */
 final class LedgerSnapshot {
-    private static final int VERSION = 2;
+    private static final int VERSION = 3;
+
+    /** Version without the output of items that have not ended. */
+    private static final int VERSION_WITHOUT_MADE = 2;
+
     private static final ItemState[] STATES = ItemState.values();
     private static final ObjectMapper HEADS = new ObjectMapper(new MessagePackFactory());
 
@@ -44,6 +49,7 @@
             writeBytes(items.payload(i), packer);
             encode(items.trouble(i), packer);
             encode(items.run(i), packer);
+            encode(items.made(i), packer);
         }
         packer.packInt(items.ended());
         for (int position = 0; position < items.ended(); position++) {
@@ -69,6 +75,15 @@
         packer.packLong(run.fence()).packString(run.agent());
     }
 
+    private static void encode(PartialOutput made, MessageBufferPacker packer) throws IOException {
+        if (made.bytes().length == 0) {
+            packer.packNil();
+            return;
+        }
+        writeBytes(made.bytes(), packer);
+        packer.packString(made.lastEvent());
+    }
+
     private static void writeBytes(byte[] bytes, MessageBufferPacker packer) throws IOException {
         packer.packBinaryHeader(bytes.length).addPayload(bytes);
     }
@@ -76,7 +91,7 @@
     static JobShelf decode(byte[] snapshot) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(snapshot)) {
             int version = unpacker.unpackInt();
-            if (version != VERSION) {
+            if (version != VERSION && version != VERSION_WITHOUT_MADE) {
                 throw new IllegalStateException("unknown version of the job ledger " + version);
             }
             JobShelf shelf =
@@ -84,7 +99,7 @@
                             unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
             int jobs = unpacker.unpackInt();
             for (int i = 0; i < jobs; i++) {
-                shelf.put(decodeJob(unpacker));
+                shelf.put(decodeJob(version, unpacker));
             }
             return shelf;
         } catch (IOException e) {
@@ -92,7 +107,7 @@
         }
     }
 
-    private static LedgerJob decodeJob(MessageUnpacker unpacker) throws IOException {
+    private static LedgerJob decodeJob(int version, MessageUnpacker unpacker) throws IOException {
         byte[] head = readBytes(unpacker);
         LedgerJob job = LedgerJob.restore(HEADS.readValue(head, LedgerJob.SnapshotHead.class));
         int items = unpacker.unpackInt();
@@ -102,6 +117,10 @@
             byte[] payload = readBytes(unpacker);
             ItemTable.Trouble trouble = decodeTrouble(unpacker);
             job.items().restore(state, hash, payload, trouble, decodeRun(unpacker));
+            if (version == VERSION && !unpacker.tryUnpackNil()) {
+                byte[] made = readBytes(unpacker);
+                job.items().setMade(i, new PartialOutput(made, unpacker.unpackString()));
+            }
         }
         int ended = unpacker.unpackInt();
         for (int position = 0; position < ended; position++) {
--- a/src/main/java/org/coltsfootproxy/job/ReportHandler.java
+++ b/src/main/java/org/coltsfootproxy/job/ReportHandler.java
@@ -10,6 +10,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobMessage;
@@ -110,6 +111,36 @@
         flush();
     }
 
+    /** Keeps what leased items have made; what can't be kept is made again if its run is lost. */
+    void progress(AgentSession session, JobMessage.Progress message) {
+        List<ItemProgress> held =
+                message.items().stream()
+                        .filter(
+                                item ->
+                                        mState.table()
+                                                .held(session.agent(), item.lease())
+                                                .isPresent())
+                        .filter(item -> hasRoom(item.lease()))
+                        .toList();
+        if (!held.isEmpty()) {
+            mLog.propose(
+                    new JobCommand.Progress(mStep.epochMillis(), held),
+                    outcome -> {},
+                    this::onFailure);
+        }
+    }
+
+    private boolean hasRoom(LeaseRef lease) {
+        return mState.ledger()
+                .job(lease.job())
+                .filter(
+                        job ->
+                                mState.ledger()
+                                        .hasRoomForResults(
+                                                job.organisation(), mState.settings().limits()))
+                .isPresent();
+    }
+
     /** Returns the verdict on a report, or nothing if the ledger decides or has no room yet. */
     private Optional<ReportVerdict> take(AgentSession session, ItemReport report) {
         LeaseRef ref = report.lease();
--- a/src/main/java/org/coltsfootproxy/message/JobMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/JobMessage.java
@@ -215,6 +215,11 @@
     record Report(int group, Incarnation incarnation, List<ItemReport> reports)
             implements FromAgent {}
 
+    /** Agent to control: items that run have made more output; there is no answer. */
+    @WireCode(634)
+    record Progress(int group, Incarnation incarnation, List<ItemProgress> items)
+            implements FromAgent {}
+
     /** What the leader tells a host that runs items. */
     sealed interface ToAgent extends JobMessage {}
 
--- a/src/main/java/org/coltsfootproxy/message/LeasedItem.java
+++ b/src/main/java/org/coltsfootproxy/message/LeasedItem.java
@@ -8,6 +8,7 @@
  * @param repeatable whether it may run without a durable start
  * @param timeoutMillis longest time for the call
  * @param dueMillis time from the grant of the lease until the job is due; below 0 if it was due
+ * @param made output that earlier runs have made
  */
 public record LeasedItem(
         LeaseRef lease,
@@ -18,4 +19,5 @@
         String path,
         long timeoutMillis,
         long dueMillis,
+        PartialOutput made,
         byte[] body) {}
--- a/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
@@ -8,6 +8,7 @@
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
+import org.coltsfootproxy.message.PartialOutput;
 import org.testng.annotations.Test;
 
 /** Which batch items make room for online requests. */
@@ -42,6 +43,7 @@
                         "/draft",
                         15_000,
                         dueMillis,
+                        PartialOutput.NONE,
                         new byte[0]);
         return ItemRun.of(item, new ItemCall.Post("/draft", List.of(), new byte[0]), 0);
     }
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -10,11 +10,13 @@
 import org.coltsfootproxy.base.JobId;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobItem;
 import org.coltsfootproxy.message.JobSpec;
 import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.PartialOutput;
 import org.coltsfootproxy.message.ReportVerdict;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -149,4 +151,54 @@
         var other = new JobCommand.Submit(2 * HOUR, FORTH, spec("b", 1), items, LIMITS);
         assertEquals(refusal(apply(other)), ErrorKind.INVALID_JOB);
     }
+
+    private int progress(int item, int offset, String bytes, String lastEvent) {
+        var piece = new PartialOutput(bytes.getBytes(StandardCharsets.UTF_8), lastEvent);
+        var progress = new ItemProgress(new LeaseRef(1, item, 1), offset, piece);
+        var command = new JobCommand.Progress(2_000, List.of(progress));
+        return ((JobOutcome.Count) apply(command)).changed();
+    }
+
+    private String made(int item) {
+        PartialOutput made = mLedger.job(1).orElseThrow().items().made(item);
+        return new String(made.bytes(), StandardCharsets.UTF_8) + " after " + made.lastEvent();
+    }
+
+    @Test
+    public void whatARunHasMadeIsKeptPieceByPieceAndInSnapshots() {
+        submit(FORTH, "a", 2, 10);
+        assertEquals(progress(1, 0, "one", "4"), 1);
+        assertEquals(progress(1, 3, "\ntwo", "8"), 1);
+        assertEquals(made(1), "one\ntwo after 8");
+        byte[] snapshot = mLedger.snapshot();
+        long bytes = mLedger.bytes();
+        begin();
+        mLedger.restore(snapshot);
+        assertEquals(made(1), "one\ntwo after 8");
+        assertEquals(made(0), " after ");
+        assertEquals(mLedger.bytes(), bytes);
+    }
+
+    @Test
+    public void aPieceThatDoesNotFollowWhatIsKeptIsIgnored() {
+        submit(FORTH, "a", 1, 10);
+        assertEquals(progress(0, 0, "one", "4"), 1);
+        assertEquals(progress(0, 0, "one", "4"), 0);
+        assertEquals(progress(0, 7, "late", "12"), 0);
+        assertEquals(progress(9, 0, "none", "1"), 0);
+        assertEquals(made(0), "one after 4");
+    }
+
+    @Test
+    public void theOutputOfAnItemThatHasEndedIsKeptOnce() {
+        submit(FORTH, "a", 1, 10);
+        long before = mLedger.bytes();
+        progress(0, 0, "one", "4");
+        assertEquals(mLedger.bytes(), before + 3);
+        report(0, 1, ItemReport.Outcome.GIVEN_BACK, 3_000);
+        assertEquals(made(0), "one after 4");
+        report(0, 1, ItemReport.Outcome.REFUSED, 3_000);
+        assertEquals(made(0), " after ");
+        assertEquals(progress(0, 0, "one", "4"), 0);
+    }
 }
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -213,6 +213,44 @@
         assertAllDone("j1", 20);
     }
 
+    @Test
+    public void itemsOfALostStoreGoOnAfterWhatTheyHadMade() {
+        for (int n = 0; n < 4; n++) {
+            mWorld = PlatformWorld.serving(40 + n, 2);
+            mWorld.mEngines.values().forEach(engine -> engine.mEventNanos = 400 * MILLI);
+            accept("j1", 8);
+            mWorld.run(1_500 * MILLI);
+            mWorld.fleet().crash(mWorld.store(n));
+            mWorld.run(20 * SECOND);
+            assertAllDone("j1", 8);
+            assertEquals(runsFromTheStart(), 8, "store " + n);
+        }
+    }
+
+    @Test
+    public void itemsGoOnAfterWhatTheyHadMadeWhenAllStoresWereLost() {
+        mWorld.mEngines.values().forEach(engine -> engine.mEventNanos = 400 * MILLI);
+        accept("j1", 8);
+        mWorld.run(1_500 * MILLI);
+        for (int n = 0; n < 4; n++) {
+            mWorld.fleet().crash(mWorld.store(n));
+        }
+        mWorld.run(SECOND);
+        for (int n = 0; n < 4; n++) {
+            mWorld.startStore(mWorld.store(n));
+        }
+        mWorld.run(20 * SECOND);
+        assertAllDone("j1", 8);
+        assertEquals(runsFromTheStart(), 8);
+    }
+
+    private long runsFromTheStart() {
+        return mWorld.mEngines.values().stream()
+                .flatMap(engine -> engine.mRuns.stream())
+                .filter(run -> run.mFrom == 0)
+                .count();
+    }
+
     @Test
     public void afterARepairTheNextStoreMayBeLost() {
         accept("j1", 20);
