Hosts share the free slots that they all see, and a silent target is looked at again

Change: after 50 ms without an answer an entry looks at the target again, by then knowing what others began there, and asks for room if it is overfull. A store begins at most its share of a target's free slots until others can have been told.

Ruled out: slow engines.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -46,6 +46,12 @@
     /** Part of the longest pause between events after which a silent target is given up. */
     private static final double GAP_PATIENCE = 0.75;
 
+    /**
+     * Time after a send at which a silent target is looked at again: hosts have told by then what
+     * they began there at the same moment.
+     */
+    private static final long LOOK_AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** When a caller may come back after no target could take its request. */
     private static final long RETRY_AFTER_MILLIS = 250;
 
@@ -123,12 +129,12 @@
             giveUp(request, otherwise, now, out);
             return;
         }
-        if (target.get().inFlight(now) >= target.get().slots()) {
+        boolean hasPlace = target.get().inFlight(now) < target.get().slots();
+        if (!hasPlace) {
             mLoads.makeRoom(target.get(), out);
         }
         long call = mCalls.nextCall();
         Optional<String> resumeAfter = request.events().lastId();
-        boolean hasPlace = target.get().inFlight(now) < target.get().slots();
         request.sentTo(target.get(), call, hasPlace, now);
         mTargets.began(target.get(), TrafficClass.ONLINE);
         mCalls.start(
@@ -330,6 +336,9 @@
         long patience = patienceNanos(request);
         boolean mayLeave = patience > 0 && request.isRepeatable() && request.hasRunsLeft();
         long due = mayLeave ? request.heard() + patience : request.deadline();
+        if (mayLackPlace(request)) {
+            due = Math.min(due, request.sentAt() + LOOK_AGAIN_NANOS);
+        }
         long earliest = now + MIN_LEFT_NANOS;
         mTimers.set(request.call().call(), Math.min(request.deadline(), Math.max(due, earliest)));
     }
@@ -357,7 +366,25 @@
         }
     }
 
+    /** Tells whether a target that was thought to have a place may have none after all. */
+    private static boolean mayLackPlace(DirectRequest request) {
+        return request.hasPlace() && !request.isPlaceChecked() && request.isIn(DirectState.SENT);
+    }
+
+    /** Asks for room if others have begun at the target at the same moment. */
+    private void checkPlace(DirectRequest request, long now, Effects out) {
+        Target target = request.target().orElseThrow();
+        boolean isOverfull = target.inFlight(now) > target.slots();
+        if (isOverfull) {
+            mLoads.makeRoom(target, out);
+        }
+        request.placeChecked(isOverfull);
+    }
+
     private void look(DirectRequest request, long now, Effects out) {
+        if (mayLackPlace(request) && now - request.sentAt() >= LOOK_AGAIN_NANOS) {
+            checkPlace(request, now, out);
+        }
         long patience = patienceNanos(request);
         boolean isSilent = patience > 0 && now - request.heard() >= patience;
         if (now >= request.deadline()) {
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -33,6 +33,7 @@
     private boolean mMaybeRun;
     private long mHeard;
     private boolean mHasPlace;
+    private boolean mIsPlaceChecked;
     private long mSentAt;
 
     private DirectRequest(
@@ -132,6 +133,7 @@
      */
     void sentTo(Target target, long targetCall, boolean hasPlace, long nowNanos) {
         mHasPlace = hasPlace;
+        mIsPlaceChecked = false;
         mSentAt = nowNanos;
         mTarget = target;
         mTargetCall = targetCall;
@@ -201,6 +203,16 @@
         return mHasPlace;
     }
 
+    /** Notes that the target was looked at again. */
+    void placeChecked(boolean isOverfull) {
+        mHasPlace = !isOverfull;
+        mIsPlaceChecked = true;
+    }
+
+    boolean isPlaceChecked() {
+        return mIsPlaceChecked;
+    }
+
     /** Returns when the request went to its present target. */
     long sentAt() {
         return mSentAt;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -175,7 +175,7 @@
 
     private void send(ItemRun run, long now, Effects out) {
         ServiceId service = run.item().service();
-        Optional<Target> target = mTargets.chooseForBatch(service, run.tried(), now);
+        Optional<Target> target = mTargets.chooseForBatch(service, run.tried(), mWorkers, now);
         if (target.isEmpty() && run.needsPlace(mRunNanos, now)) {
             target = mTargets.choose(service, run.tried(), now);
         }
@@ -202,6 +202,7 @@
                         TimeUnit.MILLISECONDS.toNanos(run.item().timeoutMillis()));
         run.sentTo(target.get(), call, now);
         mTargets.began(target.get(), TrafficClass.BATCH);
+        target.get().batchBegun(now);
         mCalls.start(target.get().listed().address(), request, new Answer(run), out);
         mTimers.set(run.lease(), now + SILENT_NANOS);
         out.log(
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -24,6 +24,9 @@
     /** How long a target that has refused a request for want of room gets no other. */
     private static final long FULL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** Time that other hosts take to tell what they have begun: one message and its way. */
+    private static final long TOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** How long an address that another target has taken is avoided: until the list shows it. */
     private static final long MOVED_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -37,6 +40,8 @@
     private int mKeptElsewhere;
     private int mToldElsewhere;
     private long mToldAt = Long.MIN_VALUE / 2;
+    private int mBatchBegun;
+    private long mBatchBegunSince = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAvoidUntil = Long.MIN_VALUE / 2;
 
@@ -62,6 +67,20 @@
         count(type, -1);
     }
 
+    /** Notes that this host has begun a batch item, of which the others don't know yet. */
+    void batchBegun(long nowNanos) {
+        if (nowNanos - mBatchBegunSince >= TOLD_NANOS) {
+            mBatchBegunSince = nowNanos;
+            mBatchBegun = 0;
+        }
+        mBatchBegun++;
+    }
+
+    /** Returns the batch items that this host has begun lately, of which the others don't know. */
+    int batchBegunLately(long nowNanos) {
+        return nowNanos - mBatchBegunSince < TOLD_NANOS ? mBatchBegun : 0;
+    }
+
     private void count(TrafficClass type, int change) {
         if (type == TrafficClass.ONLINE) {
             mOnline += change;
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -153,18 +153,31 @@
                 : QUEUEING_LOAD + (staying - slots) / slots;
     }
 
-    /** Returns the least loaded target of a service that has room for a batch item. */
-    Optional<Target> chooseForBatch(ServiceId service, Set<TargetId> tried, long nowNanos) {
+    /**
+     * Returns the least loaded target of a service that has room for a batch item of this host.
+     *
+     * @param workers number of hosts that run items, which share the free slots that all of them
+     *     see
+     */
+    Optional<Target> chooseForBatch(
+            ServiceId service, Set<TargetId> tried, int workers, long nowNanos) {
         List<Target> able =
                 staying(service)
                         .filter(target -> !tried.contains(target.listed().id()))
-                        .filter(target -> batchRoom(target, nowNanos) > 0)
+                        .filter(target -> hasBatchRoom(target, workers, nowNanos))
                         .toList();
         return able.isEmpty()
                 ? Optional.empty()
                 : least(able, t -> t.inFlight(nowNanos) / (double) t.slots());
     }
 
+    /** Tells whether this host has begun less than its share of what was free. */
+    private static boolean hasBatchRoom(Target target, int workers, long nowNanos) {
+        int room = batchRoom(target, nowNanos);
+        int begun = target.batchBegunLately(nowNanos);
+        return room > 0 && begun * workers < room + begun;
+    }
+
     /** Returns how many further batch items a target has room for. */
     static int batchRoom(Target target, long nowNanos) {
         int free = target.slots() - target.inFlight(nowNanos);
--- a/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
@@ -120,9 +120,22 @@
         mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 7, 0), use("b", 8, 0))), 0);
 
         assertEquals(
-                mTargets.chooseForBatch(LM, Set.of(), 0).orElseThrow().listed().id().value(), "a");
+                mTargets.chooseForBatch(LM, Set.of(), 1, 0).orElseThrow().listed().id().value(),
+                "a");
         mTargets.began(target("a"), TrafficClass.BATCH);
-        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 0).isEmpty());
+        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 1, 0).isEmpty());
+    }
+
+    @Test
+    public void hostsThatSeeTheSameFreeSlotsShareThem() {
+        mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("b", 8, 0))), 0);
+        for (int begun = 0; begun < 2; begun++) {
+            Target target = mTargets.chooseForBatch(LM, Set.of(), 4, 0).orElseThrow();
+            mTargets.began(target, TrafficClass.BATCH);
+            target.batchBegun(0);
+        }
+        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 4, 0).isEmpty());
+        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 4, 60 * MILLI).isPresent());
     }
 
     @Test
