Stores renew their leases at a new leader at once

The leader of the jobs was lost at 11.0 s; the other stores spoke to it until 3 s of silence, and the new leader waits for leases of the earlier term for 3 s, so it gave their items to others just before they came.

Change: a store's worker follows the leader that its own log or the roster names, and leaves a control host whose connection is lost.

Tests: FleetJobsTest.aLostStoreDoesNotMakeTheItemsOfOthersRunAgain fails without it (run). Ruled out: leases that are too short (they were renewed until the leader was lost).

--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -4,6 +4,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
@@ -66,6 +67,7 @@
     private final Targets mTargets;
     private final LoadBoard mLoads;
     private final ItemWorker mWorker;
+    private Optional<HostId> mLeader = Optional.empty();
     private List<HostId> mLedMembers = List.of();
     private boolean mIsStopping;
     private long mStopUntil;
@@ -154,6 +156,7 @@
             if (mMembership.peerLost(lost.host())) {
                 hostsChanged(nowNanos);
             }
+            mWorker.peerLost(lost.host(), nowNanos);
         } else if (input instanceof Input.SeedsChanged seeds) {
             mMembership.seeds(seeds.seeds());
             hostsChanged(nowNanos);
@@ -246,9 +249,20 @@
             mLoads.tick(nowNanos, mOut);
             isBusy = receiveFromSelf(nowNanos) || mGroup.isDue(nowNanos);
         }
+        followLeader(nowNanos);
         enrol(nowNanos);
     }
 
+    /** Tells the worker who leads; hosts that are no members of the log know it by the roster. */
+    private void followLeader(long nowNanos) {
+        Optional<HostId> told = mMembership.roster().jobMembers().stream().findFirst();
+        Optional<HostId> leader = mGroup.leader().or(() -> told);
+        if (leader.isPresent() && !leader.equals(mLeader)) {
+            mLeader = leader;
+            mWorker.leader(leader.get(), nowNanos);
+        }
+    }
+
     private boolean receiveFromSelf(long nowNanos) {
         Message message = mOut.pollToSelf();
         boolean isBusy = message != null;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -132,6 +132,16 @@
         mPuller.controls(controls);
     }
 
+    /** Tells which host leads the log of the jobs. */
+    public void leader(HostId leader, long now) {
+        mPuller.leader(leader, now);
+    }
+
+    /** A connection to another host was lost. */
+    public void peerLost(HostId host, long now) {
+        mPuller.peerLost(host, now);
+    }
+
     /** Handles a message of the leader of the jobs. */
     public void handle(HostId from, JobMessage message, long now, Effects out) {
         mPuller.handle(from, message, now, out);
--- a/src/main/java/org/coltsfootproxy/job/ControlLink.java
+++ b/src/main/java/org/coltsfootproxy/job/ControlLink.java
@@ -39,6 +39,10 @@
         mCurrent = Math.max(0, same);
     }
 
+    boolean knows(HostId host) {
+        return mControls.contains(host);
+    }
+
     HostId host() {
         return mControls.get(mCurrent);
     }
--- a/src/main/java/org/coltsfootproxy/job/ItemPuller.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemPuller.java
@@ -112,6 +112,25 @@
         mLink.controls(controls);
     }
 
+    /**
+     * Speaks to this control host from now on, as it is known to lead. Leases of an earlier leader
+     * are renewed there at once: it waits for them only for a short time.
+     */
+    public void leader(HostId leader, long nowNanos) {
+        if (mLink.knows(leader) && !mLink.isHost(leader)) {
+            mLink.redirect(leader, nowNanos);
+            forgetAnswers(nowNanos);
+        }
+    }
+
+    /** A connection was lost: if it was to the present control host, tries the next. */
+    public void peerLost(HostId host, long nowNanos) {
+        if (mLink.isHost(host) && !mLink.isPausing(nowNanos)) {
+            mLink.next(nowNanos);
+            forgetAnswers(nowNanos);
+        }
+    }
+
     /** Changes the number of items that could run at once if nothing else ran. */
     public void setCapacity(int capacity) {
         checkArgument(capacity > 0, "capacity %s is below 1", capacity);
--- a/src/test/java/org/coltsfootproxy/platform/FakeEngine.java
+++ b/src/test/java/org/coltsfootproxy/platform/FakeEngine.java
@@ -60,7 +60,7 @@
         final long mAt;
         final int mFrom;
         final Effect.TargetCall mCall;
-        private final HostId mHost;
+        final HostId mHost;
         private boolean mHasHead;
         boolean mIsOver;
 
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.platform.PlatformWorld.Answer;
 import org.testng.annotations.BeforeMethod;
@@ -244,11 +245,35 @@
         assertEquals(runsFromTheStart(), 8);
     }
 
+    @Test
+    public void aLostStoreDoesNotMakeTheItemsOfOthersRunAgain() {
+        for (int n = 0; n < 4; n++) {
+            mWorld = PlatformWorld.serving(60 + n, 2);
+            mWorld.mEngines.values().forEach(engine -> engine.mEventNanos = 450 * MILLI);
+            accept("j1", 8);
+            mWorld.run(1_500 * MILLI);
+            HostId lost = mWorld.store(n);
+            Set<String> kept =
+                    runs().filter(run -> !run.mHost.equals(lost))
+                            .map(run -> run.mRequest)
+                            .collect(Collectors.toSet());
+            mWorld.fleet().crash(lost);
+            mWorld.run(20 * SECOND);
+            assertAllDone("j1", 8);
+            assertTrue(kept.size() >= 4, "items at other stores: " + kept);
+            assertEquals(
+                    runs().filter(run -> kept.contains(run.mRequest)).count(),
+                    kept.size(),
+                    "store " + n);
+        }
+    }
+
+    private Stream<FakeEngine.Run> runs() {
+        return mWorld.mEngines.values().stream().flatMap(engine -> engine.mRuns.stream());
+    }
+
     private long runsFromTheStart() {
-        return mWorld.mEngines.values().stream()
-                .flatMap(engine -> engine.mRuns.stream())
-                .filter(run -> run.mFrom == 0)
-                .count();
+        return runs().filter(run -> run.mFrom == 0).count();
     }
 
     @Test
