Items near their deadline keep at most a quarter of a target

Change: items that can't wait have a quarter of each target's slots at most; beyond that they wait and make room like others. Items that will be late anyhow make room before those that can still be done.

Tests: LoadBoardTest and ItemRunTest, one new each. Ruled out: slow engines.

--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -113,9 +113,18 @@
      * @param runNanos mean time of a run
      */
     boolean needsPlace(double runNanos, long nowNanos) {
+        long spare = spareNanos(runNanos, nowNanos);
+        return spare != Long.MAX_VALUE && spare <= SPARE_RUNS * runNanos;
+    }
+
+    /**
+     * Returns how long the item can wait and still be done in time; {@link Long#MAX_VALUE} if it
+     * will be late anyhow, so that it waits first.
+     */
+    long spareNanos(double runNanos, long nowNanos) {
         double rest = Math.max(0, runNanos - activeNanos(nowNanos));
         double spare = dueNanos() - nowNanos - rest;
-        return spare > 0 && spare <= SPARE_RUNS * runNanos;
+        return spare > 0 ? (long) spare : Long.MAX_VALUE;
     }
 
     /** Tells whether other hosts were told that the item keeps its place. */
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -187,7 +187,7 @@
         ServiceId service = run.item().service();
         Optional<Target> target = mTargets.chooseForBatch(service, run.tried(), mWorkers, now);
         if (target.isEmpty() && run.needsPlace(mRunNanos, now)) {
-            target = mTargets.choose(service, run.tried(), now);
+            target = mTargets.chooseForUrgent(service, run.tried(), now);
         }
         if (target.isEmpty()) {
             run.tried().clear();
@@ -213,6 +213,7 @@
         run.sentTo(target.get(), call, now);
         mTargets.began(target.get(), TrafficClass.BATCH);
         target.get().batchBegun(now);
+        updateKept(run, now);
         mCalls.start(target.get().listed().address(), request, new Answer(run), out);
         mTimers.set(run.lease(), now + SILENT_NANOS);
         out.log(
@@ -385,8 +386,8 @@
     public void makeRoom(TargetId target, long now, Effects out) {
         mRuns.values().stream()
                 .filter(run -> run.target().filter(t -> t.listed().id().equals(target)).isPresent())
-                .filter(run -> !run.needsPlace(mRunNanos, now))
-                .max(Comparator.comparingLong(ItemRun::dueNanos))
+                .filter(run -> !run.isKept())
+                .max(Comparator.comparingLong(run -> run.spareNanos(mRunNanos, now)))
                 .ifPresent(run -> pause(run, now, out));
     }
 
@@ -412,8 +413,16 @@
     private void updateKept(long now) {
         mRuns.values().stream()
                 .filter(run -> run.target().isPresent())
-                .filter(run -> run.needsPlace(mRunNanos, now) != run.isKept())
-                .forEach(run -> kept(run, !run.isKept()));
+                .forEach(run -> updateKept(run, now));
+    }
+
+    private void updateKept(ItemRun run, long now) {
+        boolean needsPlace = run.needsPlace(mRunNanos, now);
+        if (run.isKept() && !needsPlace) {
+            kept(run, false);
+        } else if (!run.isKept() && needsPlace && Targets.mayKeep(run.target().orElseThrow())) {
+            kept(run, true);
+        }
     }
 
     private void kept(ItemRun run, boolean isKept) {
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -41,6 +41,9 @@
     /** Load above any target where a batch item can make room, for one with only a queue. */
     private static final double QUEUEING_LOAD = 4;
 
+    /** Part of a target's slots that items near their deadline may keep while requests wait. */
+    private static final double KEPT_PART = 0.25;
+
     private final DataCentre mHome;
     private final RandomGenerator mRandom;
     private final Map<TargetId, Target> mById = new HashMap<>();
@@ -171,6 +174,26 @@
                 : least(able, t -> t.inFlight(nowNanos) / (double) t.slots());
     }
 
+    /**
+     * Returns the target that runs a batch item soonest which can't wait for a free slot; empty if
+     * such items have their part of all targets.
+     */
+    Optional<Target> chooseForUrgent(ServiceId service, Set<TargetId> tried, long nowNanos) {
+        List<Target> able =
+                staying(service)
+                        .filter(target -> !tried.contains(target.listed().id()))
+                        .filter(target -> !target.isAvoided(nowNanos) && mayKeep(target))
+                        .toList();
+        return able.isEmpty()
+                ? Optional.empty()
+                : least(able, target -> onlineLoad(target, nowNanos));
+    }
+
+    /** Tells whether a further batch item may keep its place at a target. */
+    static boolean mayKeep(Target target) {
+        return target.batch() - target.yielding() < KEPT_PART * target.slots();
+    }
+
     /** Tells whether this host has begun less than its share of what was free. */
     private static boolean hasBatchRoom(Target target, int workers, long nowNanos) {
         int room = batchRoom(target, nowNanos);
--- a/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
@@ -32,6 +32,11 @@
         assertFalse(run(18_000).needsPlace(RUN_NANOS, 19 * SECOND));
     }
 
+    @Test
+    public void anItemThatIsLateAllTheSameWaitsBeforeOneThatCanBeDone() {
+        assertTrue(run(3_000).spareNanos(RUN_NANOS, 0) > run(18_000).spareNanos(RUN_NANOS, 0));
+    }
+
     private static ItemRun run(long dueMillis) {
         LeasedItem item =
                 new LeasedItem(
--- a/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadBoardTest.java
@@ -138,6 +138,17 @@
         assertTrue(mTargets.chooseForBatch(LM, Set.of(), 4, 60 * MILLI).isPresent());
     }
 
+    @Test
+    public void itemsThatCannotWaitHaveAQuarterOfEachTarget() {
+        mBoard.handle(
+                STORE, new FleetMessage.InFlight(List.of(use("a", 6, 2, 2), use("b", 8, 1, 1))), 0);
+        assertEquals(
+                mTargets.chooseForUrgent(LM, Set.of(), 0).orElseThrow().listed().id().value(), "b");
+        mBoard.handle(
+                STORE, new FleetMessage.InFlight(List.of(use("a", 6, 2, 2), use("b", 8, 2, 2))), 0);
+        assertTrue(mTargets.chooseForUrgent(LM, Set.of(), 0).isEmpty());
+    }
+
     @Test
     public void whatASilentHostHasToldCountsNoMore() {
         mBoard.handle(STORE, new FleetMessage.InFlight(List.of(use("a", 5, 0))), 0);
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -202,13 +202,7 @@
     @Test
     public void aJobSurvivesTheLossOfAllStoresAtOnceIfTheirDisksRemain() {
         accept("j1", 20);
-        for (int n = 0; n < 4; n++) {
-            mWorld.fleet().crash(mWorld.store(n));
-        }
-        mWorld.run(SECOND);
-        for (int n = 0; n < 4; n++) {
-            mWorld.startStore(mWorld.store(n));
-        }
+        restartAllStores();
         mWorld.run(15 * SECOND);
 
         assertAllDone("j1", 20);
@@ -233,13 +227,7 @@
         mWorld.mEngines.values().forEach(engine -> engine.mEventNanos = 400 * MILLI);
         accept("j1", 8);
         mWorld.run(1_500 * MILLI);
-        for (int n = 0; n < 4; n++) {
-            mWorld.fleet().crash(mWorld.store(n));
-        }
-        mWorld.run(SECOND);
-        for (int n = 0; n < 4; n++) {
-            mWorld.startStore(mWorld.store(n));
-        }
+        restartAllStores();
         mWorld.run(20 * SECOND);
         assertAllDone("j1", 8);
         assertEquals(runsFromTheStart(), 8);
@@ -268,6 +256,17 @@
         }
     }
 
+    /** All stores are killed and come back with their disks. */
+    private void restartAllStores() {
+        for (int n = 0; n < 4; n++) {
+            mWorld.fleet().crash(mWorld.store(n));
+        }
+        mWorld.run(SECOND);
+        for (int n = 0; n < 4; n++) {
+            mWorld.startStore(mWorld.store(n));
+        }
+    }
+
     private Stream<FakeEngine.Run> runs() {
         return mWorld.mEngines.values().stream().flatMap(engine -> engine.mRuns.stream());
     }
