A caller who leaves a call on a batch job is logged with the job

The line named the kind of the call and the organisation, but not the job, so that it could not be found from the job's id. The courier tells the listener of a question that its owner is gone.

--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -218,7 +218,7 @@
         } else if (input instanceof Input.HttpCall call) {
             call(call, nowNanos);
         } else if (input instanceof Input.HttpGone gone) {
-            mGateway.gone(gone.call());
+            mGateway.gone(gone.call(), mOut);
         } else if (input instanceof Input.Persisted persisted) {
             mGroups.get(persisted.group()).handle(persisted, nowNanos, mOut);
         } else if (input instanceof Input.PersistFailed failed) {
--- a/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -197,6 +197,11 @@
             fail(kind, "no control host answered in time", RETRY_MILLIS, out);
         }
 
+        @Override
+        public void withdrawn(Effects out) {
+            log("the caller has left", out);
+        }
+
         /** A status of 503 promises that a submitted job does not run. */
         void fail(ErrorKind kind, String detail, long retryMillis, Effects out) {
             ErrorKind told =
@@ -234,14 +239,7 @@
 
     /** The caller of an HTTP call is gone; what it ordered may still be carried out. */
     void gone(long call, Effects out) {
-        mCourier.withdraw(call)
-                .forEach(
-                        ask ->
-                                out.log(
-                                        EventCode.JOB_CALL_ANSWERED,
-                                        LogField.of("call", ask.getClass().getSimpleName()),
-                                        LogField.of("organisation", ask.organisation()),
-                                        LogField.of("outcome", "the caller has left")));
+        mCourier.withdraw(call, out);
     }
 
     void handle(HostId from, JobMessage message, long now, Effects out) {
--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -105,7 +105,7 @@
             httpCall(call, nowNanos, out);
         } else if (input instanceof Input.HttpGone gone) {
             mRequests.gone(gone.call(), nowNanos, out);
-            mJobs.gone(gone.call());
+            mJobs.gone(gone.call(), out);
         } else if (input instanceof Input.FromPeer peer) {
             fromPeer(peer.from(), peer.message(), nowNanos, out);
         } else if (input instanceof Input.PeerUp up) {
--- a/src/main/java/org/coltsfootproxy/job/JobCourier.java
+++ b/src/main/java/org/coltsfootproxy/job/JobCourier.java
@@ -34,7 +34,7 @@
     private long mLastNumber;
     private long mOpenBytes;
 
-    /** Told what became of a question; exactly one of the methods is called, once. */
+    /** Told what became of a question; at most one of the methods is called, once. */
     public interface Listener {
         /** A control host answered. */
         void answered(JobMessage.Answer answer, Effects out);
@@ -45,6 +45,9 @@
          * @param mayBeDone whether some control host may have taken the question
          */
         void unanswered(boolean mayBeDone, Effects out);
+
+        /** The owner is gone; what it ordered may still be carried out. */
+        default void withdrawn(Effects out) {}
     }
 
     /** A question that was not answered yet. */
@@ -151,13 +154,11 @@
         out.send(open.mAsked, open.mAsk);
     }
 
-    /**
-     * Forgets the owner's questions, and returns them; what it ordered may still be carried out.
-     */
-    public List<JobMessage.Ask> withdraw(long owner) {
+    /** Forgets the owner's questions; what it ordered may still be carried out. */
+    public void withdraw(long owner, Effects out) {
         List<Open> gone = mOpen.values().stream().filter(o -> o.mOwner == owner).toList();
         gone.forEach(this::close);
-        return gone.stream().map(open -> open.mAsk).toList();
+        gone.forEach(open -> open.mListener.withdrawn(out));
     }
 
     private void close(Open open) {
--- a/src/main/java/org/coltsfootproxy/job/JobGateway.java
+++ b/src/main/java/org/coltsfootproxy/job/JobGateway.java
@@ -171,8 +171,8 @@
     }
 
     /** The caller is gone; what it ordered may still be carried out. */
-    public void gone(long call) {
-        mCourier.withdraw(call);
+    public void gone(long call, Effects out) {
+        mCourier.withdraw(call, out);
     }
 
     /** Handles an answer of a control host. */
@@ -198,7 +198,7 @@
                 Problem.of(refused.kind(), refused.ran(), refused.detail())
                         .withRetryAfterMillis(refused.retryAfterMillis())
                         .answer(mCall, out);
-                gone(mCall);
+                gone(mCall, out);
             } else if (answer instanceof JobMessage.Status status) {
                 JsonAnswer.send(
                         mCall, statusCode(mAsk), JobAnswers.JobView.of(status.status()), out);
@@ -219,7 +219,7 @@
             Problem.of(kind, "no control host answered in time")
                     .withRetryAfterMillis(RETRY_MILLIS)
                     .answer(mCall, out);
-            gone(mCall);
+            gone(mCall, out);
         }
     }
 
--- a/src/test/java/org/coltsfootproxy/job/JobCourierTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobCourierTest.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.job;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +22,8 @@
     private static final HostId SECOND = HostId.of("store-2");
     private static final HostId THIRD = HostId.of("store-3");
 
+    private int mWithdrawn;
+
     private final JobCourier.Listener mListener =
             new JobCourier.Listener() {
                 @Override
@@ -28,6 +31,11 @@
 
                 @Override
                 public void unanswered(boolean mayBeDone, Effects out) {}
+
+                @Override
+                public void withdrawn(Effects out) {
+                    mWithdrawn++;
+                }
             };
 
     private JobCourier courierWithQuestion(List<Effect> effects) {
@@ -81,4 +89,14 @@
         courier.tick(1, effects::add);
         assertEquals(asked(effects).toList(), List.of(LEADER));
     }
+
+    @Test
+    public void aQuestionWhoseOwnerIsGoneIsForgottenAndItsListenerTold() {
+        List<Effect> effects = new ArrayList<>();
+        JobCourier courier = courierWithQuestion(effects);
+        mWithdrawn = 0;
+        courier.withdraw(1, effects::add);
+        assertEquals(mWithdrawn, 1);
+        assertTrue(courier.isDrained());
+    }
 }
