--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -325,6 +325,26 @@
         }
     }
 
+    @Test
+    public void aSlowTargetGetsWhatItCanDoAndDelaysNobody() {
+        mWorld.engine("lm-1").mEventNanos = 100 * MILLI;
+        List<Answer> answers = new ArrayList<>();
+        // One serves 8 a second and the other one 40; 30 come.
+        for (int n = 0; n < 90; n++) {
+            answers.add(mWorld.request(mWorld.entry(n % 2), "q" + n, "/swap/1"));
+            mWorld.run(33 * MILLI);
+        }
+        mWorld.run(3 * SECOND);
+
+        for (int n = 0; n < answers.size(); n++) {
+            Answer answer = answers.get(n);
+            assertWhole(answer, "q" + n);
+            assertTrue(answer.mFirstAt - answer.mAsked < 300 * MILLI, "q" + n + " waited");
+        }
+        int slow = mWorld.engine("lm-1").mRuns.size();
+        assertTrue(slow <= 40, slow + " of 90 went to the slow target");
+    }
+
     @Test
     public void moreRequestsThanTheTargetsCanBeginAreRefusedAtOnceAndServedWhenTheyComeBack() {
         List<Answer> answers = new ArrayList<>();
