A success without the target's signature is no answer

An entry passed on whatever success came, signed or not.

Change: the adapter tells an unsigned success apart; the request is then treated like one whose answer is lost: repeated if it may be, otherwise 502.

Test: DirectCallsTest.aSuccessWithoutTheSignatureOfATargetIsNoAnswer (not run without the change). Ruled out: a head that is cut within its fields (TargetClientTest has it, and it fails as broken). Conclusion: the promise holds whatever the engine sends; the cause at the engine stays open.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -192,7 +192,11 @@
             Target target = mRequest.target().orElseThrow();
             mRequest.heardNow(now);
             answer.load().ifPresent(load -> target.told(load, now));
-            if (answer.verdict() != TargetAnswer.Verdict.RAN) {
+            if (answer.verdict() == TargetAnswer.Verdict.UNSIGNED) {
+                mCalls.ignore(mRequest.targetCall());
+                String why = "a success without the target's signature";
+                broken(mRequest, ErrorKind.ANSWER_LOST, Ran.MAYBE, why, now, out);
+            } else if (answer.verdict() != TargetAnswer.Verdict.RAN) {
                 refused(mRequest, answer, now, out);
             } else if (mRequest.isIn(DirectState.RESUMING)) {
                 resumed(mRequest, answer, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/TargetAnswer.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetAnswer.java
@@ -26,7 +26,9 @@
         /** The target refused the request and has not run it. */
         NOT_RUN,
         /** Another target has the address now and has not run the request. */
-        OTHER_TARGET
+        OTHER_TARGET,
+        /** A success that lacks the target's signature, so it isn't known whose answer it is. */
+        UNSIGNED
     }
 
     /** Checks the parts. */
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargets.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargets.java
@@ -22,6 +22,9 @@
 
     private static final int MISDIRECTED = 421;
 
+    /** First digit of the status of a success. */
+    private static final int SUCCESS_CLASS = 2;
+
     @Override
     public List<Header> headers(List<Header> callers, TargetRequest request) {
         ImmutableList.Builder<Header> headers = ImmutableList.builder();
@@ -52,8 +55,12 @@
         if (head.status() == MISDIRECTED) {
             return TargetAnswer.Verdict.OTHER_TARGET;
         }
-        return Wire.has(head.headers(), Wire.NOT_RUN)
-                ? TargetAnswer.Verdict.NOT_RUN
+        if (Wire.has(head.headers(), Wire.NOT_RUN)) {
+            return TargetAnswer.Verdict.NOT_RUN;
+        }
+        boolean isSuccess = head.status() / 100 == SUCCESS_CLASS;
+        return isSuccess && !Wire.has(head.headers(), Wire.SERVER_STAMP)
+                ? TargetAnswer.Verdict.UNSIGNED
                 : TargetAnswer.Verdict.RAN;
     }
 
--- a/src/main/java/org/coltsfootproxy/platform/Wire.java
+++ b/src/main/java/org/coltsfootproxy/platform/Wire.java
@@ -24,6 +24,9 @@
     static final String LAST_EVENT_ID = "Last-Event-Id";
 
     /** Stands in answers of targets that have not run the call. */
+    /** Signature of a target on its answers. */
+    static final String SERVER_STAMP = "Server-Stamp";
+
     static final String NOT_RUN = "Not-Run";
 
     /** Running requests, waiting requests and slots of a target, separated by commas. */
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -325,6 +325,22 @@
         }
     }
 
+    @Test
+    public void aSuccessWithoutTheSignatureOfATargetIsNoAnswer() {
+        mWorld.mEngines.values().forEach(engine -> engine.mIsUnsigned = true);
+        Answer once = mWorld.request(mWorld.entry(0), "q1", "/swap/1");
+        mWorld.run(SECOND);
+        assertEquals(once.mStatus, 502, once.toString());
+        assertEquals(mWorld.runsOf("q1").size(), 1);
+        mWorld.engine("lm-2").mIsUnsigned = false;
+        for (int n = 0; n < 4; n++) {
+            Answer repeated = mWorld.request(mWorld.entry(0), "r" + n, "/ask/1");
+            mWorld.run(SECOND);
+            assertEquals(repeated.mStatus, 200, repeated.toString());
+            assertEquals(repeated.header("Server-Stamp").orElse(""), "lm-2");
+        }
+    }
+
     @Test
     public void aSlowTargetGetsWhatItCanDoAndDelaysNobody() {
         mWorld.engine("lm-1").mEventNanos = 100 * MILLI;
--- a/src/test/java/org/coltsfootproxy/platform/FakeEngine.java
+++ b/src/test/java/org/coltsfootproxy/platform/FakeEngine.java
@@ -43,6 +43,9 @@
     /** Event within which the next stream breaks off, 0 for none. */
     int mBreakAt;
 
+    /** Whether answers lack the signature. */
+    boolean mIsUnsigned;
+
     /** Whether the next stream breaks off at its start, after it has begun to run. */
     boolean mLosesAnswer;
 
@@ -217,7 +220,9 @@
     private void head(Run run, int status, List<Header> more) {
         List<Header> headers = new ArrayList<>(more);
         headers.add(Header.of("Request-Id", run.mRequest));
-        headers.add(Header.of("Server-Stamp", mId));
+        if (!mIsUnsigned) {
+            headers.add(Header.of("Server-Stamp", mId));
+        }
         headers.add(Header.of("Server-Load", mRunning + "," + mWaiting.size() + "," + mSlots));
         deliver(run.mHost, new Input.TargetHead(run.mCall.call(), status, headers));
     }
