--- a/src/main/java/org/coltsfootproxy/platform/DemoPlatform.java
+++ b/src/main/java/org/coltsfootproxy/platform/DemoPlatform.java
@@ -92,6 +92,7 @@
         mRuns.merge(request, 1, Integer::sum);
         var headers = exchange.getResponseHeaders();
         headers.set(Wire.REQUEST_ID, request);
+        headers.set(Wire.SERVER_STAMP, "demo");
         headers.set(Wire.SERVER_LOAD, "1,0," + SLOTS);
         if (path.startsWith("/plain/")) {
             exchange.sendResponseHeaders(200, body.length == 0 ? -1 : body.length);
