Logs say which prompt parts a call has and how far its answer came

Events 402, 403, 602 and 603 now name the prompt's shared parts, and 403 and 603 whether the target had sent a head and events. The adapter decodes the parts; the last one is left out, as it belongs to one request.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -157,6 +157,7 @@
                 LogField.of("request", request.name()),
                 LogField.of("route", request.route().id()),
                 LogField.of("organisation", request.organisation().id()),
+                LogField.of("promptParts", request.promptParts()),
                 LogField.of("target", target.get().listed().id()),
                 LogField.of("online", target.get().online()),
                 LogField.of("batch", target.get().batch()),
@@ -300,7 +301,7 @@
     }
 
     private void answerStarted(DirectRequest request, TargetAnswer answer, long now, Effects out) {
-        request.transition(DirectState.Event.HEAD);
+        request.answerBegun();
         request.setEventStream(answer.isSuccess() && answer.isEventStream());
         mAnswers.head(request, answer, now, out);
         setTimer(request, now);
@@ -313,7 +314,7 @@
     private void answerResumed(DirectRequest request, TargetAnswer answer, long now, Effects out) {
         if (answer.isSuccess() && answer.isEventStream()) {
             request.target().orElseThrow().callSucceeded();
-            request.transition(DirectState.Event.HEAD);
+            request.answerBegun();
             setTimer(request, now);
             return;
         }
@@ -361,6 +362,9 @@
                 LogField.of("target", target.listed().id()),
                 LogField.of("why", why),
                 LogField.of("ran", ran.label()),
+                LogField.of("hadHead", request.hasHead()),
+                LogField.of("hadEvents", request.hasProgressed()),
+                LogField.of("promptParts", request.promptParts()),
                 LogField.of("after", request.events().lastId().orElse("")));
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -238,7 +238,14 @@
         }
         ServiceId service = route.serviceAt(mRandom.nextDouble());
         DirectRequest request =
-                DirectRequest.of(call, forward, route, service, organisation, arrivedAt);
+                DirectRequest.of(
+                        call,
+                        forward,
+                        route,
+                        service,
+                        organisation,
+                        mProtocols.targets().sharedPromptParts(call.headers()),
+                        arrivedAt);
         mCalls.begin(request, now, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -1,9 +1,11 @@
 package org.coltsfootproxy.direct;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.config.Organisation;
@@ -20,6 +22,7 @@
     private final ServiceId mService;
     private final Organisation mOrganisation;
     private final boolean mIsOpen;
+    private final List<PromptPartId> mPromptParts;
     private final long mArrived;
     private final long mDeadline;
     private final Set<TargetId> mTried = new HashSet<>();
@@ -29,6 +32,8 @@
     private long mTargetCall;
     private int mSends;
     private int mRuns;
+    private boolean mHasHead;
+    private long mAdvancesAtSend;
     private boolean mHasEventStream;
     private boolean mHasPossiblyRun;
     private long mLastActivity;
@@ -43,6 +48,7 @@
             ServiceId service,
             Organisation organisation,
             boolean isOpen,
+            List<PromptPartId> promptParts,
             long arrived,
             long deadline) {
         mCall = call;
@@ -51,6 +57,7 @@
         mService = service;
         mOrganisation = organisation;
         mIsOpen = isOpen;
+        mPromptParts = promptParts;
         mArrived = arrived;
         mDeadline = deadline;
     }
@@ -59,6 +66,7 @@
      * Returns a request that has just arrived.
      *
      * @param organisation empty on an open route
+     * @param promptParts parts of the prompt that other requests may share, in their order
      */
     static DirectRequest of(
             Input.HttpCall call,
@@ -66,6 +74,7 @@
             Route route,
             ServiceId service,
             Optional<Organisation> organisation,
+            List<PromptPartId> promptParts,
             long nowNanos) {
         long millis = Math.min(forward.callerTimeoutMillis(), route.timeoutMillis());
         return new DirectRequest(
@@ -75,6 +84,7 @@
                 service,
                 organisation.orElse(OpenCallers.ORGANISATION),
                 organisation.isEmpty(),
+                List.copyOf(promptParts),
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
     }
@@ -105,6 +115,11 @@
         return mIsOpen;
     }
 
+    /** Returns the parts of the prompt that other requests may share, in their order. */
+    List<PromptPartId> promptParts() {
+        return mPromptParts;
+    }
+
     long arrived() {
         return mArrived;
     }
@@ -145,6 +160,8 @@
         mSends++;
         mRuns++;
         mLastActivity = nowNanos;
+        mHasHead = false;
+        mAdvancesAtSend = mEvents.advances();
         mEvents.dropPartial();
         transition(DirectState.Event.SEND);
     }
@@ -189,6 +206,22 @@
         return mTried;
     }
 
+    /** Notes that the current target has begun an answer that is being passed on. */
+    void answerBegun() {
+        mHasHead = true;
+        transition(DirectState.Event.HEAD);
+    }
+
+    /** Returns whether the current target has begun an answer. */
+    boolean hasHead() {
+        return mHasHead;
+    }
+
+    /** Returns whether the current target has sent a complete event. */
+    boolean hasProgressed() {
+        return mEvents.advances() > mAdvancesAtSend;
+    }
+
     /** Sets whether the answer is an event stream. */
     void setEventStream(boolean hasEventStream) {
         mHasEventStream = hasEventStream;
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -4,9 +4,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.LeaseRef;
@@ -23,6 +25,7 @@
 
     private final LeasedItem mItem;
     private final ItemCall.Post mCall;
+    private final List<PromptPartId> mPromptParts;
     private final long mStartedAt;
     private final Set<TargetId> mTried = new HashSet<>();
     private final EventReader mEvents = new EventReader();
@@ -32,14 +35,17 @@
     private long mSentAt;
     private long mActiveNanos;
     private boolean mHasSuccess;
+    private long mAdvancesAtSend;
     private int mFailures;
     private boolean mIsKept;
     private int mReportedBytes;
     private long mLastActivity;
 
-    private ItemRun(LeasedItem item, ItemCall.Post call, long nowNanos) {
+    private ItemRun(
+            LeasedItem item, ItemCall.Post call, List<PromptPartId> promptParts, long nowNanos) {
         mItem = item;
         mCall = call;
+        mPromptParts = List.copyOf(promptParts);
         mStartedAt = nowNanos;
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
@@ -49,8 +55,14 @@
         }
     }
 
-    static ItemRun of(LeasedItem item, ItemCall.Post call, long nowNanos) {
-        return new ItemRun(item, call, nowNanos);
+    /**
+     * Returns a run that is at no target yet.
+     *
+     * @param promptParts parts of the prompt that other calls may share, in their order
+     */
+    static ItemRun of(
+            LeasedItem item, ItemCall.Post call, List<PromptPartId> promptParts, long nowNanos) {
+        return new ItemRun(item, call, promptParts, nowNanos);
     }
 
     LeasedItem item() {
@@ -65,6 +77,11 @@
         return mCall;
     }
 
+    /** Returns the parts of the prompt that other calls may share, in their order. */
+    List<PromptPartId> promptParts() {
+        return mPromptParts;
+    }
+
     long startedAt() {
         return mStartedAt;
     }
@@ -80,6 +97,7 @@
         mTried.add(target.listed().id());
         mEvents.dropPartial();
         mHasSuccess = false;
+        mAdvancesAtSend = mEvents.advances();
         mSentAt = nowNanos;
         mLastActivity = nowNanos;
     }
@@ -149,6 +167,11 @@
         return mHasSuccess;
     }
 
+    /** Returns whether the current target has sent a complete event. */
+    boolean hasProgressed() {
+        return mEvents.advances() > mAdvancesAtSend;
+    }
+
     /**
      * Appends received bytes; the data of events that are now complete joins the output. Only a
      * further event counts as activity of the target.
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -163,7 +163,9 @@
         @Override
         public void run(LeasedItem item, long now, Effects out) {
             try {
-                ItemRun run = ItemRun.of(item, ItemCall.decode(item.body()), now);
+                ItemCall.Post call = ItemCall.decode(item.body());
+                ItemRun run =
+                        ItemRun.of(item, call, mProtocol.sharedPromptParts(call.headers()), now);
                 mRuns.put(item.lease(), run);
                 send(run, now, out);
             } catch (ProxyException e) {
@@ -230,6 +232,7 @@
                 LogField.of("job", run.lease().job()),
                 LogField.of("item", run.lease().item()),
                 LogField.of("lease", run.lease().fence()),
+                LogField.of("promptParts", run.promptParts()),
                 LogField.of("target", target.get().listed().id()),
                 LogField.of("online", target.get().online()),
                 LogField.of("batch", target.get().batch()),
@@ -350,6 +353,9 @@
                 LogField.of("item", run.lease().item()),
                 LogField.of("lease", run.lease().fence()),
                 LogField.of("why", why),
+                LogField.of("hadHead", run.hasSuccess()),
+                LogField.of("hadEvents", run.hasProgressed()),
+                LogField.of("promptParts", run.promptParts()),
                 LogField.of("after", run.lastEvent().orElse("")));
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.direct;
 
 import java.util.List;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.node.Input;
 
@@ -9,6 +10,12 @@
     /** Returns the headers of a call: the caller's without its keys, and those of this system. */
     List<Header> headers(List<Header> callerHeaders, TargetRequest request);
 
+    /**
+     * Returns the parts of a call's prompt that other calls may share, in their order; empty if the
+     * headers name none.
+     */
+    List<PromptPartId> sharedPromptParts(List<Header> callerHeaders);
+
     /** Returns the decoded head of an answer. */
     TargetAnswer read(Input.TargetHead head);
 
--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -29,6 +29,12 @@
     /** Present if the target refused the call and has not run it. */
     static final String NOT_RUN = "Not-Run";
 
+    /**
+     * The parts of the prompt in their order, each as an id, a colon and its number of tokens,
+     * separated by commas; the last part belongs to the request or its session alone.
+     */
+    static final String PROMPT_PREFIX = "Prompt-Prefix";
+
     /** A target's running requests, waiting requests and slots, separated by commas. */
     static final String SERVER_LOAD = "Server-Load";
 
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -7,6 +7,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import org.coltsfootproxy.base.Names;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.direct.TargetAnswer;
 import org.coltsfootproxy.direct.TargetLoad;
 import org.coltsfootproxy.direct.TargetProtocol;
@@ -20,6 +22,11 @@
     private static final Set<String> REPLACED_HEADERS =
             Set.of("authorization", "deadline-ms", "target-instance", "tenant");
 
+    /** Number of prompt parts that are read; any further ones are ignored. */
+    private static final int MAX_PROMPT_PARTS = 32;
+
+    private static final Splitter PART_SPLITTER = Splitter.on(',').trimResults().omitEmptyStrings();
+
     private static final int MISDIRECTED_REQUEST_STATUS = 421;
 
     /** First digit of the status codes that mean success. */
@@ -45,6 +52,22 @@
                 || isLastEventId && request.resumeAfter().isPresent();
     }
 
+    @Override
+    public List<PromptPartId> sharedPromptParts(List<Header> callerHeaders) {
+        List<String> parts =
+                callerHeaders.stream()
+                        .filter(h -> h.name().equalsIgnoreCase(PlatformHeaders.PROMPT_PREFIX))
+                        .flatMap(h -> PART_SPLITTER.splitToStream(h.value()))
+                        .toList();
+        return parts.stream()
+                .limit(Math.max(0, Math.min(MAX_PROMPT_PARTS, parts.size() - 1)))
+                .map(part -> part.replaceFirst(":.*", "").strip().toLowerCase(Locale.ROOT))
+                .filter(Names::isValid)
+                .distinct()
+                .map(PromptPartId::of)
+                .toList();
+    }
+
     @Override
     public TargetAnswer read(Input.TargetHead head) {
         List<Header> headers =
--- a/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
@@ -52,6 +52,7 @@
                         remainingMillis,
                         PartialOutput.NONE,
                         new byte[0]);
-        return ItemRun.of(item, new ItemCall.Post("/draft", List.of(), new byte[0]), 0);
+        ItemCall.Post call = new ItemCall.Post("/draft", List.of(), new byte[0]);
+        return ItemRun.of(item, call, List.of(), 0);
     }
 }
