--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -186,11 +186,12 @@
      *
      * <p>Hosts still know the old target's id until they read the list of targets again.
      */
-    void replaceTarget(SimulatedTarget target, String id) {
+    SimulatedTarget replaceTarget(SimulatedTarget target, String id) {
         SimulatedTarget next =
                 new SimulatedTarget(
                         mFleet, id, target.mService, target.mDataCentre, target.mAddress);
         mTargets.put(target.mAddress, next);
+        return next;
     }
 
     List<SimulatedTarget.Run> runsOf(String request) {
@@ -440,20 +441,34 @@
     }
 
     Answer request(HostId entry, String name, String path, String key) {
-        List<Header> headers =
-                List.of(
-                        Header.of("Host", "svc.example"),
-                        Header.of("Request-Id", name),
-                        Header.of("Deadline-Ms", "5000"),
-                        Header.of("Authorization", "Bearer " + key));
+        return call(entry, "POST", path, requestHeaders(name, key), "body of " + name);
+    }
+
+    /** Sends a request with the first organisation's key whose prompt has the given parts. */
+    Answer requestWithPrompt(HostId entry, String name, String path, String promptParts) {
+        List<Header> headers = new ArrayList<>(requestHeaders(name, ALPHA_KEY));
+        headers.add(Header.of("Prompt-Prefix", promptParts));
         return call(entry, "POST", path, headers, "body of " + name);
     }
 
+    private static List<Header> requestHeaders(String name, String key) {
+        return List.of(
+                Header.of("Host", "svc.example"),
+                Header.of("Request-Id", name),
+                Header.of("Deadline-Ms", "5000"),
+                Header.of("Authorization", "Bearer " + key));
+    }
+
     /** Submits a job; its item ids start with the job's id. */
     Answer submit(HostId entry, String job, int items) {
+        return submitWithPrompt(entry, job, items, "");
+    }
+
+    /** Submits a job whose items' prompts have the given parts. */
+    Answer submitWithPrompt(HostId entry, String job, int items, String promptParts) {
         String list =
                 IntStream.range(0, items)
-                        .mapToObj(n -> item(job + "-i" + n))
+                        .mapToObj(n -> item(job + "-i" + n, promptParts))
                         .collect(Collectors.joining(","));
         List<Header> headers =
                 List.of(
@@ -463,14 +478,15 @@
         return call(entry, "POST", "/jobs/" + job, headers, "{\"items\":[" + list + "]}");
     }
 
-    private static String item(String id) {
+    private static String item(String id, String promptParts) {
         String body =
                 Base64.getEncoder()
                         .encodeToString(("body of " + id).getBytes(StandardCharsets.UTF_8));
         return String.format(
-                "{\"id\":\"%s\",\"path\":\"/jobs/x/%s\",\"headers\":{\"Model\":\"m\"},"
+                "{\"id\":\"%s\",\"path\":\"/jobs/x/%s\",\"headers\":"
+                        + "{\"Model\":\"m\",\"Prompt-Prefix\":\"%s\"},"
                         + "\"body\":\"%s\",\"tokens\":10}",
-                id, id, body);
+                id, id, promptParts, body);
     }
 
     /** Sends a call to one of a job's paths. */
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
@@ -0,0 +1,149 @@
+package org.coltsfootproxy.platform;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.platform.PlatformSimulation.Answer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests of a part of prompts on which each target crashes as it begins an answer.
+ *
+ * <p>Requests with that part come at any entry, no two alike; sound ones share their caller and
+ * their other parts.
+ */
+public final class PromptCrashTest {
+    private static final long MILLI_NANOS = PlatformSimulation.MILLI_NANOS;
+    private static final long SECOND_NANOS = PlatformSimulation.SECOND_NANOS;
+    private static final String CRASHING_PART = "bad0bad0";
+
+    /** Crashes after which hosts have to know the part. */
+    private static final int KNOWN_AFTER_CRASHES = 5;
+
+    /** Time after the last of these crashes within which all hosts have to know it. */
+    private static final long CONTACT_NANOS = 3 * SECOND_NANOS;
+
+    /** Requests with the part that may reach targets after that. */
+    private static final int MAX_LATE_RUNS = 3;
+
+    private static final int ENTRIES = 4;
+    private static final int TARGETS = 8;
+    private static final long TARGET_RESTART_NANOS = 3 * SECOND_NANOS;
+
+    private final List<Long> mCrashes = new ArrayList<>();
+    private final List<Answer> mSound = new ArrayList<>();
+    private final List<SimulatedTarget> mAllTargets = new ArrayList<>();
+    private PlatformSimulation mSimulation;
+    private Random mRandom;
+    private int mNumber;
+
+    private void start(long seed) {
+        mRandom = new Random(seed);
+        mNumber = 0;
+        mCrashes.clear();
+        mSound.clear();
+        mAllTargets.clear();
+        mSimulation = PlatformSimulation.startServing(seed, ENTRIES);
+        for (int n = 3; n <= TARGETS; n++) {
+            mSimulation.target("lm-" + n, PlatformSimulation.LM_SERVICE, "z" + (1 + n % 3));
+        }
+        mSimulation.run(2 * SECOND_NANOS);
+        for (int n = 1; n <= TARGETS; n++) {
+            prepare(mSimulation.target("lm-" + n), 0);
+        }
+    }
+
+    /** Lets a target crash on the part, and another one take its address some seconds later. */
+    private void prepare(SimulatedTarget target, int restarts) {
+        mAllTargets.add(target);
+        target.mCrashingPart = CRASHING_PART;
+        target.mOnCrash =
+                () -> {
+                    mCrashes.add(mSimulation.now());
+                    String id = target.mId.replaceFirst("r.*", "") + "r" + (restarts + 1);
+                    mSimulation
+                            .fleet()
+                            .after(
+                                    TARGET_RESTART_NANOS,
+                                    () ->
+                                            prepare(
+                                                    mSimulation.replaceTarget(target, id),
+                                                    restarts + 1));
+                };
+    }
+
+    private HostId anyEntry() {
+        return mSimulation.entry(mRandom.nextInt(ENTRIES));
+    }
+
+    /** Sends a sound request each 40 ms, and one with the part each 400 ms, for some time. */
+    private void sendFor(long nanos) {
+        for (long end = mSimulation.now() + nanos; mSimulation.now() < end; ) {
+            mNumber++;
+            String first = "f" + mRandom.nextInt(3);
+            String last = "e" + mNumber;
+            mSound.add(
+                    mSimulation.requestWithPrompt(
+                            anyEntry(),
+                            "s" + mNumber,
+                            "/ask/" + mNumber,
+                            first + ":100,d" + mRandom.nextInt(50) + ":100," + last + ":9"));
+            if (mNumber % 10 == 0) {
+                sendCrashing();
+            }
+            mSimulation.run(40 * MILLI_NANOS);
+        }
+    }
+
+    private Answer sendCrashing() {
+        mNumber++;
+        String first = "f" + mRandom.nextInt(3) + ":100";
+        String bad = CRASHING_PART + ":100";
+        String prompt = mRandom.nextBoolean() ? first + "," + bad : bad + "," + first;
+        String path = mRandom.nextBoolean() ? "/ask/" : "/swap/";
+        return mSimulation.requestWithPrompt(
+                anyEntry(), "b" + mNumber, path + mNumber, prompt + ",e" + mNumber + ":9");
+    }
+
+    private long runsWithPartSince(long nanos) {
+        return mAllTargets.stream()
+                .flatMap(target -> target.mRuns.stream())
+                .filter(run -> run.mRequest.startsWith("b"))
+                .filter(run -> run.mArrivalNanos >= nanos)
+                .count();
+    }
+
+    @DataProvider
+    Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+    }
+
+    /** Guards against requests with one part crashing targets one after the other (BUDGET). */
+    @Test(dataProvider = "seeds")
+    public void aPartThatCrashesTargetsStopsReachingThemFromAnyEntry(long seed) {
+        start(seed);
+        sendFor(15 * SECOND_NANOS);
+        long late =
+                mCrashes.size() < KNOWN_AFTER_CRASHES
+                        ? 0
+                        : runsWithPartSince(mCrashes.get(KNOWN_AFTER_CRASHES - 1) + CONTACT_NANOS);
+        assertTrue(mCrashes.size() > 1, "crashes " + mCrashes.size());
+        assertTrue(late <= MAX_LATE_RUNS, late + " late runs, " + mCrashes.size() + " crashes");
+    }
+
+    /** Guards against sound requests being refused for parts that they share with crashing ones. */
+    @Test(dataProvider = "seeds")
+    public void soundRequestsOfTheSameCallerAndFirstPartsAreServed(long seed) {
+        start(seed);
+        sendFor(10 * SECOND_NANOS);
+        mSound.clear();
+        sendFor(5 * SECOND_NANOS);
+        mSimulation.run(3 * SECOND_NANOS);
+        long served = mSound.stream().filter(a -> a.mStatus == 200 && a.mIsComplete).count();
+        assertTrue(served >= 0.9 * mSound.size(), served + " of " + mSound.size());
+    }
+}
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -65,6 +65,12 @@
     /** Whether answers lack the target's signature. */
     boolean mIsUnsigned;
 
+    /** Prompt part on which the target crashes as it begins an answer; empty for none. */
+    String mCrashingPart = "";
+
+    /** Called when the target has crashed. */
+    Runnable mOnCrash = () -> {};
+
     /** Whether the connection of the next request is cut after it has run but before any answer. */
     boolean mCutsNextAnswer;
 
@@ -149,7 +155,7 @@
     }
 
     private void startNext() {
-        while (mRunningCount < mSlots && !mWaitingRuns.isEmpty()) {
+        while (!mIsDown && mRunningCount < mSlots && !mWaitingRuns.isEmpty()) {
             Run run = mWaitingRuns.remove();
             if (!run.mIsFinished) {
                 start(run);
@@ -185,6 +191,11 @@
             head(run, 200, List.of(Header.of("Content-Type", "text/event-stream")));
         }
         String text = "id: " + number + "\ndata: " + run.mRequest + "-" + number + "\n\n";
+        if (holdsCrashingPart(run)) {
+            chunk(run, text.substring(0, text.length() / 2));
+            crash();
+            return;
+        }
         if (!mFiller.isEmpty() && number >= mFillerFrom) {
             chunk(run, mFiller);
             mFleet.after(mEventIntervalNanos, () -> event(run, number));
@@ -205,6 +216,13 @@
         }
     }
 
+    private boolean holdsCrashingPart(Run run) {
+        return !mCrashingPart.isEmpty()
+                && PlatformHeaders.value(run.mCall.headers(), "Prompt-Prefix")
+                        .filter(parts -> parts.contains(mCrashingPart + ":"))
+                        .isPresent();
+    }
+
     private void cutAnswer(Run run) {
         end(run, () -> fail(run.mHost, run.mCall.call(), ErrorKind.ANSWER_CUT, Ran.MAYBE));
     }
@@ -241,8 +259,13 @@
     void crash() {
         mIsDown = true;
         for (Run run : List.copyOf(mOpenCalls.values())) {
-            cutAnswer(run);
+            if (run.mHasHead) {
+                end(run, () -> fail(run, ErrorKind.ANSWER_CUT, Ran.YES));
+            } else {
+                end(run, () -> fail(run, ErrorKind.TARGET_FAILED, Ran.MAYBE));
+            }
         }
+        mOnCrash.run();
     }
 
     private void answer(Run run, int status, List<Header> headers, String body) {
@@ -274,6 +297,10 @@
         deliver(host, new Input.TargetFailed(call, kind, ran, "the target failed"));
     }
 
+    private void fail(Run run, ErrorKind kind, Ran ran) {
+        fail(run.mHost, run.mCall.call(), kind, ran);
+    }
+
     private void deliver(HostId host, Input input) {
         mFleet.after(LINK_NANOS, () -> mFleet.deliver(host, input));
     }
