A part of prompts that crashes targets is quarantined at all hosts

Cause: a crash counted against the target only. No host related what the call held to what happened to its target, so the next request with the same part went to the next target. Class: a request that kills its server is routed as if the server were at fault, so that retries and further requests spread it.

Evidence: at each of the 19 crashes in the logs one call had its head and no event; sound calls beside it had events, waiting ones no head.

It works without control hosts; a host that starts learns it within a second.

Not covered: a crash before the head, and the agents' path.

--- a/src/main/java/org/coltsfootproxy/base/ErrorKind.java
+++ b/src/main/java/org/coltsfootproxy/base/ErrorKind.java
@@ -31,6 +31,7 @@
     ANSWER_CUT(502, Ran.YES, 69, "The answer broke off"),
     OVERLOADED(503, Ran.NO, 75, "No capacity is free in time"),
     NO_TARGET(503, Ran.NO, 69, "No target can take the request"),
+    PROMPT_QUARANTINED(503, Ran.NO, 69, "A part of the prompt has crashed targets"),
     CONFIG_STALE(503, Ran.NO, 69, "The configuration can't be confirmed as current"),
     NO_LEADER(503, Ran.NO, 69, "No control host can commit now"),
     COMMIT_UNKNOWN(503, Ran.MAYBE, 69, "The outcome of the commit is unknown; send it again"),
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -36,6 +36,7 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.quarantine.PromptQuarantine;
 
 /**
  * The decisions of a store, a host that stores and runs batch jobs in a fleet that discovers its
@@ -66,6 +67,7 @@
     private final JobService mJobService;
     private final TargetCalls mCalls = TargetCalls.create();
     private final Targets mTargets;
+    private final PromptQuarantine mQuarantine = PromptQuarantine.create();
     private final HostReports mReports;
     private final ItemWorker mWorker;
     private Optional<HostId> mLeader = Optional.empty();
@@ -103,7 +105,8 @@
                         settings.self(),
                         random.nextLong(),
                         mTargets,
-                        LoadExchange.create(settings.self(), mTargets));
+                        LoadExchange.create(settings.self(), mTargets),
+                        mQuarantine);
         mWorker =
                 ItemWorker.create(
                         settings.incarnation(),
@@ -111,6 +114,7 @@
                         settings.targets(),
                         mCalls,
                         mTargets,
+                        mQuarantine,
                         mConfig::view);
     }
 
@@ -213,7 +217,7 @@
         } else if (message instanceof FleetMessage.BootstrapJobLog bootstrap) {
             mGroup.node().bootstrap(bootstrap.members(), nowNanos, mOut);
         } else if (message instanceof FleetMessage.Reports reports) {
-            mReports.handle(from, reports, nowNanos);
+            mReports.handle(from, reports, nowNanos, mOut);
         } else if (message instanceof FleetMessage.PreemptItem yield) {
             mWorker.preemptItem(yield.target(), nowNanos, mOut);
         }
@@ -261,6 +265,7 @@
             if (mJobService.nextTickNanos() <= nowNanos) {
                 mJobService.tick(nowNanos, mOut);
             }
+            mQuarantine.tick(nowNanos, mOut);
             if (mWorker.nextTickNanos() <= nowNanos) {
                 mWorker.tick(nowNanos, mOut);
             }
@@ -339,6 +344,7 @@
                         mGroup.node().nextTickNanos(),
                         mJobService.nextTickNanos(),
                         mWorker.nextTickNanos(),
+                        mQuarantine.nextTickNanos(),
                         mReports.nextTickNanos(),
                         mNextHandoverNanos)
                 .min()
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -10,6 +10,7 @@
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
@@ -22,6 +23,7 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.LogField;
+import org.coltsfootproxy.quarantine.PromptQuarantine;
 
 /**
  * Runs online requests at an entry that calls targets directly, from the caller's call to the end
@@ -68,10 +70,14 @@
     private final Targets mTargets;
     private final LoadExchange mLoadExchange;
     private final LoadShedder mLoadShedder;
+    private final PromptQuarantine mQuarantine;
     private final Limiter mLimiter;
     private final Map<Long, DirectRequest> mRequests = new HashMap<>();
     private final Timers<Long> mTimers = Timers.create();
 
+    /** {@link PromptQuarantine#version} for which the requests in flight were checked. */
+    private long mCheckedQuarantine;
+
     DirectCalls(
             DirectCallerAnswers answers,
             TargetProtocol protocol,
@@ -79,6 +85,7 @@
             Targets targets,
             LoadExchange loadExchange,
             LoadShedder loadShedder,
+            PromptQuarantine quarantine,
             Limiter limiter) {
         mAnswers = answers;
         mProtocol = protocol;
@@ -86,6 +93,7 @@
         mTargets = targets;
         mLoadExchange = loadExchange;
         mLoadShedder = loadShedder;
+        mQuarantine = quarantine;
         mLimiter = limiter;
     }
 
@@ -96,6 +104,11 @@
     /** Starts a request whose route and key have been checked. */
     void begin(DirectRequest request, long now, Effects out) {
         mRequests.put(request.call().call(), request);
+        Optional<Failure> quarantined = quarantineFailure(request);
+        if (quarantined.isPresent()) {
+            fail(request, quarantined.get(), now, out);
+            return;
+        }
         if (request.isOpen()) {
             sendUnlessOverloaded(request, now, out);
             return;
@@ -111,6 +124,16 @@
         }
     }
 
+    /** Returns why a request may not be sent, if its prompt has a quarantined part. */
+    private Optional<Failure> quarantineFailure(DirectRequest request) {
+        return mQuarantine.firstQuarantined(request.promptParts()).map(DirectCalls::refusal);
+    }
+
+    private static Failure refusal(PromptPartId part) {
+        return Failure.notRun(
+                ErrorKind.PROMPT_QUARANTINED, "part " + part + " of the prompt crashes targets", 0);
+    }
+
     private void sendUnlessOverloaded(DirectRequest request, long now, Effects out) {
         OptionalLong retryMillis = mLoadShedder.refusalRetryMillis(request, now);
         if (retryMillis.isPresent()) {
@@ -132,6 +155,11 @@
      * @param noTargetFailure the answer to the caller if no target can accept the request
      */
     private void send(DirectRequest request, Failure noTargetFailure, long now, Effects out) {
+        Optional<Failure> quarantined = quarantineFailure(request);
+        if (quarantined.isPresent()) {
+            giveUp(request, quarantined.get(), now, out);
+            return;
+        }
         Optional<Target> target = mTargets.chooseForOnline(request.service(), request.tried(), now);
         long remaining = request.deadline() - now;
         if (target.isEmpty() || remaining < MIN_REMAINING_NANOS) {
@@ -225,7 +253,11 @@
 
         @Override
         public void chunk(byte[] bytes, long now, Effects out) {
+            boolean hadProgressed = mRequest.hasProgressed();
             byte[] complete = mRequest.append(bytes, now);
+            if (!hadProgressed && mRequest.hasProgressed()) {
+                mQuarantine.answerProgressed(mRequest.promptParts(), now, out);
+            }
             if (complete.length > 0) {
                 out.add(new Effect.HttpChunk(mRequest.call().call(), complete));
             }
@@ -239,6 +271,7 @@
         @Override
         public void ended(long now, Effects out) {
             if (mRequest.hasEventStream() && mRequest.events().hasPartialEvent()) {
+                noteBrokenAnswer(mRequest, now);
                 attemptFailed(
                         mRequest,
                         ErrorKind.ANSWER_CUT,
@@ -248,6 +281,9 @@
                         out);
                 return;
             }
+            if (!mRequest.hasProgressed()) {
+                mQuarantine.answerProgressed(mRequest.promptParts(), now, out);
+            }
             mLoadShedder.completed(mRequest, now);
             releaseTarget(mRequest);
             mAnswers.complete(mRequest, now, out);
@@ -256,10 +292,24 @@
 
         @Override
         public void failed(Input.TargetFailed failure, long now, Effects out) {
+            if (failure.kind() == ErrorKind.ANSWER_CUT) {
+                noteBrokenAnswer(mRequest, now);
+            }
             attemptFailed(mRequest, failure.kind(), failure.ran(), failure.detail(), now, out);
         }
     }
 
+    /** Reports a target that ended the connection as it began its answer. */
+    private void noteBrokenAnswer(DirectRequest request, long now) {
+        if (request.hasHead() && !request.hasProgressed()) {
+            mQuarantine.answerBroke(
+                    request.target().orElseThrow().listed().id(),
+                    request.name(),
+                    request.promptParts(),
+                    now);
+        }
+    }
+
     private void attemptRefused(DirectRequest request, TargetAnswer answer, long now, Effects out) {
         Target target = request.target().orElseThrow();
         if (answer.verdict() == TargetAnswer.Verdict.OTHER_TARGET) {
@@ -290,6 +340,7 @@
         return request.isRepeatable()
                 && request.hasRunsLeft()
                 && request.deadline() - now >= MIN_REMAINING_NANOS
+                && quarantineFailure(request).isEmpty()
                 && mTargets.chooseForOnline(request.service(), request.tried(), now).isPresent();
     }
 
@@ -403,6 +454,10 @@
     }
 
     void tick(long now, Effects out) {
+        if (mCheckedQuarantine != mQuarantine.version()) {
+            mCheckedQuarantine = mQuarantine.version();
+            cancelQuarantined(now, out);
+        }
         Optional<Long> due = mTimers.pollDue(now);
         while (due.isPresent()) {
             Optional.ofNullable(mRequests.get(due.get()))
@@ -411,6 +466,24 @@
         }
     }
 
+    /** Cancels the calls with a quarantined part that wait at a target. */
+    private void cancelQuarantined(long now, Effects out) {
+        List<DirectRequest> waiting =
+                mRequests.values().stream()
+                        .filter(request -> request.target().isPresent() && !request.hasHead())
+                        .filter(request -> quarantineFailure(request).isPresent())
+                        .toList();
+        for (DirectRequest request : waiting) {
+            mCalls.cancel(request.targetCall(), out);
+            Target target = request.target().orElseThrow();
+            releaseTarget(request);
+            request.notePossiblyRun();
+            Failure failure = quarantineFailure(request).orElseThrow();
+            logAttemptEnd(request, target, failure.detail(), Ran.MAYBE, out);
+            giveUp(request, failure, now, out);
+        }
+    }
+
     /**
      * Returns whether the target was believed to have a free slot and this has not been checked
      * again since.
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -32,6 +32,7 @@
 import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.node.Node;
 import org.coltsfootproxy.node.Problem;
+import org.coltsfootproxy.quarantine.PromptQuarantine;
 
 /**
  * The state machine of an entry host that finds the fleet by seeds and calls targets directly.
@@ -54,6 +55,7 @@
     private final FleetMembership mMembership;
     private final Targets mTargets;
     private final TargetCalls mTargetCalls = TargetCalls.create();
+    private final PromptQuarantine mQuarantine = PromptQuarantine.create();
     private final HostReports mReports;
     private final LoadShedder mLoadShedder;
     private final EarlyCalls mEarlyCalls = new EarlyCalls();
@@ -101,6 +103,7 @@
                         random.nextLong(),
                         mTargets,
                         loadExchange,
+                        mQuarantine,
                         mLimiter,
                         mLoadShedder);
         mAnswers = new DirectCallerAnswers(protocols.callers().retryAfter());
@@ -112,6 +115,7 @@
                         mTargets,
                         loadExchange,
                         mLoadShedder,
+                        mQuarantine,
                         mLimiter);
         JobRequestClient client = DirectJobs.createClient(membership.jobHosts(), random);
         mJobs = new DirectJobs(protocols.callers(), client);
@@ -274,7 +278,7 @@
         } else if (message instanceof FleetMessage.Listing listing) {
             mTargets.update(listing, out);
         } else if (message instanceof FleetMessage.Reports reports) {
-            mReports.handle(from, reports, now);
+            mReports.handle(from, reports, now, out);
         }
     }
 
@@ -296,6 +300,7 @@
                 .takeExpired(nowNanos)
                 .forEach(h -> answerCall(h.call(), h.arrivedAt(), nowNanos, out));
         mMembership.tick(mTargets.listing().number(), null, nowNanos, out);
+        mQuarantine.tick(nowNanos, out);
         mReports.tick(nowNanos, out);
         mCalls.tick(nowNanos, out);
         mJobs.tick(nowNanos, out);
@@ -347,6 +352,7 @@
                 LongStream.of(
                                 mConfig.nextTickNanos(),
                                 mMembership.nextTickNanos(),
+                                mQuarantine.nextTickNanos(),
                                 mReports.nextTickNanos(),
                                 mEarlyCalls.nextTickNanos(),
                                 mCalls.nextTickNanos(),
--- a/src/main/java/org/coltsfootproxy/direct/HostReports.java
+++ b/src/main/java/org/coltsfootproxy/direct/HostReports.java
@@ -11,12 +11,13 @@
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.quarantine.PromptQuarantine;
 import org.coltsfootproxy.relay.RelayGroups;
 import org.coltsfootproxy.relay.ReportRelay;
 
 /**
  * Composes the reports of this host and applies those of the others: calls in flight, admitted and
- * refused requests, and targets that leave.
+ * refused requests, targets that leave, and parts of prompts that crash targets.
  *
  * <p>All parts travel in one report, which is sent as soon as one part is due.
  */
@@ -28,6 +29,7 @@
     private final long mEpoch;
     private final Targets mTargets;
     private final LoadExchange mLoads;
+    private final PromptQuarantine mQuarantine;
     private final Optional<SharedCountLimiter> mLimiter;
     private final Optional<LoadShedder> mShedder;
     private final ReportRelay mRelay;
@@ -40,12 +42,14 @@
             long epoch,
             Targets targets,
             LoadExchange loads,
+            PromptQuarantine quarantine,
             Optional<SharedCountLimiter> limiter,
             Optional<LoadShedder> shedder) {
         mSelf = checkNotNull(self, "self");
         mEpoch = epoch;
         mTargets = checkNotNull(targets, "targets");
         mLoads = checkNotNull(loads, "loads");
+        mQuarantine = checkNotNull(quarantine, "quarantine");
         mLimiter = checkNotNull(limiter, "limiter");
         mShedder = checkNotNull(shedder, "shedder");
         mRelay = ReportRelay.create(self, new Received());
@@ -61,10 +65,17 @@
             long epoch,
             Targets targets,
             LoadExchange loads,
+            PromptQuarantine quarantine,
             SharedCountLimiter limiter,
             LoadShedder shedder) {
         return new HostReports(
-                self, epoch, targets, loads, Optional.of(limiter), Optional.of(shedder));
+                self,
+                epoch,
+                targets,
+                loads,
+                quarantine,
+                Optional.of(limiter),
+                Optional.of(shedder));
     }
 
     /**
@@ -73,14 +84,19 @@
      * @param epoch number that differs between the processes of a host
      */
     public static HostReports ofStore(
-            HostId self, long epoch, Targets targets, LoadExchange loads) {
-        return new HostReports(self, epoch, targets, loads, Optional.empty(), Optional.empty());
+            HostId self,
+            long epoch,
+            Targets targets,
+            LoadExchange loads,
+            PromptQuarantine quarantine) {
+        return new HostReports(
+                self, epoch, targets, loads, quarantine, Optional.empty(), Optional.empty());
     }
 
     /** Applies the reports of other hosts. */
     private final class Received implements ReportRelay.Listener {
         @Override
-        public void reported(FleetMessage.HostReport report, long nowNanos) {
+        public void reported(FleetMessage.HostReport report, long nowNanos, Effects out) {
             HostId origin = report.origin();
             Optional.ofNullable(report.inFlight())
                     .ifPresent(inFlight -> mLoads.handle(origin, inFlight, nowNanos));
@@ -88,6 +104,9 @@
             if (report.usage() != null) {
                 mLimiter.ifPresent(l -> l.handle(origin, report.epoch(), report.usage(), nowNanos));
             }
+            if (report.prompts() != null) {
+                mQuarantine.handle(report.prompts(), nowNanos, out);
+            }
             if (report.refused() != null) {
                 mShedder.ifPresent(s -> s.handle(report.refused(), nowNanos));
             }
@@ -112,8 +131,8 @@
     }
 
     /** Handles a message of another host. */
-    public void handle(HostId from, FleetMessage.Reports reports, long nowNanos) {
-        mRelay.handle(from, reports, nowNanos);
+    public void handle(HostId from, FleetMessage.Reports reports, long nowNanos, Effects out) {
+        mRelay.handle(from, reports, nowNanos, out);
     }
 
     /** Handles the loss of the connection to another host. */
@@ -143,7 +162,8 @@
                         mLoads.takeReport(nowNanos).orElse(null),
                         mLimiter.flatMap(l -> l.takeReport(nowNanos)).orElse(null),
                         mShedder.flatMap(LoadShedder::takeReport).orElse(null),
-                        mTargets.leaving().recentlyHeard(nowNanos)),
+                        mTargets.leaving().recentlyHeard(nowNanos),
+                        mQuarantine.takeReport(nowNanos).orElse(null)),
                 nowNanos);
     }
 
@@ -151,6 +171,7 @@
         boolean hasRefused = mShedder.filter(LoadShedder::hasReport).isPresent();
         return LongStream.of(
                         mLoads.nextReportNanos(),
+                        mQuarantine.nextReportNanos(),
                         mLimiter.map(SharedCountLimiter::nextReportNanos).orElse(Node.NEVER),
                         hasRefused ? mPublishedAt + ReportRelay.BATCH_INTERVAL_NANOS : Node.NEVER)
                 .min()
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -36,6 +36,7 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.LogField;
+import org.coltsfootproxy.quarantine.PromptQuarantine;
 
 /**
  * Runs batch items at targets that this host calls directly.
@@ -48,6 +49,9 @@
     /** Pause before a retry, after no target could accept an item or after it was preempted. */
     private static final long RETRY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** Interval between checks whether an item with a quarantined part can be sent again. */
+    private static final long QUARANTINE_CHECK_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** Time without data from a target after which its call is cancelled. */
     private static final long SILENCE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -82,10 +86,15 @@
     private final TargetProtocol mProtocol;
     private final TargetCalls mCalls;
     private final Targets mTargets;
+    private final PromptQuarantine mQuarantine;
     private final Supplier<ConfigView> mConfig;
     private final Map<LeaseRef, ItemRun> mRuns = new HashMap<>();
     private final Timers<LeaseRef> mTimers = Timers.create();
     private final Map<ServiceId, StartPacer> mPacers = new HashMap<>();
+
+    /** {@link PromptQuarantine#version} for which the items at targets were checked. */
+    private long mCheckedQuarantine;
+
     private int mWorkers;
     private boolean mIsStopping;
     private long mNextSlotCheck;
@@ -98,12 +107,14 @@
             TargetProtocol protocol,
             TargetCalls calls,
             Targets targets,
+            PromptQuarantine quarantine,
             Supplier<ConfigView> config) {
         mPuller =
                 ItemPuller.create(JOB_GROUP, incarnation, ServiceId.ANY, 1, controls, new Runner());
         mProtocol = checkNotNull(protocol, "protocol");
         mCalls = checkNotNull(calls, "calls");
         mTargets = checkNotNull(targets, "targets");
+        mQuarantine = checkNotNull(quarantine, "quarantine");
         mConfig = checkNotNull(config, "config");
         mWorkers = controls.size();
     }
@@ -121,8 +132,9 @@
             TargetProtocol protocol,
             TargetCalls calls,
             Targets targets,
+            PromptQuarantine quarantine,
             Supplier<ConfigView> config) {
-        return new ItemWorker(incarnation, controls, protocol, calls, targets, config);
+        return new ItemWorker(incarnation, controls, protocol, calls, targets, quarantine, config);
     }
 
     /**
@@ -191,6 +203,10 @@
     }
 
     private void send(ItemRun run, long now, Effects out) {
+        if (isQuarantined(run)) {
+            mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
+            return;
+        }
         ServiceId service = run.item().service();
         Optional<Target> target =
                 pacer(service).mayStart(now)
@@ -240,6 +256,29 @@
                 LogField.of("after", run.lastEvent().orElse("")));
     }
 
+    private boolean isQuarantined(ItemRun run) {
+        return mQuarantine.firstQuarantined(run.promptParts()).isPresent();
+    }
+
+    private boolean waitsInQuarantine(ItemRun run) {
+        return run.target().isEmpty() && isQuarantined(run);
+    }
+
+    /** Cancels the calls with a quarantined part that wait at a target; their items wait here. */
+    private void cancelQuarantined(long now, Effects out) {
+        List<ItemRun> waiting =
+                mRuns.values().stream()
+                        .filter(run -> run.target().isPresent() && !run.hasSuccess())
+                        .filter(this::isQuarantined)
+                        .toList();
+        for (ItemRun run : waiting) {
+            mCalls.cancel(run.targetCall(), out);
+            releaseTarget(run, now);
+            logAttemptEnd(run, "a part of the prompt was quarantined", out);
+            mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
+        }
+    }
+
     /** Handles one target's answer to one item. */
     private final class Answer implements TargetCalls.Handler {
         private final ItemRun mRun;
@@ -267,9 +306,13 @@
 
         @Override
         public void chunk(byte[] bytes, long now, Effects out) {
+            boolean hadProgressed = mRun.hasProgressed();
             if (mRun.hasSuccess()) {
                 mRun.append(bytes, now);
             }
+            if (!hadProgressed && mRun.hasProgressed()) {
+                mQuarantine.answerProgressed(mRun.promptParts(), now, out);
+            }
             if (mRun.isTooLong()) {
                 mCalls.cancel(mRun.targetCall(), out);
                 attemptFailed(mRun, "an event or the output is too long", now, out);
@@ -279,6 +322,7 @@
         @Override
         public void ended(long now, Effects out) {
             if (mRun.hasPartialEvent()) {
+                noteBrokenAnswer(mRun, now);
                 attemptFailed(mRun, "the stream ended within an event", now, out);
                 return;
             }
@@ -289,10 +333,24 @@
 
         @Override
         public void failed(Input.TargetFailed failure, long now, Effects out) {
+            if (failure.kind() == ErrorKind.ANSWER_CUT) {
+                noteBrokenAnswer(mRun, now);
+            }
             attemptFailed(mRun, failure.kind().label() + ": " + failure.detail(), now, out);
         }
     }
 
+    /** Reports a target that ended the connection as it began its answer. */
+    private void noteBrokenAnswer(ItemRun run, long now) {
+        if (run.hasSuccess() && !run.hasProgressed()) {
+            mQuarantine.answerBroke(
+                    run.target().orElseThrow().listed().id(),
+                    run.lease().job() + "/" + run.lease().item(),
+                    run.promptParts(),
+                    now);
+        }
+    }
+
     private static ItemReport doneReport(ItemRun run, long now) {
         return new ItemReport(
                 run.lease(),
@@ -380,6 +438,10 @@
 
     /** Carries out the work that is due. */
     public void tick(long now, Effects out) {
+        if (mCheckedQuarantine != mQuarantine.version()) {
+            mCheckedQuarantine = mQuarantine.version();
+            cancelQuarantined(now, out);
+        }
         Optional<LeaseRef> due = mTimers.pollDue(now);
         while (due.isPresent()) {
             Optional.ofNullable(mRuns.get(due.get()))
@@ -487,13 +549,15 @@
                         .distinct()
                         .toList();
         int slots = services.stream().flatMap(mTargets::active).mapToInt(Target::slots).sum();
-        mPuller.setCapacity(Math.max(1, slots / mWorkers));
+        long quarantined = mRuns.values().stream().filter(this::waitsInQuarantine).count();
+        mPuller.setCapacity((int) (Math.max(1, slots / mWorkers) + quarantined));
         int free =
                 services.stream()
                         .filter(service -> pacer(service).mayStart(now))
                         .mapToInt(service -> Math.max(0, mTargets.freeBatchSlots(service, now)))
                         .sum();
-        long waiting = mRuns.values().stream().filter(run -> run.target().isEmpty()).count();
+        long waiting =
+                mRuns.values().stream().filter(run -> run.target().isEmpty()).count() - quarantined;
         // One item is pulled even if no slot is free, so that this host can see when its deadline
         // allows no further wait.
         long capacity = Math.max(1, (free + mWorkers - 1) / mWorkers) - waiting;
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.WireCode;
 
@@ -149,6 +150,7 @@
      * @param usage admitted requests; null if the report has none
      * @param refused refused requests; null if the report has none
      * @param leaving targets whose responses to the origin said recently that they are leaving
+     * @param prompts parts of prompts that crash targets; null if the report has none
      */
     record HostReport(
             HostId origin,
@@ -157,13 +159,49 @@
             InFlight inFlight,
             Usage usage,
             RefusedRequests refused,
-            List<LeavingTarget> leaving) {
+            List<LeavingTarget> leaving,
+            PromptReport prompts) {
         /** Copies the list. */
         public HostReport {
             leaving = List.copyOf(leaving);
         }
     }
 
+    /**
+     * What a host has seen of the parts of prompts.
+     *
+     * @param crashes targets that ended as they began an answer to a call of the host
+     * @param sound parts that others may suspect, with which the host's calls were answered
+     * @param quarantined parts with which the host sends no calls
+     */
+    record PromptReport(
+            List<TargetCrash> crashes,
+            List<PromptPartId> sound,
+            List<QuarantinedPart> quarantined) {
+        /** Copies the lists. */
+        public PromptReport {
+            crashes = List.copyOf(crashes);
+            sound = List.copyOf(sound);
+            quarantined = List.copyOf(quarantined);
+        }
+    }
+
+    /**
+     * A target that ended as it began the answer to a call.
+     *
+     * @param call id of the request or batch item
+     * @param parts parts of its prompt that other calls may share, in their order
+     */
+    record TargetCrash(TargetId target, String call, List<PromptPartId> parts) {
+        /** Copies the list. */
+        public TargetCrash {
+            parts = List.copyOf(parts);
+        }
+    }
+
+    /** A part of prompts that is quarantined for some further time. */
+    record QuarantinedPart(PromptPartId part, long remainingMillis) {}
+
     /**
      * One incarnation of a target that leaves.
      *
--- a/src/main/java/org/coltsfootproxy/relay/ReportRelay.java
+++ b/src/main/java/org/coltsfootproxy/relay/ReportRelay.java
@@ -89,7 +89,7 @@
     /** Receives the reports of other hosts. */
     public interface Listener {
         /** Handles a report that was not received before. */
-        void reported(FleetMessage.HostReport report, long nowNanos);
+        void reported(FleetMessage.HostReport report, long nowNanos, Effects out);
 
         /** Handles the end of another host's process. */
         void ended(HostId host, long nowNanos);
@@ -177,7 +177,7 @@
     }
 
     /** Handles another host's message. */
-    public void handle(HostId from, FleetMessage.Reports message, long nowNanos) {
+    public void handle(HostId from, FleetMessage.Reports message, long nowNanos, Effects out) {
         mHeardAt.put(from, nowNanos);
         mSuspectedAt.remove(from);
         message.reports().stream()
@@ -185,7 +185,7 @@
                 .forEach(
                         report -> {
                             forward(from, report, nowNanos);
-                            mListener.reported(report, nowNanos);
+                            mListener.reported(report, nowNanos, out);
                         });
         message.ended().forEach(host -> end(from, host, nowNanos));
     }
--- a/src/test/java/org/coltsfootproxy/docs/LayersTest.java
+++ b/src/test/java/org/coltsfootproxy/docs/LayersTest.java
@@ -24,6 +24,7 @@
                     "config",
                     "membership",
                     "relay",
+                    "quarantine",
                     "limit",
                     "routing",
                     "admission",
--- a/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
@@ -1,10 +1,13 @@
 package org.coltsfootproxy.platform;
 
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.platform.PlatformSimulation.Answer;
 import org.testng.annotations.DataProvider;
@@ -117,6 +120,15 @@
                 .count();
     }
 
+    private void assertFewLateRuns() {
+        long late =
+                mCrashes.size() < KNOWN_AFTER_CRASHES
+                        ? 0
+                        : runsWithPartSince(mCrashes.get(KNOWN_AFTER_CRASHES - 1) + CONTACT_NANOS);
+        assertTrue(mCrashes.size() > 1, "crashes " + mCrashes.size());
+        assertTrue(late <= MAX_LATE_RUNS, late + " late runs, " + mCrashes.size() + " crashes");
+    }
+
     @DataProvider
     Object[][] seeds() {
         return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
@@ -127,12 +139,7 @@
     public void aPartThatCrashesTargetsStopsReachingThemFromAnyEntry(long seed) {
         start(seed);
         sendFor(15 * SECOND_NANOS);
-        long late =
-                mCrashes.size() < KNOWN_AFTER_CRASHES
-                        ? 0
-                        : runsWithPartSince(mCrashes.get(KNOWN_AFTER_CRASHES - 1) + CONTACT_NANOS);
-        assertTrue(mCrashes.size() > 1, "crashes " + mCrashes.size());
-        assertTrue(late <= MAX_LATE_RUNS, late + " late runs, " + mCrashes.size() + " crashes");
+        assertFewLateRuns();
     }
 
     /** Guards against sound requests being refused for parts that they share with crashing ones. */
@@ -146,4 +153,77 @@
         long served = mSound.stream().filter(a -> a.mStatus == 200 && a.mIsComplete).count();
         assertTrue(served >= 0.9 * mSound.size(), served + " of " + mSound.size());
     }
+
+    private void crashUntilQuarantined() {
+        sendFor(5 * SECOND_NANOS);
+        assertTrue(
+                mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED),
+                mCrashes.size() + " crashes");
+    }
+
+    /** Guards against an entry that starts later sending the part until it learns by itself. */
+    @Test(dataProvider = "seeds")
+    public void anEntryThatHasRestartedRefusesAQuarantinedPart(long seed) {
+        start(seed);
+        crashUntilQuarantined();
+        int crashes = mCrashes.size();
+        HostId entry = mSimulation.entry(0);
+        mSimulation.fleet().crash(entry);
+        mSimulation.run(SECOND_NANOS);
+        mSimulation.startEntry(entry);
+        mSimulation.run(4 * SECOND_NANOS);
+        Answer answer =
+                mSimulation.requestWithPrompt(entry, "b-late", "/ask/1", CRASHING_PART + ":1,e0:1");
+        mSimulation.run(SECOND_NANOS);
+        assertEquals(answer.mStatus, 503, answer.toString());
+        assertEquals(mCrashes.size(), crashes);
+    }
+
+    /** Guards against batch items with the part crashing targets. */
+    @Test(dataProvider = "seeds")
+    public void batchItemsWithTheSamePartWaitWhileOthersAreDone(long seed) {
+        start(seed);
+        Answer bad =
+                mSimulation.submitWithPrompt(
+                        mSimulation.entry(0), "bad", 12, "f1:1," + CRASHING_PART + ":1,e0:1");
+        Answer sound =
+                mSimulation.submitWithPrompt(mSimulation.entry(1), "good", 30, "f1:1,d1:1,e1:1");
+        mSimulation.run(12 * SECOND_NANOS);
+        assertEquals(bad.mStatus, 202, bad.toString());
+        assertEquals(sound.mStatus, 202, sound.toString());
+        assertFewLateRuns();
+        Answer results =
+                mSimulation.callJob(
+                        mSimulation.entry(0), "GET", "/coltsfootproxy/lots/good?after=0", 0);
+        mSimulation.run(4 * SECOND_NANOS);
+        assertTrue(results.body().contains("\"next_token\":30"), results.toString());
+    }
+
+    /** Guards against a call with the part crashing the target at whose queue it waits. */
+    @Test
+    public void callsThatWaitAtATargetAreCancelledOnceTheirPartIsQuarantined() {
+        start(1);
+        crashUntilQuarantined();
+        int crashes = mCrashes.size();
+        mSimulation.run(6 * SECOND_NANOS);
+        long held =
+                mSound.stream()
+                        .filter(answer -> !answer.mIsComplete && answer.mStatus == 0)
+                        .count();
+        assertEquals(held, 0);
+        assertEquals(mCrashes.size(), crashes);
+    }
+
+    /** Guards against a quarantine because of an outage that has nothing to do with prompts. */
+    @Test(dataProvider = "seeds")
+    public void crashesWithoutACommonPartQuarantineNothing(long seed) {
+        start(seed);
+        mAllTargets.forEach(target -> target.mCrashingPart = "");
+        for (int n = 0; n < 40; n++) {
+            SimulatedTarget target = mSimulation.target("lm-" + (1 + n % TARGETS));
+            target.mCutAtEvent = 1;
+            sendFor(400 * MILLI_NANOS);
+        }
+        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED));
+    }
 }
--- a/src/test/java/org/coltsfootproxy/relay/ReportRelayTest.java
+++ b/src/test/java/org/coltsfootproxy/relay/ReportRelayTest.java
@@ -20,6 +20,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Node;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -121,7 +122,7 @@
             }
 
             @Override
-            public void reported(FleetMessage.HostReport report, long nowNanos) {
+            public void reported(FleetMessage.HostReport report, long nowNanos, Effects out) {
                 Long before = mKnown.get(mHost).put(report.origin(), report.sequence());
                 assertTrue(before == null || before < report.sequence(), "delivered twice");
                 mAges.add((nowNanos - mPublishedAt.get(report.origin())) / MILLI_NANOS);
@@ -144,7 +145,7 @@
             mRelays.get(host)
                     .publish(
                             new FleetMessage.HostReport(
-                                    host, 1, sequence, null, null, null, List.of()),
+                                    host, 1, sequence, null, null, null, List.of(), null),
                             mNow);
         }
 
@@ -202,7 +203,8 @@
                     late.add(delivery);
                 } else if (mRelays.get(delivery.to()) == delivery.relay()) {
                     mReceived.merge(delivery.to(), 1, Integer::sum);
-                    delivery.relay().handle(delivery.from(), delivery.message(), mNow);
+                    delivery.relay()
+                            .handle(delivery.from(), delivery.message(), mNow, effect -> {});
                 }
             }
             mDeliveries.addAll(late);
@@ -456,7 +458,8 @@
                         host(0, 0),
                         new ReportRelay.Listener() {
                             @Override
-                            public void reported(FleetMessage.HostReport report, long nowNanos) {
+                            public void reported(
+                                    FleetMessage.HostReport report, long nowNanos, Effects out) {
                                 reported.add(report.epoch());
                             }
 
@@ -471,14 +474,16 @@
                             }
                         });
         for (long epoch : new long[] {5, 9, 5, 9}) {
-            relay.handle(host(0, 1), reportOf(epoch), 0);
+            relay.handle(host(0, 1), reportOf(epoch), 0, effect -> {});
         }
         assertEquals(reported, List.of(5L, 9L));
         assertEquals(relay.nextTickNanos(), Node.NEVER);
     }
 
     private static FleetMessage.Reports reportOf(long epoch) {
-        var report = new FleetMessage.HostReport(host(0, 1), epoch, 1, null, null, null, List.of());
+        var report =
+                new FleetMessage.HostReport(
+                        host(0, 1), epoch, 1, null, null, null, List.of(), null);
         return new FleetMessage.Reports(List.of(report), List.of());
     }
 
