--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -46,15 +46,6 @@
      */
     private static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-    /** Fraction of the first-event goal after which a silent target is abandoned. */
-    private static final double FIRST_EVENT_TIMEOUT_FACTOR = 0.8;
-
-    /** Multiple of the goal for a complete answer after which a silent target is abandoned. */
-    private static final double ANSWER_TIMEOUT_FACTOR = 1.5;
-
-    /** Fraction of the longest gap between events after which a silent target is abandoned. */
-    private static final double EVENT_GAP_TIMEOUT_FACTOR = 0.75;
-
     /**
      * Delay after a send before the target's slots are checked again. By then, other hosts have
      * reported the calls that they started there at the same time.
@@ -425,34 +416,17 @@
      * from now.
      */
     private void setTimer(DirectRequest request, long now) {
-        long silenceTimeout = silenceTimeoutNanos(request);
+        long silenceTimeout = request.silenceTimeoutNanos();
         boolean mayRetryElsewhere =
                 silenceTimeout > 0 && request.isRepeatable() && request.hasRunsLeft();
         long due = mayRetryElsewhere ? request.lastActivity() + silenceTimeout : request.deadline();
-        if (needsSlotRecheck(request)) {
+        if (request.needsSlotRecheck()) {
             due = Math.min(due, request.sentAt() + SLOT_RECHECK_DELAY_NANOS);
         }
         long earliest = now + MIN_REMAINING_NANOS;
         mTimers.set(request.call().call(), Math.min(request.deadline(), Math.max(due, earliest)));
     }
 
-    /** Returns how long a target may send nothing, in nanoseconds; 0 for no limit. */
-    private static long silenceTimeoutNanos(DirectRequest request) {
-        var policy = request.route().policy();
-        boolean isStream = request.isResumable();
-        double millis;
-        if (request.isIn(DirectState.SENT) && !request.hasFreeSlot()) {
-            millis = 0;
-        } else if (request.isIn(DirectState.ANSWERING)) {
-            millis = isStream ? EVENT_GAP_TIMEOUT_FACTOR * policy.eventGapMillis() : 0;
-        } else {
-            millis =
-                    (isStream ? FIRST_EVENT_TIMEOUT_FACTOR : ANSWER_TIMEOUT_FACTOR)
-                            * policy.goalMillis();
-        }
-        return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
-    }
-
     void tick(long now, Effects out) {
         if (mCheckedQuarantine != mQuarantine.version()) {
             mCheckedQuarantine = mQuarantine.version();
@@ -484,16 +458,6 @@
         }
     }
 
-    /**
-     * Returns whether the target was believed to have a free slot and this has not been checked
-     * again since.
-     */
-    private static boolean needsSlotRecheck(DirectRequest request) {
-        return request.hasFreeSlot()
-                && !request.isSlotRechecked()
-                && request.isIn(DirectState.SENT);
-    }
-
     /**
      * Has a batch item preempted if the target has more calls than slots, because other hosts
      * started calls there at the same time.
@@ -508,10 +472,10 @@
     }
 
     private void checkProgress(DirectRequest request, long now, Effects out) {
-        if (needsSlotRecheck(request) && now - request.sentAt() >= SLOT_RECHECK_DELAY_NANOS) {
+        if (request.needsSlotRecheck() && now - request.sentAt() >= SLOT_RECHECK_DELAY_NANOS) {
             recheckSlot(request, now, out);
         }
-        long silenceTimeout = silenceTimeoutNanos(request);
+        long silenceTimeout = request.silenceTimeoutNanos();
         boolean isSilent = silenceTimeout > 0 && now - request.lastActivity() >= silenceTimeout;
         if (now >= request.deadline()) {
             expire(request, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -16,6 +16,15 @@
 
 /** One online request and its progress. */
 final class DirectRequest {
+    /** Fraction of the first-event goal after which a silent target is abandoned. */
+    private static final double FIRST_EVENT_TIMEOUT_FACTOR = 0.8;
+
+    /** Multiple of the goal for a complete answer after which a silent target is abandoned. */
+    private static final double ANSWER_TIMEOUT_FACTOR = 1.5;
+
+    /** Fraction of the longest gap between events after which a silent target is abandoned. */
+    private static final double EVENT_GAP_TIMEOUT_FACTOR = 0.75;
+
     private final Input.HttpCall mCall;
     private final String mName;
     private final Route mRoute;
@@ -270,10 +279,6 @@
         mIsSlotRechecked = true;
     }
 
-    boolean isSlotRechecked() {
-        return mIsSlotRechecked;
-    }
-
     /** Returns when the request was sent to its current target. */
     long sentAt() {
         return mSentAt;
@@ -287,4 +292,29 @@
     void noteActivity(long nowNanos) {
         mLastActivity = nowNanos;
     }
+
+    /** Returns how long the target may send nothing, in nanoseconds; 0 for no limit. */
+    long silenceTimeoutNanos() {
+        var policy = mRoute.policy();
+        boolean isStream = isResumable();
+        double millis;
+        if (isIn(DirectState.SENT) && !mHasFreeSlot) {
+            millis = 0;
+        } else if (isIn(DirectState.ANSWERING)) {
+            millis = isStream ? EVENT_GAP_TIMEOUT_FACTOR * policy.eventGapMillis() : 0;
+        } else {
+            millis =
+                    (isStream ? FIRST_EVENT_TIMEOUT_FACTOR : ANSWER_TIMEOUT_FACTOR)
+                            * policy.goalMillis();
+        }
+        return (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
+    }
+
+    /**
+     * Returns whether the target was believed to have a free slot and this has not been checked
+     * again since.
+     */
+    boolean needsSlotRecheck() {
+        return mHasFreeSlot && !mIsSlotRechecked && isIn(DirectState.SENT);
+    }
 }
