Quarantined parts of prompts outlast the end of all hosts

Cause: only the memory of entries and stores knew the parts. Class: protection that lives in memory and is lost when it is needed most. Now hosts report them with each enrolment, the leader of the configuration log stores them, and control hosts tell those that enrol without them, before the list of targets.

--- a/src/main/java/org/coltsfootproxy/control/FleetCommand.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCommand.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.RecordCodec;
 import org.coltsfootproxy.base.WireCode;
 
@@ -17,4 +18,8 @@
     /** Retires a host: its state moves to other hosts, and it gets no new state. */
     @WireCode(2)
     record Retire(HostId host) implements FleetCommand {}
+
+    /** Replaces the quarantined parts of prompts. */
+    @WireCode(3)
+    record Quarantine(List<PromptPartId> parts) implements FleetCommand {}
 }
--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -33,6 +33,7 @@
     private final TargetCalls mCalls = TargetCalls.create();
     private final FleetDirectory mDirectory;
     private final JobLogBootstrap mBootstrap;
+    private final QuarantineStore mQuarantine;
     private List<HostId> mControlHosts;
     private long mStartNanos;
 
@@ -53,6 +54,7 @@
         mDirectory = FleetDirectory.create(settings.self(), mControlHosts, targets, reader);
         mBootstrap =
                 new JobLogBootstrap(fleetSettings.voters(), mDirectory.roster(), state, config);
+        mQuarantine = new QuarantineStore(state, config);
     }
 
     void start(long nowNanos, Effects out) {
@@ -68,6 +70,10 @@
     }
 
     void handle(HostId from, FleetMessage message, long nowNanos, Effects out) {
+        if (message instanceof FleetMessage.Enrol enrol) {
+            // Before the list of targets, without which the host sends no calls.
+            mQuarantine.enrolled(from, enrol, nowNanos, out);
+        }
         mDirectory.handle(from, message, nowNanos, out);
         if (message instanceof FleetMessage.Enrol enrol) {
             mBootstrap.enrolled(from, enrol, out);
@@ -84,6 +90,7 @@
         if (mDirectory.nextTickNanos() <= nowNanos) {
             mDirectory.tick(mConfig.isLeader(nowNanos), nowNanos, out);
             mBootstrap.tick(nowNanos, out);
+            mQuarantine.tick(mDirectory.roster().hasHosts(), nowNanos);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/control/FleetState.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetState.java
@@ -5,20 +5,22 @@
 import java.util.TreeSet;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.RecordCodec;
 import org.coltsfootproxy.base.WireCode;
 import org.coltsfootproxy.consensus.StateMachine;
 
 /**
- * Replicated state of the fleet: the initial members of the job log, which are set once, and the
- * retiring hosts, which are never removed.
+ * Replicated state of the fleet: the initial members of the job log, which are set once, the
+ * retiring hosts, which are never removed, and the quarantined parts of prompts.
  */
 final class FleetState implements StateMachine {
     private static final byte[] EMPTY_RESULT = new byte[0];
 
     private List<Member> mInitialMembers = List.of();
     private final Set<HostId> mRetiring = new TreeSet<>();
+    private Set<PromptPartId> mQuarantined = Set.of();
 
     /** The encoding of the state in snapshots. */
     sealed interface Snapshot {
@@ -26,7 +28,14 @@
 
         /** The complete state. */
         @WireCode(1)
-        record Contents(List<Member> initialMembers, List<HostId> retiring) implements Snapshot {}
+        record Contents(
+                List<Member> initialMembers, List<HostId> retiring, List<PromptPartId> quarantined)
+                implements Snapshot {
+            /** Fills in what a snapshot of an earlier version lacks. */
+            public Contents {
+                quarantined = quarantined == null ? List.of() : List.copyOf(quarantined);
+            }
+        }
     }
 
     /** Returns the initial members of the job log; empty if it is not bootstrapped yet. */
@@ -39,6 +48,11 @@
         return Set.copyOf(mRetiring);
     }
 
+    /** Returns the parts of prompts that are quarantined. */
+    Set<PromptPartId> quarantined() {
+        return mQuarantined;
+    }
+
     @Override
     public byte[] apply(long index, byte[] command) {
         try {
@@ -55,13 +69,18 @@
             mInitialMembers = List.copyOf(bootstrap.members());
         } else if (command instanceof FleetCommand.Retire retire) {
             mRetiring.add(retire.host());
+        } else if (command instanceof FleetCommand.Quarantine quarantine) {
+            mQuarantined = Set.copyOf(quarantine.parts());
         }
     }
 
     @Override
     public byte[] snapshot() {
         return Snapshot.CODEC.encode(
-                new Snapshot.Contents(mInitialMembers, List.copyOf(mRetiring)));
+                new Snapshot.Contents(
+                        mInitialMembers,
+                        List.copyOf(mRetiring),
+                        mQuarantined.stream().sorted().toList()));
     }
 
     @Override
@@ -71,6 +90,7 @@
             mInitialMembers = List.copyOf(contents.initialMembers());
             mRetiring.clear();
             mRetiring.addAll(contents.retiring());
+            mQuarantined = Set.copyOf(contents.quarantined());
         } catch (ProxyException e) {
             throw new IllegalArgumentException("snapshot of the fleet is damaged", e);
         }
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -218,6 +218,8 @@
             mGroup.node().bootstrap(bootstrap.members(), nowNanos, mOut);
         } else if (message instanceof FleetMessage.Reports reports) {
             mReports.handle(from, reports, nowNanos, mOut);
+        } else if (message instanceof FleetMessage.Quarantine stored) {
+            mQuarantine.handle(stored, nowNanos, mOut);
         } else if (message instanceof FleetMessage.PreemptItem yield) {
             mWorker.preemptItem(yield.target(), nowNanos, mOut);
         }
@@ -307,7 +309,12 @@
             var state =
                     new FleetMessage.StoreState(
                             mSettings.incarnation(), mGroup.node().isBlank(), term, reported);
-            mMembership.tick(mTargets.listing().number(), state, nowNanos, mOut);
+            mMembership.tick(
+                    mTargets.listing().number(),
+                    state,
+                    mQuarantine.quarantined(nowNanos),
+                    nowNanos,
+                    mOut);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -152,7 +152,16 @@
         mEarlyCalls.notReady(nowNanos);
         mConfig.start(nowNanos, out);
         mMembership.start(nowNanos);
-        mMembership.tick(mTargets.listing().number(), null, nowNanos, out);
+        enrol(nowNanos, out);
+    }
+
+    private void enrol(long nowNanos, Effects out) {
+        mMembership.tick(
+                mTargets.listing().number(),
+                null,
+                mQuarantine.quarantined(nowNanos),
+                nowNanos,
+                out);
     }
 
     @Override
@@ -277,6 +286,8 @@
             }
         } else if (message instanceof FleetMessage.Listing listing) {
             mTargets.update(listing, out);
+        } else if (message instanceof FleetMessage.Quarantine stored) {
+            mQuarantine.handle(stored, now, out);
         } else if (message instanceof FleetMessage.Reports reports) {
             mReports.handle(from, reports, now, out);
         }
@@ -299,7 +310,7 @@
         mEarlyCalls
                 .takeExpired(nowNanos)
                 .forEach(h -> answerCall(h.call(), h.arrivedAt(), nowNanos, out));
-        mMembership.tick(mTargets.listing().number(), null, nowNanos, out);
+        enrol(nowNanos, out);
         mQuarantine.tick(nowNanos, out);
         mReports.tick(nowNanos, out);
         mCalls.tick(nowNanos, out);
--- a/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
@@ -202,8 +202,14 @@
      *
      * @param listing number of the target list that this host has
      * @param store state of this host's job store; null for hosts without one
+     * @param quarantined parts of prompts with which this host sends no calls
      */
-    public void tick(long listing, FleetMessage.StoreState store, long nowNanos, Effects out) {
+    public void tick(
+            long listing,
+            FleetMessage.StoreState store,
+            List<FleetMessage.QuarantinedPart> quarantined,
+            long nowNanos,
+            Effects out) {
         if (nowNanos - mNextEnrolmentNanos < 0) {
             return;
         }
@@ -218,7 +224,8 @@
                             mSelf.name(),
                             mSelf.dataCentre(),
                             new FleetMessage.KnownVersions(digest, listing),
-                            store));
+                            store,
+                            quarantined));
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
@@ -104,6 +104,11 @@
         return isChanged;
     }
 
+    /** Returns whether any entry or store is enrolled. */
+    public boolean hasHosts() {
+        return !mHosts.isEmpty();
+    }
+
     /** Returns the entries that are enrolled. */
     public Stream<HostId> entries() {
         return hosts(FleetRole.ENTRY);
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -28,6 +28,7 @@
      * @param name name by which operators know the host
      * @param known versions of the roster and target list that the sender has
      * @param store state of the sender's job store; null from an entry
+     * @param quarantined parts of prompts with which the sender sends no calls
      */
     @WireCode(700)
     record Enrol(
@@ -35,8 +36,15 @@
             String name,
             DataCentre dataCentre,
             KnownVersions known,
-            StoreState store)
-            implements FleetMessage {}
+            StoreState store,
+            List<QuarantinedPart> quarantined)
+            implements FleetMessage {
+        /** Copies the list. */
+        public Enrol {
+            // A host of an earlier version sends none.
+            quarantined = quarantined == null ? List.of() : List.copyOf(quarantined);
+        }
+    }
 
     /**
      * Versions of the fleet data that a host has.
@@ -202,6 +210,15 @@
     /** A part of prompts that is quarantined for some further time. */
     record QuarantinedPart(PromptPartId part, long remainingMillis) {}
 
+    /** Control to entry or store: quarantined parts that the receiver does not know. */
+    @WireCode(710)
+    record Quarantine(List<QuarantinedPart> parts) implements FleetMessage {
+        /** Copies the list. */
+        public Quarantine {
+            parts = List.copyOf(parts);
+        }
+    }
+
     /**
      * One incarnation of a target that leaves.
      *
--- a/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
@@ -121,11 +121,21 @@
                 addEvidence(crash, nowNanos);
             }
         }
-        for (FleetMessage.QuarantinedPart quarantined : report.quarantined()) {
+        adopt(report.quarantined(), "another host's report", nowNanos, out);
+    }
+
+    /** Applies what the control hosts have stored. */
+    public void handle(FleetMessage.Quarantine stored, long nowNanos, Effects out) {
+        adopt(stored.parts(), "stored by the control hosts", nowNanos, out);
+    }
+
+    private void adopt(
+            List<FleetMessage.QuarantinedPart> parts, String why, long nowNanos, Effects out) {
+        for (FleetMessage.QuarantinedPart quarantined : parts) {
             PromptPartId part = quarantined.part();
             if (!mQuarantined.containsKey(part) && !mSound.contains(part, nowNanos)) {
                 long end = nowNanos + TimeUnit.MILLISECONDS.toNanos(quarantined.remainingMillis());
-                quarantine(part, end, "another host's report", nowNanos, out);
+                quarantine(part, end, why, nowNanos, out);
             }
         }
     }
@@ -208,7 +218,8 @@
                         mCrashNews.take(nowNanos), mSoundNews.take(nowNanos), quarantined));
     }
 
-    private List<FleetMessage.QuarantinedPart> quarantined(long nowNanos) {
+    /** Returns all quarantined parts with their remaining times. */
+    public List<FleetMessage.QuarantinedPart> quarantined(long nowNanos) {
         return mQuarantined.entrySet().stream()
                 .map(
                         part ->
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -11,10 +11,12 @@
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.config.ConfigSubscriber;
 import org.coltsfootproxy.config.ConfigTiming;
 import org.coltsfootproxy.consensus.StoredWrites;
@@ -29,6 +31,7 @@
 import org.coltsfootproxy.job.JobSettings;
 import org.coltsfootproxy.membership.FleetMembership;
 import org.coltsfootproxy.membership.PeerAddresses;
+import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.FleetRole;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.node.Effect;
@@ -283,6 +286,36 @@
         start(host, node);
     }
 
+    /** Kills the processes of all hosts and starts them again; disks are kept. */
+    void restartAllHosts() {
+        List<HostId> controls = List.copyOf(mControlHosts);
+        List<HostId> stores = List.copyOf(mStoreHosts);
+        List<HostId> entries = List.copyOf(mEntryHosts);
+        Stream.of(controls, stores, entries).flatMap(List::stream).forEach(mFleet::crash);
+        controls.forEach(this::startControl);
+        stores.forEach(this::startStore);
+        entries.forEach(this::startEntry);
+    }
+
+    /** Delivers another host's report that a call with a part of prompts was answered. */
+    void liftQuarantine(HostId entry, String part) {
+        var prompts =
+                new FleetMessage.PromptReport(List.of(), List.of(PromptPartId.of(part)), List.of());
+        mEntryHosts.stream()
+                .filter(host -> !host.equals(entry))
+                .forEach(host -> deliverReport(entry, host, prompts));
+        mStoreHosts.forEach(host -> deliverReport(entry, host, prompts));
+        deliverReport(mEntryHosts.get(1), entry, prompts);
+    }
+
+    private void deliverReport(HostId from, HostId to, FleetMessage.PromptReport prompts) {
+        var report =
+                new FleetMessage.HostReport(
+                        from, mRandom.nextLong(), 1, null, null, null, List.of(), prompts);
+        mFleet.deliver(
+                to, new Input.FromPeer(from, new FleetMessage.Reports(List.of(report), List.of())));
+    }
+
     private void start(HostId host, Node node) {
         int incarnationNumber = mStartCounts.merge(host, 1, Integer::sum);
         mFleet.start(host, Incarnation.of(incarnationNumber), node);
--- a/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
@@ -179,6 +179,35 @@
         assertEquals(mCrashes.size(), crashes);
     }
 
+    /** Guards against the fleet learning a part anew, by crashes, after all hosts have ended. */
+    @Test(dataProvider = "seeds")
+    public void aQuarantineOutlastsTheEndOfAllHosts(long seed) {
+        start(seed);
+        crashUntilQuarantined();
+        mSimulation.run(2 * SECOND_NANOS);
+        mSimulation.restartAllHosts();
+        mSimulation.run(6 * SECOND_NANOS);
+        int crashes = mCrashes.size();
+        sendFor(3 * SECOND_NANOS);
+        assertEquals(mCrashes.size(), crashes);
+    }
+
+    /** Guards against a quarantine that has ended being revived by what is stored. */
+    @Test
+    public void aQuarantineThatAnAnswerHasLiftedIsNotRevived() {
+        start(1);
+        crashUntilQuarantined();
+        mSimulation.run(2 * SECOND_NANOS);
+        mAllTargets.forEach(target -> target.mCrashingPart = "");
+        mSimulation.liftQuarantine(mSimulation.entry(0), CRASHING_PART);
+        mSimulation.run(40 * SECOND_NANOS);
+        mSimulation.restartAllHosts();
+        mSimulation.run(6 * SECOND_NANOS);
+        Answer answer = sendCrashing();
+        mSimulation.run(2 * SECOND_NANOS);
+        assertEquals(answer.mStatus, 200, answer.toString());
+    }
+
     /** Guards against batch items with the part crashing targets. */
     @Test(dataProvider = "seeds")
     public void batchItemsWithTheSamePartWaitWhileOthersAreDone(long seed) {
