The receive buffer of a connection to a target is bounded

EndlessResponseTest, 'body of another call's response', failed once in a full run: 737,280 bytes sent, bound 655,360. Traced by 60 repetitions beside eight busy processes: the client had read 256,068 bytes when it closed the connection, within its limit, while the target had sent up to 671,744. The rest lay in the receive buffer of the client's own socket, which the kernel enlarges while a body is read quickly. The test bounds the buffers of the server's sockets only. So the bound was right and the connection was not bounded: a target can make a host hold megabytes for each connection that it reads late.

Connections to targets now set the size of their receive buffer.

--- a/src/main/java/org/coltsfootproxy/net/TargetPool.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetPool.java
@@ -29,6 +29,9 @@
 final class TargetPool {
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
+    /** Size of a connection's receive buffer; if it is not set, the kernel lets it grow to MBs. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
     private final TargetClientSettings mSettings;
     private final InputSink mSink;
     private final NetEvents mEvents;
@@ -118,6 +121,7 @@
                 .group(mLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .option(
                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) mSettings.connectTimeout().toMillis())
--- a/src/test/java/org/coltsfootproxy/net/EndlessResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/EndlessResponseTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -13,7 +14,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.message.Header;
@@ -36,11 +39,18 @@
     /** Bytes that the limits allow: a status line, header fields, and one read beyond each. */
     private static final long ALLOWED_BYTES = 512 << 10;
 
+    /** Bytes of a body that are read quickly, so that the system would enlarge the buffer. */
+    private static final long READ_BYTES = 64 << 20;
+
+    /** Time without further bytes after which the sender is blocked. */
+    private static final long STILL_MILLIS = 200;
+
     private static final String OK = "HTTP/1.1 200 OK\r\nRequest-Id: call-1\r\n";
     private static final String COMPLETE = OK + "Content-Length: 2\r\n\r\nok";
 
     private RecordingSink mSink;
     private ServerSocket mServer;
+    private TargetClientSettings mSettings;
     private TargetClient mClient;
 
     @BeforeMethod
@@ -50,14 +60,10 @@
         mServer.setReceiveBufferSize(SOCKET_BUFFER_BYTES);
         mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         mServer.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-        mClient =
-                TargetClient.create(
-                        TargetClientSettings.defaults(
-                                        (InetSocketAddress) mServer.getLocalSocketAddress())
-                                .withDialect(
-                                        new TargetDialect(Optional.of("Request-Id"), true, true)),
-                        mSink,
-                        new RecordingEvents());
+        mSettings =
+                TargetClientSettings.defaults((InetSocketAddress) mServer.getLocalSocketAddress())
+                        .withDialect(new TargetDialect(Optional.of("Request-Id"), true, true));
+        mClient = TargetClient.create(mSettings, mSink, new RecordingEvents());
     }
 
     @AfterMethod(alwaysRun = true)
@@ -67,15 +73,18 @@
     }
 
     private void call() {
-        mClient.execute(
-                new Effect.TargetCall(
-                        1,
-                        TrafficClass.ONLINE,
-                        "POST",
-                        "/x",
-                        List.of(Header.of("Request-Id", "call-1")),
-                        new byte[] {'h', 'i'},
-                        TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS)));
+        mClient.execute(callOne());
+    }
+
+    private static Effect.TargetCall callOne() {
+        return new Effect.TargetCall(
+                1,
+                TrafficClass.ONLINE,
+                "POST",
+                "/x",
+                List.of(Header.of("Request-Id", "call-1")),
+                new byte[] {'h', 'i'},
+                TimeUnit.MILLISECONDS.toNanos(CALL_TIMEOUT_MILLIS));
     }
 
     /** Sends a prefix and then a block again and again; returns the bytes sent until the close. */
@@ -175,6 +184,55 @@
         assertTrue(mSink.isEmpty(), "an input after the end");
     }
 
+    /** Guards against the system buffering megabytes for a connection that is not read in time. */
+    @Test
+    public void aConnectionBuffersLittleWhileItsResponseIsNotRead() throws Exception {
+        CountDownLatch mayRead = new CountDownLatch(1);
+        AtomicLong received = new AtomicLong();
+        InputSink sink =
+                input -> {
+                    if (input instanceof Input.TargetChunk chunk
+                            && received.addAndGet(chunk.bytes().length) >= READ_BYTES) {
+                        Uninterruptibles.awaitUninterruptibly(mayRead);
+                    }
+                    return true;
+                };
+        try (TargetClient client = TargetClient.create(mSettings, sink, new RecordingEvents())) {
+            client.execute(callOne());
+            Socket socket = mServer.accept();
+            AtomicLong sent = new AtomicLong();
+            CompletableFuture<Void> sender =
+                    CompletableFuture.runAsync(() -> sendBody(socket, sent));
+            long before = -1;
+            while (received.get() < READ_BYTES || sent.get() != before) {
+                before = sent.get();
+                TimeUnit.MILLISECONDS.sleep(STILL_MILLIS);
+            }
+            long buffered = sent.get() - received.get();
+            socket.close();
+            mayRead.countDown();
+            sender.get(WAIT_SECONDS, TimeUnit.SECONDS);
+            assertTrue(buffered <= ALLOWED_BYTES + 2 * SOCKET_BUFFER_BYTES, "" + buffered);
+        }
+    }
+
+    /** Sends a body that the announced length never ends, until the connection is closed. */
+    private static void sendBody(Socket socket, AtomicLong sent) {
+        byte[] block = new byte[BLOCK_BYTES];
+        try {
+            socket.setSendBufferSize(SOCKET_BUFFER_BYTES);
+            OutputStream out = socket.getOutputStream();
+            String head = OK + "Content-Length: 999999999999\r\n\r\n";
+            out.write(head.getBytes(StandardCharsets.ISO_8859_1));
+            while (true) {
+                out.write(block);
+                sent.addAndGet(block.length);
+            }
+        } catch (IOException e) {
+            // The test has closed the connection.
+        }
+    }
+
     @Test
     public void aLongSoundBodyIsNotCut() throws Exception {
         int length = 8 << 20;
