A stream that ends before its first event has been broken off

An answer may now come with neither a length nor chunks and end with its connection; a target that crashes as it begins such a stream ends it before its first event. Callers got that as a complete, empty answer, and it did not count as a crash of the target. A stream that ends within an event was broken off before this change already; EventReader now decides both for requests and for batch items.

DirectCallsTest#aStreamThatItsConnectionEndsTooEarlyIsNotComplete and the resumable one failed before for the case without any event.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -261,13 +261,13 @@
 
         @Override
         public void ended(long now, Effects out) {
-            if (mRequest.hasEventStream() && mRequest.events().hasPartialEvent()) {
+            if (mRequest.hasEventStream() && mRequest.events().isCut()) {
                 noteBrokenAnswer(mRequest, now);
                 attemptFailed(
                         mRequest,
                         ErrorKind.ANSWER_CUT,
                         Ran.YES,
-                        "the stream ended within an event",
+                        "the stream ended within an event or before the first one",
                         now,
                         out);
                 return;
--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -93,13 +93,21 @@
         return mAdvances;
     }
 
+    /**
+     * Returns whether the stream ended too early: within an event, or before the first one. The end
+     * of a stream may be only the end of its connection.
+     */
+    boolean isCut() {
+        return hasPartialEvent() || mAdvances == 0 && mLastId.isEmpty();
+    }
+
     /** Returns whether the event that has begun is longer than any sound event. */
     boolean isTooLong() {
         return mPartial.size() > MAX_EVENT_BYTES;
     }
 
     /** Returns whether an event has begun and not ended. */
-    boolean hasPartialEvent() {
+    private boolean hasPartialEvent() {
         return mPartial.size() > 0;
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -200,8 +200,9 @@
         return mEvents.lastId();
     }
 
-    boolean hasPartialEvent() {
-        return mEvents.hasPartialEvent();
+    /** Returns whether the stream ended within an event, or before the first one. */
+    boolean isCut() {
+        return mEvents.isCut();
     }
 
     byte[] output() {
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -321,9 +321,10 @@
 
         @Override
         public void ended(long now, Effects out) {
-            if (mRun.hasPartialEvent()) {
+            if (mRun.isCut()) {
                 noteBrokenAnswer(mRun, now);
-                attemptFailed(mRun, "the stream ended within an event", now, out);
+                attemptFailed(
+                        mRun, "the stream ended within an event or before the first one", now, out);
                 return;
             }
             releaseTarget(mRun, now);
--- a/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
@@ -39,7 +39,7 @@
             }
             assertEquals(received.toString(), EVENTS);
             assertEquals(reader.lastId(), Optional.of("3"));
-            assertFalse(reader.hasPartialEvent());
+            assertFalse(reader.isCut());
         }
     }
 
@@ -48,7 +48,7 @@
         EventReader reader = new EventReader();
         assertEquals(
                 text(reader.append(bytes("id: 1\ndata: a\n\nid: 2\nda"))), "id: 1\ndata: a\n\n");
-        assertTrue(reader.hasPartialEvent());
+        assertTrue(reader.isCut());
         reader.dropPartial();
 
         assertEquals(reader.lastId(), Optional.of("1"));
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -13,6 +13,7 @@
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.platform.PlatformSimulation.Answer;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests online requests from caller to target through real nodes and a simulated platform. */
@@ -95,6 +96,42 @@
         assertEquals(mSimulation.runsOf("q1").size(), 1);
     }
 
+    private void closeNextStreams(int event, int chars) {
+        for (SimulatedTarget target : mSimulation.mTargets.values()) {
+            target.mClosesAtEvent = event;
+            target.mCharsBeforeClose = chars;
+        }
+    }
+
+    /** Guards against a stream that its target's crash ended reaching the caller as complete. */
+    @Test(dataProvider = "closes")
+    public void aStreamThatItsConnectionEndsTooEarlyIsNotComplete(int event, int chars) {
+        closeNextStreams(event, chars);
+        Answer answer = mSimulation.request(mSimulation.entry(0), "q1", "/swap/1");
+        mSimulation.run(6 * SECOND_NANOS);
+
+        assertTrue(answer.mIsCut, answer.toString());
+        assertFalse(answer.mIsComplete, answer.toString());
+        assertEquals(mSimulation.runsOf("q1").size(), 1);
+    }
+
+    @Test(dataProvider = "closes")
+    public void aResumableStreamThatItsConnectionEndsTooEarlyGoesOnElsewhere(int event, int chars) {
+        closeNextStreams(event, chars);
+        Answer answer = mSimulation.request(mSimulation.entry(0), "q1", "/ask/1");
+        mSimulation.run(20 * event * MILLI_NANOS + 5 * MILLI_NANOS);
+        closeNextStreams(0, 0);
+        mSimulation.run(SECOND_NANOS);
+
+        assertComplete(answer, "q1");
+        assertEquals(mSimulation.runsOf("q1").size(), 2);
+    }
+
+    @DataProvider
+    Object[][] closes() {
+        return new Object[][] {{1, 0}, {1, 5}, {4, 5}};
+    }
+
     @Test
     public void aLostAnswerToANonRepeatableRequestIsReportedAndNotRetried() {
         mSimulation.target("app-1").mCutsNextAnswer = true;
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -50,6 +50,15 @@
     /** Number of the event within which the next stream is cut; 0 for none. */
     int mCutAtEvent;
 
+    /**
+     * Number of the event at which the connection of the next stream without length ends, as it
+     * also does at the stream's regular end; 0 for none.
+     */
+    int mClosesAtEvent;
+
+    /** Number of characters of that event that are sent before. */
+    int mCharsBeforeClose;
+
     /** What the target sends every event interval instead of an event, from this event on. */
     String mFiller = "";
 
@@ -201,6 +210,12 @@
             mFleet.after(mEventIntervalNanos, () -> event(run, number));
             return;
         }
+        if (mClosesAtEvent == number) {
+            mClosesAtEvent = 0;
+            chunk(run, text.substring(0, mCharsBeforeClose));
+            end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call())));
+            return;
+        }
         if (mCutAtEvent == number) {
             mCutAtEvent = 0;
             chunk(run, text.substring(0, text.length() / 2));
