Logs say which limit a target names

Event 321 when the limit in a target's answers appears, changes or ends, with what the host believes is in flight there. Nothing acts on it yet.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -221,6 +221,9 @@
             Target target = mRequest.target().orElseThrow();
             mRequest.noteActivity(now);
             answer.load().ifPresent(load -> target.updateLoad(load, now));
+            if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
+                mTargets.limited(target, answer.requestsPerSecond(), out);
+            }
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
             }
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -292,6 +292,9 @@
             TargetAnswer answer = mProtocol.read(head);
             Target target = mRun.target().orElseThrow();
             answer.load().ifPresent(load -> target.updateLoad(load, now));
+            if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
+                mTargets.limited(target, answer.requestsPerSecond(), out);
+            }
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
             }
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.TrafficClass;
@@ -50,6 +51,7 @@
     private long mBatchStartsSince = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAvoidUntil = Long.MIN_VALUE / 2;
+    private OptionalDouble mRequestsPerSecond = OptionalDouble.empty();
 
     Target(ListedTarget listed) {
         mListed = listed;
@@ -149,6 +151,20 @@
         mLoadReportedAt = nowNanos;
     }
 
+    /** Returns the limit that the target's last answer named, in requests a second, if it did. */
+    OptionalDouble requestsPerSecond() {
+        return mRequestsPerSecond;
+    }
+
+    /**
+     * Notes the limit that an answer of the target names, if any; returns whether it has changed.
+     */
+    boolean limited(OptionalDouble requestsPerSecond) {
+        boolean isChanged = !mRequestsPerSecond.equals(requestsPerSecond);
+        mRequestsPerSecond = requestsPerSecond;
+        return isChanged;
+    }
+
     /** Notes that the target answered a call, which ends its series of failures. */
     void callSucceeded() {
         mFailures = 0;
--- a/src/main/java/org/coltsfootproxy/direct/TargetAnswer.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetAnswer.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.coltsfootproxy.message.Header;
 
 /**
@@ -12,13 +13,16 @@
  * @param headers the headers that callers get
  * @param load the target's load report; empty if the answer has none
  * @param isLeaving whether the target says that it is leaving and wants no new calls
+ * @param requestsPerSecond requests that the target takes from all hosts together; empty if it
+ *     names no limit
  */
 public record TargetAnswer(
         Verdict verdict,
         int status,
         List<Header> headers,
         Optional<TargetLoad> load,
-        boolean isLeaving) {
+        boolean isLeaving,
+        OptionalDouble requestsPerSecond) {
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
@@ -41,6 +45,7 @@
         checkNotNull(verdict, "verdict is missing");
         headers = List.copyOf(headers);
         checkNotNull(load, "load is missing");
+        checkNotNull(requestsPerSecond, "requestsPerSecond is missing");
     }
 
     boolean isSuccess() {
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -145,6 +146,22 @@
         }
     }
 
+    /** Notes the limit that an answer of a target names, if any. */
+    void limited(Target target, OptionalDouble requestsPerSecond, Effects out) {
+        if (target.limited(requestsPerSecond)) {
+            out.log(
+                    EventCode.TARGET_LIMITED,
+                    LogField.of("target", target.listed().id()),
+                    LogField.of("requestsPerSecond", text(requestsPerSecond)),
+                    LogField.of("online", target.online()),
+                    LogField.of("batch", target.batch()));
+        }
+    }
+
+    private static String text(OptionalDouble requestsPerSecond) {
+        return requestsPerSecond.isPresent() ? "" + requestsPerSecond.getAsDouble() : "none";
+    }
+
     Optional<Target> byId(TargetId id) {
         return Optional.ofNullable(mById.get(id));
     }
--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -41,6 +41,11 @@
     /** Set to 1 by a target that is leaving, in all its answers. */
     static final String SERVER_LEAVING = "Server-Leaving";
 
+    /**
+     * Requests a second that a target in need takes from all hosts together, as a decimal number.
+     */
+    static final String SERVER_LIMIT = "Server-Limit";
+
     /** Longest time, in milliseconds, that a read of results may wait for the next result. */
     static final String WAIT_MS = "Wait-Ms";
 
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -2,10 +2,12 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.Doubles;
 import com.google.common.primitives.Ints;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.coltsfootproxy.base.Names;
 import org.coltsfootproxy.base.PromptPartId;
@@ -77,7 +79,13 @@
                                         !header.name()
                                                 .equalsIgnoreCase(PlatformHeaders.SERVER_LOAD))
                         .toList();
-        return new TargetAnswer(verdict(head), head.status(), headers, load(head), isLeaving(head));
+        return new TargetAnswer(
+                verdict(head),
+                head.status(),
+                headers,
+                load(head),
+                isLeaving(head),
+                requestsPerSecond(head));
     }
 
     /** An answer of another target says nothing about the target that was called. */
@@ -88,6 +96,14 @@
                         .isPresent();
     }
 
+    private static OptionalDouble requestsPerSecond(Input.TargetHead head) {
+        return PlatformHeaders.value(head.headers(), PlatformHeaders.SERVER_LIMIT).stream()
+                .map(Doubles::tryParse)
+                .filter(limit -> limit != null && limit >= 0 && Double.isFinite(limit))
+                .mapToDouble(limit -> limit)
+                .findFirst();
+    }
+
     private static TargetAnswer.Verdict verdict(Input.TargetHead head) {
         if (head.status() == MISDIRECTED_REQUEST_STATUS) {
             return TargetAnswer.Verdict.OTHER_TARGET;
