Test that fails: a target that names a limit gets more requests than it takes

TargetLimitTest: five of eight targets name 2.5 requests a second, five entries send 60 a second beside a job.

--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -68,6 +68,9 @@
     /** Whether answers say that the target is leaving. */
     boolean mSaysLeaving;
 
+    /** Limit that answers name, in requests a second; 0 for none. */
+    double mRequestsPerSecond;
+
     /** When the target started, in the list of targets. */
     long mStartedAt = 1;
 
@@ -295,6 +298,9 @@
         if (mSaysLeaving) {
             headers.add(Header.of("Server-Leaving", "1"));
         }
+        if (mRequestsPerSecond > 0) {
+            headers.add(Header.of("Server-Limit", Double.toString(mRequestsPerSecond)));
+        }
         if (!mIsUnsigned) {
             headers.add(Header.of("Server-Stamp", mId));
         }
--- /dev/null
+++ b/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
@@ -0,0 +1,105 @@
+package org.coltsfootproxy.platform;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.coltsfootproxy.platform.PlatformSimulation.Answer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that targets which name a limit get no more requests, from all hosts together. */
+public final class TargetLimitTest {
+    private static final long MILLI_NANOS = PlatformSimulation.MILLI_NANOS;
+    private static final long SECOND_NANOS = PlatformSimulation.SECOND_NANOS;
+
+    /** Time after a target first named its limit from which on the limit binds all hosts. */
+    private static final long CONTACT_NANOS = 3 * SECOND_NANOS;
+
+    /** Any span of this length counts. */
+    private static final long WINDOW_NANOS = 4 * SECOND_NANOS;
+
+    private static final double ALLOWED_FACTOR = 1.5;
+    private static final int ALLOWED_SURPLUS = 5;
+    private static final int ENTRIES = 5;
+    private static final int TARGETS = 8;
+
+    private final List<Answer> mAnswers = new ArrayList<>();
+    private PlatformSimulation mSimulation;
+    private Random mRandom;
+
+    private void start(long seed) {
+        mRandom = new Random(seed);
+        mAnswers.clear();
+        mSimulation = PlatformSimulation.startServing(seed, ENTRIES);
+        IntStream.rangeClosed(3, TARGETS).forEach(n -> target(n, "z" + (1 + n % 3)));
+        mSimulation.run(3 * SECOND_NANOS);
+    }
+
+    private void target(int number, String dataCentre) {
+        mSimulation.target("lm-" + number, PlatformSimulation.LM_SERVICE, dataCentre);
+    }
+
+    private void sendFor(long nanos, int requestsPerSecond) {
+        for (long end = mSimulation.now() + nanos; mSimulation.now() < end; ) {
+            if (mRandom.nextInt(1_000) < requestsPerSecond) {
+                int number = mAnswers.size();
+                mAnswers.add(
+                        mSimulation.request(
+                                mSimulation.entry(mRandom.nextInt(ENTRIES)),
+                                "q" + number,
+                                "/ask/" + number));
+            }
+            mSimulation.run(MILLI_NANOS);
+        }
+    }
+
+    /** Lets targets name a limit from now on. */
+    private void limit(int targets, double requestsPerSecond) {
+        for (int n = 1; n <= targets; n++) {
+            mSimulation.target("lm-" + n).mRequestsPerSecond = requestsPerSecond;
+        }
+    }
+
+    private void assertLimitKept(SimulatedTarget target, long since) {
+        long allowed =
+                (long) (ALLOWED_FACTOR * target.mRequestsPerSecond * WINDOW_NANOS / SECOND_NANOS)
+                        + ALLOWED_SURPLUS;
+        long[] arrivals =
+                target.mRuns.stream()
+                        .mapToLong(run -> run.mArrivalNanos)
+                        .filter(at -> at >= since)
+                        .sorted()
+                        .toArray();
+        for (int first = 0; first < arrivals.length; first++) {
+            long end = arrivals[first] + WINDOW_NANOS;
+            int from = first;
+            long count =
+                    IntStream.range(first, arrivals.length)
+                            .filter(n -> n >= from && arrivals[n] < end)
+                            .count();
+            assertTrue(count <= allowed, target.mId + " got " + count + ", allowed " + allowed);
+        }
+    }
+
+    @DataProvider
+    Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}};
+    }
+
+    /** Guards against a target in need getting far more requests than it takes (LIMIT). */
+    @Test(dataProvider = "seeds")
+    public void aTargetGetsNoMoreThanItsLimitFromAllHosts(long seed) {
+        start(seed);
+        sendFor(2 * SECOND_NANOS, 60);
+        limit(5, 2.5);
+        long since = mSimulation.now() + CONTACT_NANOS;
+        mSimulation.submit(mSimulation.entry(0), "j1", 40);
+        sendFor(12 * SECOND_NANOS, 60);
+        IntStream.rangeClosed(1, 5)
+                .mapToObj(n -> mSimulation.target("lm-" + n))
+                .forEach(target -> assertLimitKept(target, since));
+    }
+}
