All hosts together keep to the limit that a target names

Class: admission by concurrency alone where the bound is a rate over the fleet.

Change: a token bucket for each limited target that all hosts debit through their reports; requests, resumed streams and batch items take from it alike.

Two expectations of LoadExchangeTest name the started calls now, which is stricter.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -63,6 +63,7 @@
     READINESS_CHANGED(408, Level.INFO, "the host's readiness changed"),
     PART_QUARANTINED(
             409, Level.WARN, "a part of prompts was quarantined because it crashes targets"),
+    CALL_HELD(411, Level.INFO, "a request waits until the limit of a target allows it"),
     PART_RELEASED(410, Level.INFO, "a part of prompts is no longer quarantined"),
 
     // 500-599: agent and admission
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -7,7 +7,6 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
-import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.PromptPartId;
@@ -22,7 +21,6 @@
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
-import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.quarantine.PromptQuarantine;
 
 /**
@@ -153,6 +151,9 @@
         }
         Optional<Target> target = mTargets.chooseForOnline(request.service(), request.tried(), now);
         long remaining = request.deadline() - now;
+        if (target.isEmpty() && hold(request, now, out)) {
+            return;
+        }
         if (target.isEmpty() || remaining < MIN_REMAINING_NANOS) {
             giveUp(request, noTargetFailure, now, out);
             return;
@@ -162,28 +163,34 @@
             mLoadExchange.preemptBatchItem(target.get(), out);
         }
         long call = mCalls.nextCall();
-        Optional<String> resumeAfter = request.events().lastId();
         request.sentTo(target.get(), call, hasFreeSlot, now);
-        mTargets.callStarted(target.get(), TrafficClass.ONLINE);
+        mTargets.callStarted(target.get(), TrafficClass.ONLINE, now);
         mCalls.start(
                 target.get().listed().address(),
                 targetCall(request, target.get(), call, remaining),
                 new Answer(request),
                 out);
         setTimer(request, now);
-        out.log(
-                EventCode.CALL_SENT,
-                LogField.of("request", request.name()),
-                LogField.of("route", request.route().id()),
-                LogField.of("organisation", request.organisation().id()),
-                LogField.of("promptParts", request.promptParts()),
-                LogField.of("target", target.get().listed().id()),
-                LogField.of("online", target.get().online()),
-                LogField.of("batch", target.get().batch()),
-                LogField.of("listing", mTargets.listing().number()),
-                LogField.of("send", request.sends()),
-                LogField.of("after", resumeAfter.orElse("")),
-                LogField.of("leftMillis", TimeUnit.NANOSECONDS.toMillis(remaining)));
+        DirectCallLog.sent(request, target.get(), mTargets.listing().number(), remaining, out);
+    }
+
+    /** Lets a request wait for the limit of a target, if that will allow it soon enough. */
+    private boolean hold(DirectRequest request, long now, Effects out) {
+        OptionalLong until = heldUntil(request, now);
+        until.ifPresent(
+                nanos -> {
+                    mTimers.set(request.call().call(), nanos);
+                    DirectCallLog.held(request, nanos - now, out);
+                });
+        return until.isPresent();
+    }
+
+    /** Returns when the limit of some target allows a request; empty if that is too late. */
+    private OptionalLong heldUntil(DirectRequest request, long now) {
+        OptionalLong wait = mTargets.limitWaitNanos(request.service(), request.tried(), now);
+        return wait.isPresent() && now + wait.getAsLong() <= request.latestSend()
+                ? OptionalLong.of(now + wait.getAsLong())
+                : OptionalLong.empty();
     }
 
     private Effect.TargetCall targetCall(
@@ -222,7 +229,8 @@
             mRequest.noteActivity(now);
             answer.load().ifPresent(load -> target.updateLoad(load, now));
             if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
-                mTargets.limited(target, answer.requestsPerSecond(), out);
+                mTargets.limitNamed(
+                        target, answer.requestsPerSecond(), mRequest.sentAt(), now, out);
             }
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
@@ -314,7 +322,7 @@
         mCalls.ignore(request.targetCall());
         releaseTarget(request);
         request.noteNotRun();
-        logAttemptEnd(request, target, "refused with " + answer.status(), Ran.NO, out);
+        DirectCallLog.attemptEnded(request, target, "refused with " + answer.status(), Ran.NO, out);
         Failure failure =
                 Failure.notRun(
                         ErrorKind.OVERLOADED, "no target has a free slot", RETRY_AFTER_MILLIS);
@@ -335,7 +343,8 @@
                 && request.hasRunsLeft()
                 && request.deadline() - now >= MIN_REMAINING_NANOS
                 && quarantineFailure(request).isEmpty()
-                && mTargets.chooseForOnline(request.service(), request.tried(), now).isPresent();
+                && (mTargets.chooseForOnline(request.service(), request.tried(), now).isPresent()
+                        || heldUntil(request, now).isPresent());
     }
 
     private void retryElsewhere(DirectRequest request, String why, long now, Effects out) {
@@ -374,7 +383,7 @@
         Target target = request.target().orElseThrow();
         target.callFailed(now);
         releaseTarget(request);
-        logAttemptEnd(request, target, kind.label() + ": " + why, ran, out);
+        DirectCallLog.attemptEnded(request, target, kind.label() + ": " + why, ran, out);
         boolean isAnswering = request.isIn(DirectState.ANSWERING);
         if (ran == Ran.NO) {
             request.noteNotRun();
@@ -399,20 +408,6 @@
         request.leftTarget();
     }
 
-    private static void logAttemptEnd(
-            DirectRequest request, Target target, String why, Ran ran, Effects out) {
-        out.log(
-                EventCode.CALL_TRY_ENDED,
-                LogField.of("request", request.name()),
-                LogField.of("target", target.listed().id()),
-                LogField.of("why", why),
-                LogField.of("ran", ran.label()),
-                LogField.of("hadHead", request.hasHead()),
-                LogField.of("hadEvents", request.hasProgressed()),
-                LogField.of("promptParts", request.promptParts()),
-                LogField.of("after", request.events().lastId().orElse("")));
-    }
-
     /**
      * Sets the timer of a request to its deadline, the silence timeout of its target or the slot
      * recheck, whichever comes first; before the deadline, at least {@link #MIN_REMAINING_NANOS}
@@ -456,7 +451,7 @@
             releaseTarget(request);
             request.notePossiblyRun();
             Failure failure = quarantineFailure(request).orElseThrow();
-            logAttemptEnd(request, target, failure.detail(), Ran.MAYBE, out);
+            DirectCallLog.attemptEnded(request, target, failure.detail(), Ran.MAYBE, out);
             giveUp(request, failure, now, out);
         }
     }
@@ -475,6 +470,15 @@
     }
 
     private void checkProgress(DirectRequest request, long now, Effects out) {
+        if (request.target().isEmpty()) {
+            Failure failure =
+                    Failure.notRun(
+                            ErrorKind.OVERLOADED,
+                            "the limits of the targets of " + request.service() + " are used up",
+                            RETRY_AFTER_MILLIS);
+            send(request, failure, now, out);
+            return;
+        }
         if (request.needsSlotRecheck() && now - request.sentAt() >= SLOT_RECHECK_DELAY_NANOS) {
             recheckSlot(request, now, out);
         }
@@ -500,7 +504,7 @@
         request.target()
                 .ifPresent(
                         target ->
-                                logAttemptEnd(
+                                DirectCallLog.attemptEnded(
                                         request,
                                         target,
                                         "the request's deadline has passed",
@@ -525,17 +529,10 @@
         }
         mCalls.cancel(request.targetCall(), out);
         releaseTarget(request);
-        out.log(
-                EventCode.CALLER_GONE,
-                LogField.of("request", request.name()),
-                LogField.of("afterMillis", millisSince(request.arrived(), now)));
+        DirectCallLog.callerGone(request, now, out);
         remove(request);
     }
 
-    private static long millisSince(long then, long now) {
-        return TimeUnit.NANOSECONDS.toMillis(now - then);
-    }
-
     /** Ends a request that no target will answer: by a failure, or by aborting a begun answer. */
     private void giveUp(DirectRequest request, Failure failure, long now, Effects out) {
         boolean hasAnswerStarted =
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -16,6 +16,12 @@
 
 /** One online request and its progress. */
 final class DirectRequest {
+    /** Fraction of the goal that a request may wait for the limit of a target. */
+    private static final double MAX_HOLD_GOAL_FRACTION = 0.7;
+
+    /** Fraction of the time until the deadline that a request may wait in any case. */
+    private static final double MAX_HOLD_TIME_FRACTION = 1 / 3.0;
+
     /** Fraction of the first-event goal after which a silent target is abandoned. */
     private static final double FIRST_EVENT_TIMEOUT_FACTOR = 0.8;
 
@@ -68,6 +74,7 @@
         mIsOpen = isOpen;
         mPromptParts = promptParts;
         mArrived = arrived;
+        mLastActivity = arrived;
         mDeadline = deadline;
     }
 
@@ -194,6 +201,20 @@
         return mRuns < mRoute.policy().maxRuns();
     }
 
+    /**
+     * Returns until when the request may wait for a target's limit, since its arrival or the last
+     * output that its caller got.
+     */
+    long latestSend() {
+        long begin = Math.max(mArrived, mLastActivity);
+        long goal = TimeUnit.MILLISECONDS.toNanos(mRoute.policy().goalMillis());
+        double wait =
+                Math.max(
+                        MAX_HOLD_GOAL_FRACTION * goal,
+                        MAX_HOLD_TIME_FRACTION * (mDeadline - begin));
+        return begin + (long) wait;
+    }
+
     int sends() {
         return mSends;
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -102,6 +102,11 @@
         mLastActivity = nowNanos;
     }
 
+    /** Returns when the item was last sent to a target. */
+    long sentAt() {
+        return mSentAt;
+    }
+
     Optional<Target> target() {
         return Optional.ofNullable(mTarget);
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -237,7 +237,7 @@
                         run.call().body(),
                         TimeUnit.MILLISECONDS.toNanos(run.item().timeoutMillis()));
         run.sentTo(target.get(), call, now);
-        mTargets.callStarted(target.get(), TrafficClass.BATCH);
+        mTargets.callStarted(target.get(), TrafficClass.BATCH, now);
         target.get().batchStarted(now);
         pacer(service).started();
         updateKept(run, now);
@@ -293,7 +293,7 @@
             Target target = mRun.target().orElseThrow();
             answer.load().ifPresent(load -> target.updateLoad(load, now));
             if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
-                mTargets.limited(target, answer.requestsPerSecond(), out);
+                mTargets.limitNamed(target, answer.requestsPerSecond(), mRun.sentAt(), now, out);
             }
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/LoadExchange.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadExchange.java
@@ -83,6 +83,7 @@
             targets.retainAll(reported);
         }
         for (FleetMessage.TargetUse use : inFlight.uses()) {
+            mTargets.byId(use.target()).ifPresent(target -> target.reported(use, nowNanos));
             boolean hasCalls = use.online() + use.batch() > 0;
             updateUse(from, use.target(), Optional.of(use).filter(u -> hasCalls));
             if (hasCalls) {
@@ -137,17 +138,13 @@
         if (!isComplete && !mTargets.hasChangedUses()) {
             return Optional.empty();
         }
-        List<FleetMessage.TargetUse> changed = mTargets.takeChangedUses();
         mReportedAt = nowNanos;
         if (!isComplete) {
             mHadCalls = true;
-            return Optional.of(new FleetMessage.InFlight(changed, false));
+            return Optional.of(
+                    new FleetMessage.InFlight(mTargets.takeChangedUses(nowNanos), false));
         }
-        List<FleetMessage.TargetUse> uses =
-                mTargets.all()
-                        .map(Target::ownUse)
-                        .filter(use -> use.online() + use.batch() > 0)
-                        .toList();
+        List<FleetMessage.TargetUse> uses = mTargets.takeAllUses(nowNanos);
         mCompleteAt = nowNanos;
         mHadCalls = !uses.isEmpty();
         return Optional.of(new FleetMessage.InFlight(uses, true));
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ServiceId;
@@ -136,19 +137,30 @@
 
     private static double waitNanos(Target target, double hold, long nowNanos) {
         int ahead = target.inFlight(nowNanos) - target.preemptible() - target.slots() + 1;
-        return Math.max(0, ahead) * hold / target.slots();
+        double queueing = Math.max(0, ahead) * hold / target.slots();
+        return Math.max(queueing, target.rateLimit().waitNanos(nowNanos));
     }
 
     /** Reserves the next time at which a slot of this entry's share is expected to become free. */
     private long nextSlotAt(ServiceId service, double hold, double wait, long nowNanos) {
-        int slots = mTargets.active(service).mapToInt(Target::slots).sum();
-        long spacing = (long) (hold * mEntryCount / Math.max(1, slots));
+        double perNano =
+                mTargets.active(service).mapToDouble(target -> callsPerNano(target, hold)).sum();
+        long spacing = perNano > 0 ? (long) (mEntryCount / perNano) : 0;
         long earliest = nowNanos + MIN_RETRY_AFTER_NANOS + (long) wait;
         long slotAt = Math.max(earliest, mNextSlotAt.getOrDefault(service, earliest) + spacing);
         mNextSlotAt.put(service, slotAt);
         return slotAt;
     }
 
+    /** Returns the rate at which a target can take calls, by its slots and by its limit. */
+    private static double callsPerNano(Target target, double hold) {
+        double bySlots = target.slots() / Math.max(1, hold);
+        OptionalDouble perSecond = target.rateLimit().perSecond();
+        return perSecond.isPresent()
+                ? Math.min(bySlots, perSecond.getAsDouble() / TimeUnit.SECONDS.toNanos(1))
+                : bySlots;
+    }
+
     /** Identifies a request by its content, because a retry has a new request id. */
     private static long contentHash(DirectRequest request) {
         return Hashing.murmur3_128()
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -37,6 +37,9 @@
      */
     private static final long AVOID_MOVED_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** How long other hosts are told of a limit that the target has named to this host. */
+    private static final long REPORT_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private ListedTarget mListed;
     private final Map<HostId, FleetMessage.TargetUse> mReportedUses = new HashMap<>();
     private int mOnline;
@@ -51,7 +54,10 @@
     private long mBatchStartsSince = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAvoidUntil = Long.MIN_VALUE / 2;
-    private OptionalDouble mRequestsPerSecond = OptionalDouble.empty();
+    private final TargetRateLimit mRateLimit = new TargetRateLimit();
+    private int mUnreportedStarts;
+    private double mNamedPerSecond;
+    private long mNamedAt = Long.MIN_VALUE / 2;
 
     Target(ListedTarget listed) {
         mListed = listed;
@@ -66,8 +72,10 @@
     }
 
     /** Notes that a call from this host has started. */
-    void callStarted(TrafficClass type) {
+    void callStarted(TrafficClass type, long nowNanos) {
         count(type, 1);
+        mUnreportedStarts++;
+        mRateLimit.started(1, nowNanos);
     }
 
     /** Notes that a call from this host has ended, with or without success. */
@@ -99,9 +107,21 @@
         }
     }
 
-    /** Returns the calls of this host at the target. */
-    FleetMessage.TargetUse ownUse() {
-        return new FleetMessage.TargetUse(mListed.id(), mOnline, mBatch, mKept);
+    /** Returns the calls of this host at the target, and what is new since the last time. */
+    FleetMessage.TargetUse takeUse(long nowNanos) {
+        boolean isLimitRecent = nowNanos - mNamedAt < REPORT_LIMIT_NANOS;
+        int started = mUnreportedStarts;
+        mUnreportedStarts = 0;
+        return new FleetMessage.TargetUse(
+                mListed.id(), mOnline, mBatch, mKept, started, isLimitRecent ? mNamedPerSecond : 0);
+    }
+
+    /** Applies what another host reports of its new calls and of the target's limit. */
+    void reported(FleetMessage.TargetUse use, long nowNanos) {
+        if (use.perSecond() > 0) {
+            mRateLimit.set(use.perSecond(), nowNanos);
+        }
+        mRateLimit.started(use.started(), nowNanos);
     }
 
     /** Replaces what another host has reported of its calls; empty if it has none. */
@@ -140,7 +160,7 @@
             updateUse(
                     host,
                     Optional.of(
-                            new FleetMessage.TargetUse(
+                            FleetMessage.TargetUse.of(
                                     use.target(), use.online(), use.batch() - 1, use.kept())));
         }
     }
@@ -151,18 +171,24 @@
         mLoadReportedAt = nowNanos;
     }
 
-    /** Returns the limit that the target's last answer named, in requests a second, if it did. */
-    OptionalDouble requestsPerSecond() {
-        return mRequestsPerSecond;
+    /** Returns the limit on calls to the target from all hosts. */
+    TargetRateLimit rateLimit() {
+        return mRateLimit;
     }
 
     /**
-     * Notes the limit that an answer of the target names, if any; returns whether it has changed.
+     * Notes the limit that an answer of the target names, if any.
+     *
+     * @param sentAt when the answer's call was sent
      */
-    boolean limited(OptionalDouble requestsPerSecond) {
-        boolean isChanged = !mRequestsPerSecond.equals(requestsPerSecond);
-        mRequestsPerSecond = requestsPerSecond;
-        return isChanged;
+    void limitNamed(OptionalDouble perSecond, long sentAt, long nowNanos) {
+        if (perSecond.isPresent()) {
+            mNamedPerSecond = perSecond.getAsDouble();
+            mNamedAt = nowNanos;
+            mRateLimit.set(mNamedPerSecond, nowNanos);
+        } else {
+            mRateLimit.notNamed(sentAt);
+        }
     }
 
     /** Notes that the target answered a call, which ends its series of failures. */
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -101,9 +102,9 @@
     }
 
     /** Notes that a call from this host has started. */
-    void callStarted(Target target, TrafficClass type) {
+    void callStarted(Target target, TrafficClass type, long nowNanos) {
         mChangedTargets.add(target);
-        target.callStarted(type);
+        target.callStarted(type, nowNanos);
     }
 
     /** Notes that a call from this host has ended, with or without success. */
@@ -124,12 +125,22 @@
     }
 
     /** Returns the calls of this host at targets where they have changed since the last call. */
-    List<FleetMessage.TargetUse> takeChangedUses() {
-        List<FleetMessage.TargetUse> uses = mChangedTargets.stream().map(Target::ownUse).toList();
+    List<FleetMessage.TargetUse> takeChangedUses(long nowNanos) {
+        List<FleetMessage.TargetUse> uses =
+                mChangedTargets.stream().map(target -> target.takeUse(nowNanos)).toList();
         mChangedTargets.clear();
         return uses;
     }
 
+    /** Returns the calls of this host at all targets that it uses or has used just now. */
+    List<FleetMessage.TargetUse> takeAllUses(long nowNanos) {
+        mChangedTargets.clear();
+        return mById.values().stream()
+                .map(target -> target.takeUse(nowNanos))
+                .filter(use -> use.online() + use.batch() + use.started() > 0)
+                .toList();
+    }
+
     /** Returns the targets that have said that they are leaving. */
     LeavingTargets leaving() {
         return mLeaving;
@@ -146,13 +157,25 @@
         }
     }
 
-    /** Notes the limit that an answer of a target names, if any. */
-    void limited(Target target, OptionalDouble requestsPerSecond, Effects out) {
-        if (target.limited(requestsPerSecond)) {
+    /**
+     * Notes the limit that an answer of a target names, if any.
+     *
+     * @param sentAt when the answer's call was sent
+     */
+    void limitNamed(
+            Target target, OptionalDouble perSecond, long sentAt, long nowNanos, Effects out) {
+        OptionalDouble before = target.rateLimit().perSecond();
+        target.limitNamed(perSecond, sentAt, nowNanos);
+        OptionalDouble after = target.rateLimit().perSecond();
+        if (perSecond.isPresent()) {
+            mChangedTargets.add(target);
+        }
+        if (!after.equals(before)) {
             out.log(
                     EventCode.TARGET_LIMITED,
                     LogField.of("target", target.listed().id()),
-                    LogField.of("requestsPerSecond", text(requestsPerSecond)),
+                    LogField.of("requestsPerSecond", text(after)),
+                    LogField.of("before", text(before)),
                     LogField.of("online", target.online()),
                     LogField.of("batch", target.batch()));
         }
@@ -186,13 +209,27 @@
      */
     Optional<Target> chooseForOnline(ServiceId service, Set<TargetId> tried, long nowNanos) {
         List<Target> candidates =
-                active(service).filter(target -> !tried.contains(target.listed().id())).toList();
+                active(service)
+                        .filter(target -> !tried.contains(target.listed().id()))
+                        .filter(target -> target.rateLimit().allowedCalls(nowNanos) > 0)
+                        .toList();
         List<Target> healthy = candidates.stream().filter(t -> !t.isAvoided(nowNanos)).toList();
         return healthy.isEmpty()
                 ? candidates.stream().min(Comparator.comparingLong(Target::avoidUntil))
                 : leastLoaded(healthy, target -> onlineLoad(target, nowNanos));
     }
 
+    /**
+     * Returns the time until the limit of some target of a service allows an online request, in
+     * nanoseconds; empty if there is no target that the request was not sent to.
+     */
+    OptionalLong limitWaitNanos(ServiceId service, Set<TargetId> tried, long nowNanos) {
+        return active(service)
+                .filter(target -> !tried.contains(target.listed().id()))
+                .mapToLong(target -> target.rateLimit().waitNanos(nowNanos))
+                .min();
+    }
+
     private static double onlineLoad(Target target, long nowNanos) {
         double slots = target.slots();
         int inFlight = target.inFlight(nowNanos);
@@ -236,6 +273,7 @@
                 active(service)
                         .filter(target -> !tried.contains(target.listed().id()))
                         .filter(target -> !target.isAvoided(nowNanos) && mayAddKept(target))
+                        .filter(target -> target.rateLimit().allowedCalls(nowNanos) > 0)
                         .toList();
         return candidates.isEmpty()
                 ? Optional.empty()
@@ -269,7 +307,8 @@
 
     /** Returns the number of slots of a target that are free for batch items. */
     private static int freeBatchSlots(Target target, long nowNanos) {
-        int free = target.slots() - target.inFlight(nowNanos);
+        int freeSlots = target.slots() - target.inFlight(nowNanos);
+        int free = Math.min(freeSlots, target.rateLimit().allowedCalls(nowNanos));
         return target.isAvoided(nowNanos) ? 0 : Math.max(0, free);
     }
 
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -247,8 +247,17 @@
      * @param batch number of batch items, including {@code kept}
      * @param kept number of batch items that online requests may not preempt, since their jobs
      *     would miss the deadline
+     * @param started number of calls that the host started there since its previous report
+     * @param perSecond calls a second from all hosts that the target has named recently as its
+     *     limit; 0 if it named none to the host
      */
-    record TargetUse(TargetId target, int online, int batch, int kept) {
+    record TargetUse(
+            TargetId target, int online, int batch, int kept, int started, double perSecond) {
+        /** Returns the calls in flight at a target where none was started recently. */
+        public static TargetUse of(TargetId target, int online, int batch, int kept) {
+            return new TargetUse(target, online, batch, kept, 0, 0);
+        }
+
         /** Returns the number of batch items that online requests may preempt. */
         public int preemptible() {
             return batch - kept;
--- a/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -60,7 +62,17 @@
     }
 
     private static FleetMessage.TargetUse use(String id, int online, int batch, int kept) {
-        return new FleetMessage.TargetUse(TargetId.of(id), online, batch, kept);
+        return FleetMessage.TargetUse.of(TargetId.of(id), online, batch, kept);
+    }
+
+    private static FleetMessage.TargetUse started(FleetMessage.TargetUse use, int calls) {
+        return limited(use, calls, 0);
+    }
+
+    private static FleetMessage.TargetUse limited(
+            FleetMessage.TargetUse use, int started, double perSecond) {
+        return new FleetMessage.TargetUse(
+                use.target(), use.online(), use.batch(), use.kept(), started, perSecond);
     }
 
     private static FleetMessage.InFlight complete(FleetMessage.TargetUse... uses) {
@@ -78,8 +90,8 @@
     @Test
     public void aLocalTargetIsPreferredUntilItIsBusier() {
         assertEquals(chosenForOnline(), "a");
-        mTargets.callStarted(target("a"), TrafficClass.ONLINE);
-        mTargets.callStarted(target("a"), TrafficClass.ONLINE);
+        mTargets.callStarted(target("a"), TrafficClass.ONLINE, 0);
+        mTargets.callStarted(target("a"), TrafficClass.ONLINE, 0);
 
         assertEquals(chosenForOnline(), "b");
     }
@@ -138,7 +150,7 @@
         assertEquals(
                 mTargets.chooseForBatch(LM, Set.of(), 1, 0).orElseThrow().listed().id().value(),
                 "a");
-        mTargets.callStarted(target("a"), TrafficClass.BATCH);
+        mTargets.callStarted(target("a"), TrafficClass.BATCH, 0);
         assertTrue(mTargets.chooseForBatch(LM, Set.of(), 1, 0).isEmpty());
     }
 
@@ -156,7 +168,7 @@
         mLoadExchange.handle(STORE, new FleetMessage.InFlight(List.of(use("b", 8, 0)), true), 0);
         for (int started = 0; started < 2; started++) {
             Target target = mTargets.chooseForBatch(LM, Set.of(), 4, 0).orElseThrow();
-            mTargets.callStarted(target, TrafficClass.BATCH);
+            mTargets.callStarted(target, TrafficClass.BATCH, 0);
             target.batchStarted(0);
         }
         assertTrue(mTargets.chooseForBatch(LM, Set.of(), 4, 0).isEmpty());
@@ -208,11 +220,12 @@
     public void aHostReportsSoonAfterAChangeAndRarelyWithoutOne() {
         mLoadExchange.requireCompleteReport(1_000 * MILLI);
         assertEquals(mLoadExchange.takeReport(1_000 * MILLI), Optional.of(complete()));
-        mTargets.callStarted(target("a"), TrafficClass.ONLINE);
+        mTargets.callStarted(target("a"), TrafficClass.ONLINE, 0);
         long due = mLoadExchange.nextReportNanos();
         assertTrue(due <= 1_020 * MILLI, "due at " + due);
 
-        assertEquals(mLoadExchange.takeReport(due), Optional.of(changes(use("a", 1, 0))));
+        assertEquals(
+                mLoadExchange.takeReport(due), Optional.of(changes(started(use("a", 1, 0), 1))));
         assertTrue(mLoadExchange.nextReportNanos() >= due + 400 * MILLI);
         assertEquals(mLoadExchange.takeReport(due + MILLI), Optional.empty());
         assertEquals(
@@ -221,10 +234,34 @@
 
     @Test
     public void aHostWithoutCallsReportsNothing() {
-        mTargets.callStarted(target("a"), TrafficClass.ONLINE);
+        mTargets.callStarted(target("a"), TrafficClass.ONLINE, 0);
         mTargets.callEnded(target("a"), TrafficClass.ONLINE);
-        assertEquals(mLoadExchange.takeReport(1_000 * MILLI), Optional.of(changes(use("a", 0, 0))));
+        assertEquals(
+                mLoadExchange.takeReport(1_000 * MILLI),
+                Optional.of(changes(started(use("a", 0, 0), 1))));
         assertEquals(mLoadExchange.takeReport(1_500 * MILLI), Optional.of(complete()));
         assertEquals(mLoadExchange.nextReportNanos(), Node.NEVER);
     }
+
+    @Test
+    public void aLimitThatATargetNamesIsReportedForAWhileAndWithTheCallsStarted() {
+        mTargets.callStarted(target("a"), TrafficClass.ONLINE, 0);
+        mTargets.limitNamed(target("a"), OptionalDouble.of(4), 0, 0, mEffects::add);
+        FleetMessage.TargetUse use = use("a", 1, 0);
+        assertEquals(
+                mLoadExchange.takeReport(20 * MILLI), Optional.of(changes(limited(use, 1, 4))));
+        mLoadExchange.requireCompleteReport(1_000 * MILLI);
+        assertEquals(mLoadExchange.takeReport(1_000 * MILLI), Optional.of(complete(use)));
+    }
+
+    @Test
+    public void noTargetIsChosenWhoseLimitAnotherHostHasUsed() {
+        mLoadExchange.handle(STORE, changes(limited(use("a", 1, 0), 1, 2)), 0);
+        assertEquals(chosenForOnline(), "b");
+        mLoadExchange.handle(STORE, changes(limited(use("b", 1, 0), 1, 2)), 0);
+        assertTrue(mTargets.chooseForOnline(LM, Set.of(), 0).isEmpty());
+        assertEquals(
+                mTargets.limitWaitNanos(LM, Set.of(), 0),
+                OptionalLong.of(TimeUnit.SECONDS.toNanos(1)));
+    }
 }
--- a/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -29,11 +30,17 @@
     private final List<Answer> mAnswers = new ArrayList<>();
     private PlatformSimulation mSimulation;
     private Random mRandom;
+    private int mEntries;
 
     private void start(long seed) {
+        start(seed, ENTRIES);
+    }
+
+    private void start(long seed, int entries) {
+        mEntries = entries;
         mRandom = new Random(seed);
         mAnswers.clear();
-        mSimulation = PlatformSimulation.startServing(seed, ENTRIES);
+        mSimulation = PlatformSimulation.startServing(seed, entries);
         IntStream.rangeClosed(3, TARGETS).forEach(n -> target(n, "z" + (1 + n % 3)));
         mSimulation.run(3 * SECOND_NANOS);
     }
@@ -48,7 +55,7 @@
                 int number = mAnswers.size();
                 mAnswers.add(
                         mSimulation.request(
-                                mSimulation.entry(mRandom.nextInt(ENTRIES)),
+                                mSimulation.entry(mRandom.nextInt(mEntries)),
                                 "q" + number,
                                 "/ask/" + number));
             }
@@ -98,8 +105,73 @@
         long since = mSimulation.now() + CONTACT_NANOS;
         mSimulation.submit(mSimulation.entry(0), "j1", 40);
         sendFor(12 * SECOND_NANOS, 60);
-        IntStream.rangeClosed(1, 5)
+        assertLimitsKept(5, since);
+    }
+
+    private void assertLimitsKept(int targets, long since) {
+        IntStream.rangeClosed(1, targets)
                 .mapToObj(n -> mSimulation.target("lm-" + n))
                 .forEach(target -> assertLimitKept(target, since));
     }
+
+    private long served() {
+        return mAnswers.stream().filter(a -> a.mStatus == 200 && a.mIsComplete).count();
+    }
+
+    /** Guards against more hosts than a report reaches at once exceeding a limit together. */
+    @Test(dataProvider = "seeds")
+    public void manyHostsKeepALimitTogether(long seed) {
+        start(seed, 24);
+        sendFor(2 * SECOND_NANOS, 80);
+        limit(5, 4);
+        long since = mSimulation.now() + CONTACT_NANOS;
+        sendFor(10 * SECOND_NANOS, 80);
+        assertLimitsKept(5, since);
+    }
+
+    /** Guards against limits costing requests that other targets have room for. */
+    @Test(dataProvider = "seeds")
+    public void requestsGoToTargetsWithoutALimit(long seed) {
+        start(seed);
+        limit(5, 2.5);
+        sendFor(8 * SECOND_NANOS, 60);
+        mSimulation.run(2 * SECOND_NANOS);
+        assertEquals(served(), mAnswers.size());
+    }
+
+    /** Guards against requests waiting for limits until their deadline passes. */
+    @Test(dataProvider = "seeds")
+    public void whatAllLimitsTogetherDoNotAllowIsRefusedSoon(long seed) {
+        start(seed);
+        limit(TARGETS, 2);
+        sendFor(2 * SECOND_NANOS, 40);
+        long since = mSimulation.now() + CONTACT_NANOS;
+        mAnswers.clear();
+        sendFor(10 * SECOND_NANOS, 40);
+        mSimulation.run(3 * SECOND_NANOS);
+        assertLimitsKept(TARGETS, since);
+        for (Answer answer : mAnswers) {
+            boolean isRefused = answer.mStatus == 503 && answer.header("Retry-After").isPresent();
+            assertTrue(answer.mStatus == 200 || isRefused, answer.toString());
+            assertTrue(
+                    !isRefused || answer.mEndNanos - answer.mSentNanos <= 2 * SECOND_NANOS,
+                    "refused after " + (answer.mEndNanos - answer.mSentNanos) + " ns");
+        }
+        double possible = 10 * 2 * TARGETS;
+        assertTrue(served() >= 0.8 * possible, served() + " of " + possible);
+    }
+
+    /** Guards against a target staying unused when it no longer names a limit. */
+    @Test(dataProvider = "seeds")
+    public void aTargetThatNamesNoLimitAnyMoreIsUsedAsBefore(long seed) {
+        start(seed);
+        limit(TARGETS, 2);
+        sendFor(4 * SECOND_NANOS, 40);
+        limit(TARGETS, 0);
+        sendFor(3 * SECOND_NANOS, 40);
+        mAnswers.clear();
+        sendFor(3 * SECOND_NANOS, 40);
+        mSimulation.run(2 * SECOND_NANOS);
+        assertEquals(served(), mAnswers.size());
+    }
 }
