--- a/src/main/java/org/coltsfootproxy/quarantine/CrashEvidence.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashEvidence.java
@@ -2,7 +2,9 @@
 
 import static java.util.Comparator.comparingInt;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -47,6 +49,9 @@
     private final LinkedHashMap<FleetMessage.TargetCrash, Suspects> mCrashes =
             new LinkedHashMap<>();
 
+    /** When the crashes that do not count yet will do so. */
+    private final Deque<Long> mReviews = new ArrayDeque<>();
+
     /** The parts that may have caused a crash, in the order of the prompt, and when it was seen. */
     private record Suspects(List<PromptPartId> parts, long at) {}
 
@@ -74,7 +79,10 @@
      * @param suspects the parts of the call's prompt that are not known to be sound
      */
     void add(FleetMessage.TargetCrash crash, List<PromptPartId> suspects, long nowNanos) {
-        mCrashes.putIfAbsent(crash, new Suspects(new ArrayList<>(suspects), nowNanos));
+        if (mCrashes.putIfAbsent(crash, new Suspects(new ArrayList<>(suspects), nowNanos))
+                == null) {
+            mReviews.add(nowNanos + REVIEW_DELAY_NANOS);
+        }
         Iterator<Suspects> oldest = mCrashes.values().iterator();
         while (oldest.hasNext()) {
             boolean isOld = nowNanos - oldest.next().at() >= RETENTION_NANOS;
@@ -107,6 +115,9 @@
 
     /** Returns the part that caused most of the crashes that count by now; empty if none did. */
     Optional<PromptPartId> culprit(long nowNanos) {
+        while (!mReviews.isEmpty() && nowNanos - mReviews.peek() >= 0) {
+            mReviews.remove();
+        }
         Map<PromptPartId, Case> cases = new LinkedHashMap<>();
         int crashes = 0;
         for (Map.Entry<FleetMessage.TargetCrash, Suspects> crash : mCrashes.entrySet()) {
@@ -149,11 +160,7 @@
     }
 
     /** Returns when the next crash counts, or {@link Node#NEVER}. */
-    long nextReviewNanos(long reviewedAt) {
-        return mCrashes.values().stream()
-                .mapToLong(crash -> crash.at() + REVIEW_DELAY_NANOS)
-                .filter(at -> at - reviewedAt > 0)
-                .min()
-                .orElse(Node.NEVER);
+    long nextReviewNanos() {
+        return mReviews.isEmpty() ? Node.NEVER : mReviews.peek();
     }
 }
--- a/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
@@ -45,7 +45,6 @@
 
     private final RepeatedNews<FleetMessage.TargetCrash> mCrashNews = new RepeatedNews<>();
     private final RepeatedNews<PromptPartId> mSoundNews = new RepeatedNews<>();
-    private long mReviewedAt = Long.MIN_VALUE / 2;
     private long mNextRepeat = Node.NEVER;
     private long mVersion;
 
@@ -187,7 +186,6 @@
             mQuarantined.remove(part);
             logReleased(part, "its time is over", out);
         }
-        mReviewedAt = nowNanos;
         Optional<PromptPartId> culprit = mEvidence.culprit(nowNanos);
         while (culprit.isPresent()) {
             String why = mEvidence.describe(culprit.get(), nowNanos);
@@ -200,7 +198,7 @@
     public long nextTickNanos() {
         long nextEnd =
                 mQuarantined.values().stream().mapToLong(end -> end).min().orElse(Node.NEVER);
-        return Math.min(nextEnd, mEvidence.nextReviewNanos(mReviewedAt));
+        return Math.min(nextEnd, mEvidence.nextReviewNanos());
     }
 
     /** Returns what has to be reported to the other hosts now; empty if nothing has. */
