What is left of a target's limit is kept for a crest

Cause: the bucket held a quarter of a second, so a target that got nothing in a trough had no more to give in the crest; online requests took from it while other targets had free slots, and items took what was left.

Change: a full bucket holds a second of the limit and one call, items leave half of that to online requests, and targets are preferred less the emptier their bucket is.

--- a/src/main/java/org/coltsfootproxy/direct/TargetRateLimit.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetRateLimit.java
@@ -14,8 +14,11 @@
     /** Lowest rate that is kept to, so that a call now and then shows whether the limit is over. */
     private static final double MIN_PER_SECOND = 0.1;
 
-    /** Time in which a full bucket fills; the target should get its calls evenly. */
-    private static final double BURST_SECONDS = 0.25;
+    /** Time of the limit that a full bucket holds besides one call, for the next crest. */
+    private static final double BURST_SECONDS = 1;
+
+    /** Fraction of a full bucket that batch items leave to online requests. */
+    private static final double ONLINE_FRACTION = 0.5;
 
     /** Time after which even the largest debt is refilled. */
     private static final double MAX_DEBT_SECONDS = 4;
@@ -73,9 +76,24 @@
     }
 
     private double level(long nowNanos) {
-        double perSecond = mPerSecond.getAsDouble();
-        double added = perSecond * (nowNanos - mFilledAt) / NANOS_PER_SECOND;
-        return Math.min(Math.max(1, BURST_SECONDS * perSecond), mLevel + added);
+        double added = mPerSecond.getAsDouble() * (nowNanos - mFilledAt) / NANOS_PER_SECOND;
+        return Math.min(fullLevel(), mLevel + added);
+    }
+
+    private double fullLevel() {
+        return 1 + BURST_SECONDS * mPerSecond.getAsDouble();
+    }
+
+    /** Returns which fraction of a full bucket is used up; 0 without a limit. */
+    double usedFraction(long nowNanos) {
+        return mPerSecond.isEmpty() ? 0 : 1 - Math.max(0, level(nowNanos)) / fullLevel();
+    }
+
+    /** Returns how many batch items this host may start now. */
+    int allowedItems(long nowNanos) {
+        return mPerSecond.isEmpty()
+                ? Integer.MAX_VALUE
+                : (int) Math.max(0, level(nowNanos) - ONLINE_FRACTION * (fullLevel() - 1));
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -234,7 +234,8 @@
         double slots = target.slots();
         int inFlight = target.inFlight(nowNanos);
         if (inFlight < slots) {
-            return inFlight / slots;
+            // What is left of a limit is kept for times when other targets have no free slot.
+            return inFlight / slots + target.rateLimit().usedFraction(nowNanos);
         }
         int nonPreemptible = inFlight - target.preemptible();
         return nonPreemptible < slots
@@ -308,7 +309,7 @@
     /** Returns the number of slots of a target that are free for batch items. */
     private static int freeBatchSlots(Target target, long nowNanos) {
         int freeSlots = target.slots() - target.inFlight(nowNanos);
-        int free = Math.min(freeSlots, target.rateLimit().allowedCalls(nowNanos));
+        int free = Math.min(freeSlots, target.rateLimit().allowedItems(nowNanos));
         return target.isAvoided(nowNanos) ? 0 : Math.max(0, free);
     }
 
--- a/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
@@ -22,6 +22,15 @@
     /** Any span of this length counts. */
     private static final long WINDOW_NANOS = 4 * SECOND_NANOS;
 
+    /** Time to the first event within which an answer is on time; the routes' goal. */
+    private static final long GOAL_NANOS = 300 * MILLI_NANOS;
+
+    private static final long TROUGH_NANOS = 3_600 * MILLI_NANOS;
+    private static final long CREST_NANOS = 2_400 * MILLI_NANOS;
+
+    /** Events of a stream that holds its slot for 0.8 s. */
+    private static final int EVENTS_OF_LONG_STREAM = 40;
+
     private static final double ALLOWED_FACTOR = 1.5;
     private static final int ALLOWED_SURPLUS = 5;
     private static final int ENTRIES = 5;
@@ -174,4 +183,30 @@
         mSimulation.run(2 * SECOND_NANOS);
         assertEquals(served(), mAnswers.size());
     }
+
+    /** Guards against limits being used up by what could go elsewhere when a crest comes. */
+    @Test(dataProvider = "seeds")
+    public void whatIsLeftOfLimitsInATroughServesTheCrest(long seed) {
+        start(seed);
+        mSimulation.mTargets.values().forEach(target -> target.mEventCount = EVENTS_OF_LONG_STREAM);
+        limit(5, 2.5);
+        long since = mSimulation.now() + CONTACT_NANOS;
+        mSimulation.submit(mSimulation.entry(0), "j1", 40);
+        sendFor(TROUGH_NANOS, 10);
+        mAnswers.clear();
+        for (int wave = 0; wave < 3; wave++) {
+            sendFor(CREST_NANOS, 46);
+            sendFor(TROUGH_NANOS, 10);
+        }
+        assertLimitsKept(5, since);
+        long onTime = onTime();
+        assertTrue(onTime >= 0.95 * mAnswers.size(), onTime + " of " + mAnswers.size());
+    }
+
+    private long onTime() {
+        return mAnswers.stream()
+                .filter(answer -> answer.mStatus == 200)
+                .filter(answer -> answer.mFirstChunkNanos - answer.mSentNanos <= GOAL_NANOS)
+                .count();
+    }
 }
