Requests are refused by the targets that allow a call now

Cause: a limit that would allow one call within 0.2 s counted as a short wait for every request.

Change: the wait is that of the targets that allow a call now; if none does, that of the limits, after the requests that are held here and as many at each other entry.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -124,7 +124,8 @@
     }
 
     private void sendUnlessOverloaded(DirectRequest request, long now, Effects out) {
-        OptionalLong retryMillis = mLoadShedder.refusalRetryMillis(request, now);
+        OptionalLong retryMillis =
+                mLoadShedder.refusalRetryMillis(request, heldRequests(request), now);
         if (retryMillis.isPresent()) {
             String overloadDetail =
                     "no target of " + request.service() + " has a free slot in time";
@@ -174,6 +175,14 @@
         DirectCallLog.sent(request, target.get(), mTargets.listing().number(), remaining, out);
     }
 
+    /** Returns the number of other requests for the same service that wait for a target's limit. */
+    private long heldRequests(DirectRequest request) {
+        return mRequests.values().stream()
+                .filter(other -> other != request && other.target().isEmpty())
+                .filter(other -> other.service().equals(request.service()))
+                .count();
+    }
+
     /** Lets a request wait for the limit of a target, if that will allow it soon enough. */
     private boolean hold(DirectRequest request, long now, Effects out) {
         OptionalLong until = heldUntil(request, now);
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.message.FleetMessage;
@@ -103,12 +104,14 @@
     /**
      * Returns the time in milliseconds after which the caller of a refused request should retry;
      * empty if the request is not refused.
+     *
+     * @param heldRequests number of requests for the service that wait here for targets' limits
      */
-    OptionalLong refusalRetryMillis(DirectRequest request, long nowNanos) {
+    OptionalLong refusalRetryMillis(DirectRequest request, long heldRequests, long nowNanos) {
         ServiceId service = request.service();
         long goal = TimeUnit.MILLISECONDS.toNanos(request.route().policy().goalMillis());
         double hold = mMeanHoldNanos.getOrDefault(service, INITIAL_HOLD_FRACTION * goal);
-        double wait = waitNanos(service, hold, nowNanos);
+        double wait = waitNanos(service, hold, heldRequests, nowNanos);
         if (goal == 0 || wait <= MAX_WAIT_FRACTION * goal) {
             return OptionalLong.empty();
         }
@@ -127,18 +130,34 @@
     }
 
     /** Returns the queueing time, in nanoseconds, at the target with the shortest one. */
-    private double waitNanos(ServiceId service, double hold, long nowNanos) {
+    private double waitNanos(ServiceId service, double hold, long heldRequests, long nowNanos) {
         return mTargets.active(service)
                 .filter(target -> !target.isAvoided(nowNanos))
+                .filter(target -> target.rateLimit().allowedCalls(nowNanos) > 0)
                 .mapToDouble(target -> waitNanos(target, hold, nowNanos))
                 .min()
-                .orElse(0);
+                .orElseGet(() -> limitWaitNanos(service, heldRequests, nowNanos));
+    }
+
+    /**
+     * Returns the time until the limits of the targets allow another request, in nanoseconds, if
+     * none allows one now: those that wait here go first, and as many at each other entry.
+     */
+    private double limitWaitNanos(ServiceId service, long heldRequests, long nowNanos) {
+        double perNano =
+                mTargets.active(service)
+                                .map(target -> target.rateLimit().perSecond())
+                                .filter(OptionalDouble::isPresent)
+                                .mapToDouble(OptionalDouble::getAsDouble)
+                                .sum()
+                        / TimeUnit.SECONDS.toNanos(1);
+        long next = mTargets.limitWaitNanos(service, Set.of(), nowNanos).orElse(0);
+        return next + (perNano > 0 ? heldRequests * mEntryCount / perNano : 0);
     }
 
     private static double waitNanos(Target target, double hold, long nowNanos) {
         int ahead = target.inFlight(nowNanos) - target.preemptible() - target.slots() + 1;
-        double queueing = Math.max(0, ahead) * hold / target.slots();
-        return Math.max(queueing, target.rateLimit().waitNanos(nowNanos));
+        return Math.max(0, ahead) * hold / target.slots();
     }
 
     /** Reserves the next time at which a slot of this entry's share is expected to become free. */
--- a/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/TargetLimitTest.java
@@ -28,6 +28,9 @@
     private static final long TROUGH_NANOS = 3_600 * MILLI_NANOS;
     private static final long CREST_NANOS = 2_400 * MILLI_NANOS;
 
+    /** Time in which entries learn how long a stream holds its slot. */
+    private static final long LEARNING_NANOS = 20 * SECOND_NANOS;
+
     /** Events of a stream that holds its slot for 0.8 s. */
     private static final int EVENTS_OF_LONG_STREAM = 40;
 
@@ -203,6 +206,35 @@
         assertTrue(onTime >= 0.95 * mAnswers.size(), onTime + " of " + mAnswers.size());
     }
 
+    /** Guards against what limits keep out filling the queues of the other targets. */
+    @Test(dataProvider = "seeds")
+    public void aCrestBeyondAllLimitsDoesNotFillTheQueuesOfOtherTargets(long seed) {
+        double shareWithoutLimited =
+                shareOnTimeInCrest(
+                        seed,
+                        () ->
+                                IntStream.rangeClosed(1, 6)
+                                        .mapToObj(n -> mSimulation.target("lm-" + n))
+                                        .forEach(target -> target.mIsDraining = true));
+        double share = shareOnTimeInCrest(seed, () -> limit(6, 2.5));
+        assertTrue(share >= shareWithoutLimited, share + " against " + shareWithoutLimited);
+        double possible = CREST_NANOS / (double) SECOND_NANOS * (2 * 10 + 6 * 2.5);
+        assertTrue(onTime() >= 0.8 * possible, onTime() + " of " + possible + " possible");
+    }
+
+    /** Returns which share of the answers in a crest is on time while two targets are as usual. */
+    private double shareOnTimeInCrest(long seed, Runnable trouble) {
+        start(seed);
+        mSimulation.mTargets.values().forEach(target -> target.mEventCount = EVENTS_OF_LONG_STREAM);
+        trouble.run();
+        sendFor(LEARNING_NANOS, 10);
+        mAnswers.clear();
+        sendFor(CREST_NANOS, 70);
+        mSimulation.run(6 * SECOND_NANOS);
+        long answered = mAnswers.stream().filter(answer -> answer.mStatus == 200).count();
+        return onTime() / (double) answered;
+    }
+
     private long onTime() {
         return mAnswers.stream()
                 .filter(answer -> answer.mStatus == 200)
