--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -313,7 +313,7 @@
     /** Reports a target that ended the connection as it began its answer. */
     private void noteBrokenAnswer(DirectRequest request, long now) {
         if (request.hasHead() && !request.hasProgressed()) {
-            mQuarantine.answerBroke(
+            mQuarantine.answerCut(
                     request.target().orElseThrow().listed().id(),
                     request.name(),
                     request.promptParts(),
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -347,7 +347,7 @@
     /** Reports a target that ended the connection as it began its answer. */
     private void noteBrokenAnswer(ItemRun run, long now) {
         if (run.hasSuccess() && !run.hasProgressed()) {
-            mQuarantine.answerBroke(
+            mQuarantine.answerCut(
                     run.target().orElseThrow().listed().id(),
                     run.lease().job() + "/" + run.lease().item(),
                     run.promptParts(),
--- a/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
@@ -43,8 +43,8 @@
     /** The end of each part's quarantine. */
     private final Map<PromptPartId, Long> mQuarantined = new LinkedHashMap<>();
 
-    private final RepeatedNews<FleetMessage.TargetCrash> mCrashNews = new RepeatedNews<>();
-    private final RepeatedNews<PromptPartId> mSoundNews = new RepeatedNews<>();
+    private final RepeatedUpdates<FleetMessage.TargetCrash> mCrashUpdates = new RepeatedUpdates<>();
+    private final RepeatedUpdates<PromptPartId> mSoundUpdates = new RepeatedUpdates<>();
     private long mNextRepeat = Node.NEVER;
     private long mVersion;
 
@@ -74,10 +74,10 @@
      * @param call id of the call
      * @param parts parts of its prompt that other calls may share, in their order
      */
-    public void answerBroke(TargetId target, String call, List<PromptPartId> parts, long nowNanos) {
+    public void answerCut(TargetId target, String call, List<PromptPartId> parts, long nowNanos) {
         var crash = new FleetMessage.TargetCrash(target, call, parts);
         if (!parts.isEmpty() && !mEvidence.contains(crash)) {
-            mCrashNews.add(crash, nowNanos);
+            mCrashUpdates.add(crash, nowNanos);
             addEvidence(crash, nowNanos);
         }
     }
@@ -95,7 +95,7 @@
         for (PromptPartId part : parts) {
             mSoundHere.answered(part, nowNanos);
             if (mEvidence.isSuspect(part) || mQuarantined.containsKey(part)) {
-                mSoundNews.add(part, nowNanos);
+                mSoundUpdates.add(part, nowNanos);
             }
             clear(part, nowNanos, out);
         }
@@ -116,7 +116,7 @@
             if (!mEvidence.contains(crash)) {
                 crash.parts().stream()
                         .filter(part -> mSoundHere.contains(part, nowNanos))
-                        .forEach(part -> mSoundNews.add(part, nowNanos));
+                        .forEach(part -> mSoundUpdates.add(part, nowNanos));
                 addEvidence(crash, nowNanos);
             }
         }
@@ -213,7 +213,7 @@
         }
         return Optional.of(
                 new FleetMessage.PromptReport(
-                        mCrashNews.take(nowNanos), mSoundNews.take(nowNanos), quarantined));
+                        mCrashUpdates.take(nowNanos), mSoundUpdates.take(nowNanos), quarantined));
     }
 
     /** Returns all quarantined parts with their remaining times. */
@@ -229,7 +229,7 @@
 
     /** Returns when the next report is due, or {@link Node#NEVER}. */
     public long nextReportNanos() {
-        return LongStream.of(mCrashNews.nextNanos(), mSoundNews.nextNanos(), mNextRepeat)
+        return LongStream.of(mCrashUpdates.nextNanos(), mSoundUpdates.nextNanos(), mNextRepeat)
                 .min()
                 .getAsLong();
     }
--- a/src/main/java/org/coltsfootproxy/quarantine/RepeatedNews.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/RepeatedUpdates.java
@@ -8,19 +8,19 @@
 import org.coltsfootproxy.node.Node;
 
 /**
- * News for other hosts that are sent several times, because a report may be lost.
+ * Updates for other hosts that are sent several times, because a report may be lost.
  *
- * @param <T> type of the news, compared by {@link Object#equals}
+ * @param <T> type of the updates, compared by {@link Object#equals}
  */
-final class RepeatedNews<T> {
+final class RepeatedUpdates<T> {
     private static final int SENDS = 3;
 
     /** Interval between two sends; it spans the replacement of a lost relay. */
     private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    private static final int MAX_NEWS = 1_000;
+    private static final int MAX_UPDATES = 1_000;
 
-    private final Map<T, Schedule> mNews = new LinkedHashMap<>();
+    private final Map<T, Schedule> mUpdates = new LinkedHashMap<>();
 
     private static final class Schedule {
         private int mSendsLeft = SENDS;
@@ -31,35 +31,35 @@
         }
     }
 
-    /** Adds news, due at once. */
-    void add(T news, long nowNanos) {
-        mNews.putIfAbsent(news, new Schedule(nowNanos));
-        if (mNews.size() > MAX_NEWS) {
-            Iterator<T> oldest = mNews.keySet().iterator();
+    /** Adds an update, due at once. */
+    void add(T update, long nowNanos) {
+        mUpdates.putIfAbsent(update, new Schedule(nowNanos));
+        if (mUpdates.size() > MAX_UPDATES) {
+            Iterator<T> oldest = mUpdates.keySet().iterator();
             oldest.next();
             oldest.remove();
         }
     }
 
-    /** Returns the news to send now. */
+    /** Returns the updates to send now. */
     List<T> take(long nowNanos) {
         List<T> due =
-                mNews.entrySet().stream()
-                        .filter(news -> nowNanos - news.getValue().mNextAt >= 0)
+                mUpdates.entrySet().stream()
+                        .filter(update -> nowNanos - update.getValue().mNextAt >= 0)
                         .map(Map.Entry::getKey)
                         .toList();
-        for (T news : due) {
-            Schedule schedule = mNews.get(news);
+        for (T update : due) {
+            Schedule schedule = mUpdates.get(update);
             schedule.mNextAt = nowNanos + INTERVAL_NANOS;
             if (--schedule.mSendsLeft == 0) {
-                mNews.remove(news);
+                mUpdates.remove(update);
             }
         }
         return due;
     }
 
-    /** Returns when news are due, or {@link Node#NEVER}. */
+    /** Returns when an update is due, or {@link Node#NEVER}. */
     long nextNanos() {
-        return mNews.values().stream().mapToLong(s -> s.mNextAt).min().orElse(Node.NEVER);
+        return mUpdates.values().stream().mapToLong(s -> s.mNextAt).min().orElse(Node.NEVER);
     }
 }
--- a/src/test/java/org/coltsfootproxy/quarantine/PromptQuarantineTest.java
+++ b/src/test/java/org/coltsfootproxy/quarantine/PromptQuarantineTest.java
@@ -40,7 +40,7 @@
     }
 
     private void crash(PromptQuarantine host, int target, String... parts) {
-        host.answerBroke(TargetId.of("t" + target), "call-" + target, parts(parts), mNow);
+        host.answerCut(TargetId.of("t" + target), "call-" + target, parts(parts), mNow);
     }
 
     private void answer(PromptQuarantine host, String... parts) {
@@ -121,7 +121,7 @@
     @Test
     public void repeatedCrashReportsOfOneTargetCountOnce() {
         for (int n = 0; n < 9; n++) {
-            mQuarantine.answerBroke(TargetId.of("t" + n % 2), "call-" + n, parts("bad"), mNow);
+            mQuarantine.answerCut(TargetId.of("t" + n % 2), "call-" + n, parts("bad"), mNow);
         }
         run(SECOND);
         assertFalse(isQuarantined(mQuarantine, "bad"));
