Logs say which requests have the same caller, path and body

Events 402 and 403 name the hash of the content, which the load shedder computed for itself so far; the host field and the method belong to it now.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
@@ -18,6 +18,7 @@
                 LogField.of("request", request.name()),
                 LogField.of("route", request.route().id()),
                 LogField.of("organisation", request.organisation().id()),
+                LogField.of("content", Long.toHexString(request.contentHash())),
                 LogField.of("promptParts", request.promptParts()),
                 LogField.of("target", target.listed().id()),
                 LogField.of("online", target.online()),
@@ -48,6 +49,7 @@
                 LogField.of("ran", ran.label()),
                 LogField.of("hadHead", request.hasHead()),
                 LogField.of("hadEvents", request.hasProgressed()),
+                LogField.of("content", Long.toHexString(request.contentHash())),
                 LogField.of("promptParts", request.promptParts()),
                 LogField.of("after", request.events().lastId().orElse("")));
     }
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.direct;
 
+import com.google.common.hash.Hashing;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -38,6 +39,7 @@
     private final Organisation mOrganisation;
     private final boolean mIsOpen;
     private final List<PromptPartId> mPromptParts;
+    private final long mContentHash;
     private final long mArrived;
     private final long mDeadline;
     private final Set<TargetId> mTried = new HashSet<>();
@@ -64,6 +66,7 @@
             Organisation organisation,
             boolean isOpen,
             List<PromptPartId> promptParts,
+            long contentHash,
             long arrived,
             long deadline) {
         mCall = call;
@@ -73,6 +76,7 @@
         mOrganisation = organisation;
         mIsOpen = isOpen;
         mPromptParts = promptParts;
+        mContentHash = contentHash;
         mArrived = arrived;
         mLastActivity = arrived;
         mDeadline = deadline;
@@ -93,18 +97,36 @@
             List<PromptPartId> promptParts,
             long nowNanos) {
         long millis = Math.min(forward.callerTimeoutMillis(), route.timeoutMillis());
+        Organisation caller = organisation.orElse(OpenCallers.ORGANISATION);
         return new DirectRequest(
                 call,
                 forward.requestName(),
                 route,
                 service,
-                organisation.orElse(OpenCallers.ORGANISATION),
+                caller,
                 organisation.isEmpty(),
                 List.copyOf(promptParts),
+                contentHash(call, forward, caller),
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
+    private static long contentHash(
+            Input.HttpCall call, CallerCall.Forward forward, Organisation caller) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putUnencodedChars(caller.id().value())
+                .putChar('\n')
+                .putUnencodedChars(call.method())
+                .putChar('\n')
+                .putUnencodedChars(forward.hostName())
+                .putUnencodedChars(call.path())
+                .putChar('\n')
+                .putBytes(call.body())
+                .hash()
+                .asLong();
+    }
+
     Input.HttpCall call() {
         return mCall;
     }
@@ -136,6 +158,14 @@
         return mPromptParts;
     }
 
+    /**
+     * Returns a hash of the caller, the path and the body, by which a repeat is recognised: it has
+     * another request id.
+     */
+    long contentHash() {
+        return mContentHash;
+    }
+
     long arrived() {
         return mArrived;
     }
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -2,8 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -115,7 +113,7 @@
         if (goal == 0 || wait <= MAX_WAIT_FRACTION * goal) {
             return OptionalLong.empty();
         }
-        long hash = contentHash(request);
+        long hash = request.contentHash();
         long remaining = request.deadline() - nowNanos;
         long maxRetryAfter = (long) (remaining * MAX_RETRY_AFTER_FRACTION);
         boolean hasTimeToRetry = maxRetryAfter > MIN_RETRY_AFTER_NANOS + goal;
@@ -180,17 +178,6 @@
                 : bySlots;
     }
 
-    /** Identifies a request by its content, because a retry has a new request id. */
-    private static long contentHash(DirectRequest request) {
-        return Hashing.murmur3_128()
-                .newHasher()
-                .putString(request.organisation().id().value(), StandardCharsets.UTF_8)
-                .putString(request.call().path(), StandardCharsets.UTF_8)
-                .putBytes(request.call().body())
-                .hash()
-                .asLong();
-    }
-
     /** Returns the requests refused here that other entries don't know of yet; empty if none. */
     Optional<FleetMessage.RefusedRequests> takeReport() {
         if (mUnreported.isEmpty()) {
