Test that fails: a request that crashes its targets is sent on and on

One request with the same caller, path and body, under another id each time, comes every 600 ms at any entry and crashes each target that runs it: before its head, after it, in a resumable stream, as a call that must not be repeated.

--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -475,6 +475,11 @@
         return call(entry, "POST", path, requestHeaders(name, key), "body of " + name);
     }
 
+    /** Sends a request with the first organisation's key and the given body. */
+    Answer requestWithBody(HostId entry, String name, String path, String body) {
+        return call(entry, "POST", path, requestHeaders(name, ALPHA_KEY), body);
+    }
+
     /** Sends a request with the first organisation's key whose prompt has the given parts. */
     Answer requestWithPrompt(HostId entry, String name, String path, String promptParts) {
         List<Header> headers = new ArrayList<>(requestHeaders(name, ALPHA_KEY));
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -31,6 +31,10 @@
     final String mAddress;
     final String mDataCentre;
     final List<Run> mRuns = new ArrayList<>();
+
+    /** All calls that have reached the target, also those that it refused. */
+    final List<Run> mArrivals = new ArrayList<>();
+
     int mSlots = 8;
     int mQueueCapacity = 24;
     int mEventCount = 10;
@@ -80,6 +84,12 @@
     /** Prompt part on which the target crashes as it begins an answer; empty for none. */
     String mCrashingPart = "";
 
+    /** Path of the requests that crash the target when they run; empty for none. */
+    String mCrashingPath = "";
+
+    /** Number of events that such a request gets before the crash; 0 if not even the head. */
+    int mEventsBeforeCrash;
+
     /** Called when the target has crashed. */
     Runnable mOnCrash = () -> {};
 
@@ -145,6 +155,9 @@
 
     private void accept(HostId host, Effect.TargetCall call) {
         Run run = new Run(host, call, mFleet.now());
+        if (!mIsDown) {
+            mArrivals.add(run);
+        }
         if (mIsDown) {
             fail(host, call.call(), ErrorKind.TARGET_FAILED, Ran.NO);
         } else if (mIsSilent) {
@@ -178,7 +191,9 @@
     private void start(Run run) {
         mRunningCount++;
         mRuns.add(run);
-        if (mErrorStatus != 0) {
+        if (crashesOn(run) && mEventsBeforeCrash == 0) {
+            mFleet.after(mEventIntervalNanos, () -> crash(run));
+        } else if (mErrorStatus != 0) {
             int status = mErrorStatus;
             mFleet.after(
                     mEventIntervalNanos,
@@ -203,7 +218,8 @@
             head(run, 200, List.of(Header.of("Content-Type", "text/event-stream")));
         }
         String text = "id: " + number + "\ndata: " + run.mRequest + "-" + number + "\n\n";
-        if (holdsCrashingPart(run)) {
+        boolean hasItsEvents = number > run.mResumeAfter + mEventsBeforeCrash;
+        if (holdsCrashingPart(run) || crashesOn(run) && hasItsEvents) {
             chunk(run, text.substring(0, text.length() / 2));
             crash();
             return;
@@ -241,6 +257,16 @@
                         .isPresent();
     }
 
+    private boolean crashesOn(Run run) {
+        return run.mCall.path().equals(mCrashingPath);
+    }
+
+    private void crash(Run run) {
+        if (!run.mIsFinished) {
+            crash();
+        }
+    }
+
     private void cutAnswer(Run run) {
         end(run, () -> fail(run.mHost, run.mCall.call(), ErrorKind.ANSWER_CUT, Ran.MAYBE));
     }
