Names: what may crash targets has an id of its own

No change of logic. SuspectId stands where the quarantine named parts of prompts, so that other content of a call can be a suspect as well; its encoding is that of the part ids before. CallContent is what requests and items tell the quarantine. CrashQuarantine, CrashReport and Quarantined are the former PromptQuarantine, PromptReport and QuarantinedPart. CrashQuarantineTest, PromptCrashTest, DirectCallsTest pass.

--- a/src/main/java/org/coltsfootproxy/control/FleetCommand.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCommand.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
-import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.RecordCodec;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.WireCode;
 
 /** A command of the configuration log that changes the {@link FleetState}. */
@@ -21,5 +21,5 @@
 
     /** Replaces the quarantined parts of prompts. */
     @WireCode(3)
-    record Quarantine(List<PromptPartId> parts) implements FleetCommand {}
+    record Quarantine(List<SuspectId> parts) implements FleetCommand {}
 }
--- a/src/main/java/org/coltsfootproxy/control/FleetState.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetState.java
@@ -5,9 +5,9 @@
 import java.util.TreeSet;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
-import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.RecordCodec;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.WireCode;
 import org.coltsfootproxy.consensus.StateMachine;
 
@@ -20,7 +20,7 @@
 
     private List<Member> mInitialMembers = List.of();
     private final Set<HostId> mRetiring = new TreeSet<>();
-    private Set<PromptPartId> mQuarantined = Set.of();
+    private Set<SuspectId> mQuarantined = Set.of();
 
     /** The encoding of the state in snapshots. */
     sealed interface Snapshot {
@@ -29,7 +29,7 @@
         /** The complete state. */
         @WireCode(1)
         record Contents(
-                List<Member> initialMembers, List<HostId> retiring, List<PromptPartId> quarantined)
+                List<Member> initialMembers, List<HostId> retiring, List<SuspectId> quarantined)
                 implements Snapshot {
             /** Fills in what a snapshot of an earlier version lacks. */
             public Contents {
@@ -49,7 +49,7 @@
     }
 
     /** Returns the parts of prompts that are quarantined. */
-    Set<PromptPartId> quarantined() {
+    Set<SuspectId> quarantined() {
         return mQuarantined;
     }
 
--- a/src/main/java/org/coltsfootproxy/control/QuarantineStore.java
+++ b/src/main/java/org/coltsfootproxy/control/QuarantineStore.java
@@ -9,7 +9,7 @@
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
-import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.consensus.Proposer;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effects;
@@ -35,7 +35,7 @@
     private final RaftGroup mConfig;
 
     /** The end of each part's quarantine, and when it was last reported. */
-    private final Map<PromptPartId, Reported> mReported = new HashMap<>();
+    private final Map<SuspectId, Reported> mReported = new HashMap<>();
 
     private boolean mIsProposing;
 
@@ -48,13 +48,13 @@
 
     /** Handles an enrolment, and tells the host of the parts that it does not know. */
     void enrolled(HostId host, FleetMessage.Enrol enrol, long nowNanos, Effects out) {
-        Set<PromptPartId> known = new HashSet<>();
-        for (FleetMessage.QuarantinedPart part : enrol.quarantined()) {
+        Set<SuspectId> known = new HashSet<>();
+        for (FleetMessage.Quarantined part : enrol.quarantined()) {
             long end = nowNanos + TimeUnit.MILLISECONDS.toNanos(part.remainingMillis());
-            mReported.put(part.part(), new Reported(end, nowNanos));
-            known.add(part.part());
+            mReported.put(part.suspect(), new Reported(end, nowNanos));
+            known.add(part.suspect());
         }
-        List<FleetMessage.QuarantinedPart> unknown =
+        List<FleetMessage.Quarantined> unknown =
                 mState.quarantined().stream()
                         .filter(part -> !known.contains(part))
                         .map(part -> remaining(part, nowNanos))
@@ -65,10 +65,10 @@
         }
     }
 
-    private FleetMessage.QuarantinedPart remaining(PromptPartId part, long nowNanos) {
+    private FleetMessage.Quarantined remaining(SuspectId part, long nowNanos) {
         Reported reported = mReported.get(part);
         long nanos = reported == null ? UNKNOWN_REMAINING_NANOS : reported.end() - nowNanos;
-        return new FleetMessage.QuarantinedPart(part, TimeUnit.NANOSECONDS.toMillis(nanos));
+        return new FleetMessage.Quarantined(part, TimeUnit.NANOSECONDS.toMillis(nanos));
     }
 
     /**
@@ -81,9 +81,9 @@
             // Nobody could report; the time for reports begins when hosts are back.
             mReported.replaceAll((part, reported) -> new Reported(reported.end(), nowNanos));
         }
-        Set<PromptPartId> stored = mState.quarantined();
+        Set<SuspectId> stored = mState.quarantined();
         stored.forEach(part -> mReported.computeIfAbsent(part, p -> unreported(nowNanos)));
-        Set<PromptPartId> reported =
+        Set<SuspectId> reported =
                 mReported.entrySet().stream()
                         .filter(part -> nowNanos - part.getValue().at() < RELEASE_NANOS)
                         .map(Map.Entry::getKey)
@@ -99,9 +99,9 @@
         return new Reported(nowNanos + UNKNOWN_REMAINING_NANOS, nowNanos);
     }
 
-    private void propose(Set<PromptPartId> parts) {
+    private void propose(Set<SuspectId> parts) {
         mIsProposing = true;
-        List<PromptPartId> sorted = parts.stream().sorted().toList();
+        List<SuspectId> sorted = parts.stream().sorted().toList();
         mConfig.propose(
                 ConfigStateMachine.fleetCommand(new FleetCommand.Quarantine(sorted)),
                 new Proposer.Completion() {
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -36,7 +36,7 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
-import org.coltsfootproxy.quarantine.PromptQuarantine;
+import org.coltsfootproxy.quarantine.CrashQuarantine;
 
 /**
  * The decisions of a store, a host that stores and runs batch jobs in a fleet that discovers its
@@ -67,7 +67,7 @@
     private final JobService mJobService;
     private final TargetCalls mCalls = TargetCalls.create();
     private final Targets mTargets;
-    private final PromptQuarantine mQuarantine = PromptQuarantine.create();
+    private final CrashQuarantine mQuarantine = CrashQuarantine.create();
     private final HostReports mReports;
     private final ItemWorker mWorker;
     private Optional<HostId> mLeader = Optional.empty();
--- a/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
@@ -19,7 +19,7 @@
                 LogField.of("route", request.route().id()),
                 LogField.of("organisation", request.organisation().id()),
                 LogField.of("content", Long.toHexString(request.contentHash())),
-                LogField.of("promptParts", request.promptParts()),
+                LogField.of("promptParts", request.content().parts()),
                 LogField.of("target", target.listed().id()),
                 LogField.of("online", target.online()),
                 LogField.of("batch", target.batch()),
@@ -50,7 +50,7 @@
                 LogField.of("hadHead", request.hasHead()),
                 LogField.of("hadEvents", request.hasProgressed()),
                 LogField.of("content", Long.toHexString(request.contentHash())),
-                LogField.of("promptParts", request.promptParts()),
+                LogField.of("promptParts", request.content().parts()),
                 LogField.of("after", request.events().lastId().orElse("")));
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -9,8 +9,8 @@
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
-import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.Ran;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.entry.CallerCheck;
@@ -21,7 +21,7 @@
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
-import org.coltsfootproxy.quarantine.PromptQuarantine;
+import org.coltsfootproxy.quarantine.CrashQuarantine;
 
 /**
  * Runs online requests at an entry that calls targets directly, from the caller's call to the end
@@ -59,12 +59,12 @@
     private final Targets mTargets;
     private final LoadExchange mLoadExchange;
     private final LoadShedder mLoadShedder;
-    private final PromptQuarantine mQuarantine;
+    private final CrashQuarantine mQuarantine;
     private final Limiter mLimiter;
     private final Map<Long, DirectRequest> mRequests = new HashMap<>();
     private final Timers<Long> mTimers = Timers.create();
 
-    /** {@link PromptQuarantine#version} for which the requests in flight were checked. */
+    /** {@link CrashQuarantine#version} for which the requests in flight were checked. */
     private long mCheckedQuarantine;
 
     DirectCalls(
@@ -74,7 +74,7 @@
             Targets targets,
             LoadExchange loadExchange,
             LoadShedder loadShedder,
-            PromptQuarantine quarantine,
+            CrashQuarantine quarantine,
             Limiter limiter) {
         mAnswers = answers;
         mProtocol = protocol;
@@ -115,10 +115,10 @@
 
     /** Returns why a request may not be sent, if its prompt has a quarantined part. */
     private Optional<Failure> quarantineFailure(DirectRequest request) {
-        return mQuarantine.firstQuarantined(request.promptParts()).map(DirectCalls::refusal);
+        return mQuarantine.firstQuarantined(request.content()).map(DirectCalls::refusal);
     }
 
-    private static Failure refusal(PromptPartId part) {
+    private static Failure refusal(SuspectId part) {
         return Failure.notRun(
                 ErrorKind.PROMPT_QUARANTINED, "part " + part + " of the prompt crashes targets", 0);
     }
@@ -267,7 +267,7 @@
             boolean hadProgressed = mRequest.hasProgressed();
             byte[] complete = mRequest.append(bytes, now);
             if (!hadProgressed && mRequest.hasProgressed()) {
-                mQuarantine.answerProgressed(mRequest.promptParts(), now, out);
+                mQuarantine.answerProgressed(mRequest.content(), now, out);
             }
             if (complete.length > 0) {
                 out.add(new Effect.HttpChunk(mRequest.call().call(), complete));
@@ -293,7 +293,7 @@
                 return;
             }
             if (!mRequest.hasProgressed()) {
-                mQuarantine.answerProgressed(mRequest.promptParts(), now, out);
+                mQuarantine.answerProgressed(mRequest.content(), now, out);
             }
             mLoadShedder.completed(mRequest, now);
             releaseTarget(mRequest);
@@ -316,7 +316,7 @@
             mQuarantine.answerCut(
                     request.target().orElseThrow().listed().id(),
                     request.name(),
-                    request.promptParts(),
+                    request.content(),
                     now);
         }
     }
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -32,7 +32,7 @@
 import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.node.Node;
 import org.coltsfootproxy.node.Problem;
-import org.coltsfootproxy.quarantine.PromptQuarantine;
+import org.coltsfootproxy.quarantine.CrashQuarantine;
 
 /**
  * The state machine of an entry host that finds the fleet by seeds and calls targets directly.
@@ -55,7 +55,7 @@
     private final FleetMembership mMembership;
     private final Targets mTargets;
     private final TargetCalls mTargetCalls = TargetCalls.create();
-    private final PromptQuarantine mQuarantine = PromptQuarantine.create();
+    private final CrashQuarantine mQuarantine = CrashQuarantine.create();
     private final HostReports mReports;
     private final LoadShedder mLoadShedder;
     private final EarlyCalls mEarlyCalls = new EarlyCalls();
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -14,6 +14,7 @@
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.entry.OpenCallers;
 import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.quarantine.CallContent;
 
 /** One online request and its progress. */
 final class DirectRequest {
@@ -38,7 +39,7 @@
     private final ServiceId mService;
     private final Organisation mOrganisation;
     private final boolean mIsOpen;
-    private final List<PromptPartId> mPromptParts;
+    private final CallContent mContent;
     private final long mContentHash;
     private final long mArrived;
     private final long mDeadline;
@@ -65,7 +66,7 @@
             ServiceId service,
             Organisation organisation,
             boolean isOpen,
-            List<PromptPartId> promptParts,
+            CallContent content,
             long contentHash,
             long arrived,
             long deadline) {
@@ -75,7 +76,7 @@
         mService = service;
         mOrganisation = organisation;
         mIsOpen = isOpen;
-        mPromptParts = promptParts;
+        mContent = content;
         mContentHash = contentHash;
         mArrived = arrived;
         mLastActivity = arrived;
@@ -105,7 +106,7 @@
                 service,
                 caller,
                 organisation.isEmpty(),
-                List.copyOf(promptParts),
+                CallContent.ofItem(promptParts),
                 contentHash(call, forward, caller),
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
@@ -153,9 +154,9 @@
         return mIsOpen;
     }
 
-    /** Returns the parts of the prompt that other requests may share, in their order. */
-    List<PromptPartId> promptParts() {
-        return mPromptParts;
+    /** Returns what of the request may crash targets. */
+    CallContent content() {
+        return mContent;
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/direct/HostReports.java
+++ b/src/main/java/org/coltsfootproxy/direct/HostReports.java
@@ -11,13 +11,13 @@
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Node;
-import org.coltsfootproxy.quarantine.PromptQuarantine;
+import org.coltsfootproxy.quarantine.CrashQuarantine;
 import org.coltsfootproxy.relay.RelayGroups;
 import org.coltsfootproxy.relay.ReportRelay;
 
 /**
  * Composes the reports of this host and applies those of the others: calls in flight, admitted and
- * refused requests, targets that leave, and parts of prompts that crash targets.
+ * refused requests, targets that leave, and what crashes targets.
  *
  * <p>All parts travel in one report, which is sent as soon as one part is due.
  */
@@ -29,7 +29,7 @@
     private final long mEpoch;
     private final Targets mTargets;
     private final LoadExchange mLoads;
-    private final PromptQuarantine mQuarantine;
+    private final CrashQuarantine mQuarantine;
     private final Optional<SharedCountLimiter> mLimiter;
     private final Optional<LoadShedder> mShedder;
     private final ReportRelay mRelay;
@@ -42,7 +42,7 @@
             long epoch,
             Targets targets,
             LoadExchange loads,
-            PromptQuarantine quarantine,
+            CrashQuarantine quarantine,
             Optional<SharedCountLimiter> limiter,
             Optional<LoadShedder> shedder) {
         mSelf = checkNotNull(self, "self");
@@ -65,7 +65,7 @@
             long epoch,
             Targets targets,
             LoadExchange loads,
-            PromptQuarantine quarantine,
+            CrashQuarantine quarantine,
             SharedCountLimiter limiter,
             LoadShedder shedder) {
         return new HostReports(
@@ -88,7 +88,7 @@
             long epoch,
             Targets targets,
             LoadExchange loads,
-            PromptQuarantine quarantine) {
+            CrashQuarantine quarantine) {
         return new HostReports(
                 self, epoch, targets, loads, quarantine, Optional.empty(), Optional.empty());
     }
@@ -104,8 +104,8 @@
             if (report.usage() != null) {
                 mLimiter.ifPresent(l -> l.handle(origin, report.epoch(), report.usage(), nowNanos));
             }
-            if (report.prompts() != null) {
-                mQuarantine.handle(report.prompts(), nowNanos, out);
+            if (report.crashes() != null) {
+                mQuarantine.handle(report.crashes(), nowNanos, out);
             }
             if (report.refused() != null) {
                 mShedder.ifPresent(s -> s.handle(report.refused(), nowNanos));
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -14,6 +14,7 @@
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
 import org.coltsfootproxy.message.PartialOutput;
+import org.coltsfootproxy.quarantine.CallContent;
 
 /** One batch item that this host runs: its output so far and the target it is at. */
 final class ItemRun {
@@ -25,7 +26,7 @@
 
     private final LeasedItem mItem;
     private final ItemCall.Post mCall;
-    private final List<PromptPartId> mPromptParts;
+    private final CallContent mContent;
     private final long mStartedAt;
     private final Set<TargetId> mTried = new HashSet<>();
     private final EventReader mEvents = new EventReader();
@@ -41,11 +42,10 @@
     private int mReportedBytes;
     private long mLastActivity;
 
-    private ItemRun(
-            LeasedItem item, ItemCall.Post call, List<PromptPartId> promptParts, long nowNanos) {
+    private ItemRun(LeasedItem item, ItemCall.Post call, CallContent content, long nowNanos) {
         mItem = item;
         mCall = call;
-        mPromptParts = List.copyOf(promptParts);
+        mContent = content;
         mStartedAt = nowNanos;
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
@@ -62,7 +62,7 @@
      */
     static ItemRun of(
             LeasedItem item, ItemCall.Post call, List<PromptPartId> promptParts, long nowNanos) {
-        return new ItemRun(item, call, promptParts, nowNanos);
+        return new ItemRun(item, call, CallContent.ofItem(promptParts), nowNanos);
     }
 
     LeasedItem item() {
@@ -77,9 +77,9 @@
         return mCall;
     }
 
-    /** Returns the parts of the prompt that other calls may share, in their order. */
-    List<PromptPartId> promptParts() {
-        return mPromptParts;
+    /** Returns what of the item may crash targets. */
+    CallContent content() {
+        return mContent;
     }
 
     long startedAt() {
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -36,7 +36,7 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.LogField;
-import org.coltsfootproxy.quarantine.PromptQuarantine;
+import org.coltsfootproxy.quarantine.CrashQuarantine;
 
 /**
  * Runs batch items at targets that this host calls directly.
@@ -86,13 +86,13 @@
     private final TargetProtocol mProtocol;
     private final TargetCalls mCalls;
     private final Targets mTargets;
-    private final PromptQuarantine mQuarantine;
+    private final CrashQuarantine mQuarantine;
     private final Supplier<ConfigView> mConfig;
     private final Map<LeaseRef, ItemRun> mRuns = new HashMap<>();
     private final Timers<LeaseRef> mTimers = Timers.create();
     private final Map<ServiceId, StartPacer> mPacers = new HashMap<>();
 
-    /** {@link PromptQuarantine#version} for which the items at targets were checked. */
+    /** {@link CrashQuarantine#version} for which the items at targets were checked. */
     private long mCheckedQuarantine;
 
     private int mWorkers;
@@ -107,7 +107,7 @@
             TargetProtocol protocol,
             TargetCalls calls,
             Targets targets,
-            PromptQuarantine quarantine,
+            CrashQuarantine quarantine,
             Supplier<ConfigView> config) {
         mPuller =
                 ItemPuller.create(JOB_GROUP, incarnation, ServiceId.ANY, 1, controls, new Runner());
@@ -132,7 +132,7 @@
             TargetProtocol protocol,
             TargetCalls calls,
             Targets targets,
-            PromptQuarantine quarantine,
+            CrashQuarantine quarantine,
             Supplier<ConfigView> config) {
         return new ItemWorker(incarnation, controls, protocol, calls, targets, quarantine, config);
     }
@@ -248,7 +248,7 @@
                 LogField.of("job", run.lease().job()),
                 LogField.of("item", run.lease().item()),
                 LogField.of("lease", run.lease().fence()),
-                LogField.of("promptParts", run.promptParts()),
+                LogField.of("promptParts", run.content().parts()),
                 LogField.of("target", target.get().listed().id()),
                 LogField.of("online", target.get().online()),
                 LogField.of("batch", target.get().batch()),
@@ -257,7 +257,7 @@
     }
 
     private boolean isQuarantined(ItemRun run) {
-        return mQuarantine.firstQuarantined(run.promptParts()).isPresent();
+        return mQuarantine.firstQuarantined(run.content()).isPresent();
     }
 
     private boolean waitsInQuarantine(ItemRun run) {
@@ -314,7 +314,7 @@
                 mRun.append(bytes, now);
             }
             if (!hadProgressed && mRun.hasProgressed()) {
-                mQuarantine.answerProgressed(mRun.promptParts(), now, out);
+                mQuarantine.answerProgressed(mRun.content(), now, out);
             }
             if (mRun.isTooLong()) {
                 mCalls.cancel(mRun.targetCall(), out);
@@ -350,7 +350,7 @@
             mQuarantine.answerCut(
                     run.target().orElseThrow().listed().id(),
                     run.lease().job() + "/" + run.lease().item(),
-                    run.promptParts(),
+                    run.content(),
                     now);
         }
     }
@@ -417,7 +417,7 @@
                 LogField.of("why", why),
                 LogField.of("hadHead", run.hasSuccess()),
                 LogField.of("hadEvents", run.hasProgressed()),
-                LogField.of("promptParts", run.promptParts()),
+                LogField.of("promptParts", run.content().parts()),
                 LogField.of("after", run.lastEvent().orElse("")));
     }
 
--- a/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
@@ -207,7 +207,7 @@
     public void tick(
             long listing,
             FleetMessage.StoreState store,
-            List<FleetMessage.QuarantinedPart> quarantined,
+            List<FleetMessage.Quarantined> quarantined,
             long nowNanos,
             Effects out) {
         if (nowNanos - mNextEnrolmentNanos < 0) {
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -6,7 +6,7 @@
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.OrganisationId;
-import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.WireCode;
 
@@ -28,7 +28,7 @@
      * @param name name by which operators know the host
      * @param known versions of the roster and target list that the sender has
      * @param store state of the sender's job store; null from an entry
-     * @param quarantined parts of prompts with which the sender sends no calls
+     * @param quarantined what the calls that the sender sends must not have
      */
     @WireCode(700)
     record Enrol(
@@ -37,7 +37,7 @@
             DataCentre dataCentre,
             KnownVersions known,
             StoreState store,
-            List<QuarantinedPart> quarantined)
+            List<Quarantined> quarantined)
             implements FleetMessage {
         /** Copies the list. */
         public Enrol {
@@ -158,7 +158,7 @@
      * @param usage admitted requests; null if the report has none
      * @param refused refused requests; null if the report has none
      * @param leaving targets whose responses to the origin said recently that they are leaving
-     * @param prompts parts of prompts that crash targets; null if the report has none
+     * @param crashes what crashes targets; null if the report has none
      */
     record HostReport(
             HostId origin,
@@ -168,7 +168,7 @@
             Usage usage,
             RefusedRequests refused,
             List<LeavingTarget> leaving,
-            PromptReport prompts) {
+            CrashReport crashes) {
         /** Copies the list. */
         public HostReport {
             leaving = List.copyOf(leaving);
@@ -176,18 +176,16 @@
     }
 
     /**
-     * What a host has seen of the parts of prompts.
+     * What a host has seen of crashes of targets.
      *
      * @param crashes targets that ended as they began an answer to a call of the host
-     * @param sound parts that others may suspect, with which the host's calls were answered
-     * @param quarantined parts with which the host sends no calls
+     * @param sound what others may suspect, and calls of the host with it were answered
+     * @param quarantined what the calls that the host sends must not have
      */
-    record PromptReport(
-            List<TargetCrash> crashes,
-            List<PromptPartId> sound,
-            List<QuarantinedPart> quarantined) {
+    record CrashReport(
+            List<TargetCrash> crashes, List<SuspectId> sound, List<Quarantined> quarantined) {
         /** Copies the lists. */
-        public PromptReport {
+        public CrashReport {
             crashes = List.copyOf(crashes);
             sound = List.copyOf(sound);
             quarantined = List.copyOf(quarantined);
@@ -200,22 +198,22 @@
      * @param call id of the request or batch item
      * @param parts parts of its prompt that other calls may share, in their order
      */
-    record TargetCrash(TargetId target, String call, List<PromptPartId> parts) {
+    record TargetCrash(TargetId target, String call, List<SuspectId> parts) {
         /** Copies the list. */
         public TargetCrash {
             parts = List.copyOf(parts);
         }
     }
 
-    /** A part of prompts that is quarantined for some further time. */
-    record QuarantinedPart(PromptPartId part, long remainingMillis) {}
+    /** What is quarantined for some further time, because targets crash on it. */
+    record Quarantined(SuspectId suspect, long remainingMillis) {}
 
-    /** Control to entry or store: quarantined parts that the receiver does not know. */
+    /** Control to entry or store: what is quarantined and the receiver does not know of. */
     @WireCode(710)
-    record Quarantine(List<QuarantinedPart> parts) implements FleetMessage {
+    record Quarantine(List<Quarantined> suspects) implements FleetMessage {
         /** Copies the list. */
         public Quarantine {
-            parts = List.copyOf(parts);
+            suspects = List.copyOf(suspects);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/quarantine/CrashEvidence.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashEvidence.java
@@ -14,7 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Node;
@@ -53,16 +53,16 @@
     private final Deque<Long> mReviews = new ArrayDeque<>();
 
     /** The parts that may have caused a crash, in the order of the prompt, and when it was seen. */
-    private record Suspects(List<PromptPartId> parts, long at) {}
+    private record Suspects(List<SuspectId> parts, long at) {}
 
     /** The crashes in which one part is a suspect. */
     private static final class Case {
-        private final PromptPartId mPart;
+        private final SuspectId mPart;
         private final int mFirstCrash;
         private final Set<TargetId> mTargets = new HashSet<>();
         private int mPosition;
 
-        Case(PromptPartId part, int firstCrash) {
+        Case(SuspectId part, int firstCrash) {
             mPart = part;
             mFirstCrash = firstCrash;
         }
@@ -78,7 +78,7 @@
      *
      * @param suspects the parts of the call's prompt that are not known to be sound
      */
-    void add(FleetMessage.TargetCrash crash, List<PromptPartId> suspects, long nowNanos) {
+    void add(FleetMessage.TargetCrash crash, List<SuspectId> suspects, long nowNanos) {
         if (mCrashes.putIfAbsent(crash, new Suspects(new ArrayList<>(suspects), nowNanos))
                 == null) {
             mReviews.add(nowNanos + REVIEW_DELAY_NANOS);
@@ -99,26 +99,26 @@
     }
 
     /** Returns whether a part is a suspect. */
-    boolean isSuspect(PromptPartId part) {
+    boolean isSuspect(SuspectId part) {
         return mCrashes.values().stream().anyMatch(suspects -> suspects.parts().contains(part));
     }
 
     /** Clears a part of all crashes so far, because a call with it was answered. */
-    void clear(PromptPartId part) {
+    void clear(SuspectId part) {
         mCrashes.values().forEach(suspects -> suspects.parts().remove(part));
     }
 
     /** Removes the crashes that a part has caused. */
-    void removeCausedBy(PromptPartId part) {
+    void removeCausedBy(SuspectId part) {
         mCrashes.values().removeIf(suspects -> suspects.parts().contains(part));
     }
 
     /** Returns the part that caused most of the crashes that count by now; empty if none did. */
-    Optional<PromptPartId> culprit(long nowNanos) {
+    Optional<SuspectId> culprit(long nowNanos) {
         while (!mReviews.isEmpty() && nowNanos - mReviews.peek() >= 0) {
             mReviews.remove();
         }
-        Map<PromptPartId, Case> cases = new LinkedHashMap<>();
+        Map<SuspectId, Case> cases = new LinkedHashMap<>();
         int crashes = 0;
         for (Map.Entry<FleetMessage.TargetCrash, Suspects> crash : mCrashes.entrySet()) {
             Suspects suspects = crash.getValue();
@@ -145,7 +145,7 @@
     }
 
     /** Returns the crashes of which a part is a suspect, for the log. */
-    String describe(PromptPartId part, long nowNanos) {
+    String describe(SuspectId part, long nowNanos) {
         return mCrashes.entrySet().stream()
                 .filter(crash -> crash.getValue().parts().contains(part))
                 .map(
--- a/src/main/java/org/coltsfootproxy/quarantine/PromptQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
@@ -9,7 +9,7 @@
 import java.util.stream.LongStream;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Metric;
-import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effects;
@@ -23,7 +23,7 @@
  * <p>Every host draws its own conclusions from what all of them report, so none depends on another.
  * A conclusion is reported as well, regularly, for hosts that have started since.
  */
-public final class PromptQuarantine {
+public final class CrashQuarantine {
     /** How long a part stays quarantined. */
     static final long QUARANTINE_NANOS = TimeUnit.HOURS.toNanos(1);
 
@@ -41,18 +41,18 @@
     private final SoundParts mSoundHere = new SoundParts();
 
     /** The end of each part's quarantine. */
-    private final Map<PromptPartId, Long> mQuarantined = new LinkedHashMap<>();
+    private final Map<SuspectId, Long> mQuarantined = new LinkedHashMap<>();
 
     private final RepeatedUpdates<FleetMessage.TargetCrash> mCrashUpdates = new RepeatedUpdates<>();
-    private final RepeatedUpdates<PromptPartId> mSoundUpdates = new RepeatedUpdates<>();
+    private final RepeatedUpdates<SuspectId> mSoundUpdates = new RepeatedUpdates<>();
     private long mNextRepeat = Node.NEVER;
     private long mVersion;
 
-    private PromptQuarantine() {}
+    private CrashQuarantine() {}
 
     /** Returns an instance without quarantined parts. */
-    public static PromptQuarantine create() {
-        return new PromptQuarantine();
+    public static CrashQuarantine create() {
+        return new CrashQuarantine();
     }
 
     /** Returns a number that grows whenever a part is quarantined. */
@@ -60,11 +60,11 @@
         return mVersion;
     }
 
-    /** Returns the first of the parts that is quarantined, if there is one. */
-    public Optional<PromptPartId> firstQuarantined(List<PromptPartId> parts) {
+    /** Returns what of a call's content is quarantined, if anything is. */
+    public Optional<SuspectId> firstQuarantined(CallContent content) {
         return mQuarantined.isEmpty()
                 ? Optional.empty()
-                : parts.stream().filter(mQuarantined::containsKey).findFirst();
+                : content.suspects().filter(mQuarantined::containsKey).findFirst();
     }
 
     /**
@@ -72,27 +72,26 @@
      * output, as a target does that crashes on the call.
      *
      * @param call id of the call
-     * @param parts parts of its prompt that other calls may share, in their order
      */
-    public void answerCut(TargetId target, String call, List<PromptPartId> parts, long nowNanos) {
-        var crash = new FleetMessage.TargetCrash(target, call, parts);
-        if (!parts.isEmpty() && !mEvidence.contains(crash)) {
+    public void answerCut(TargetId target, String call, CallContent content, long nowNanos) {
+        var crash = new FleetMessage.TargetCrash(target, call, content.parts());
+        if (!crash.parts().isEmpty() && !mEvidence.contains(crash)) {
             mCrashUpdates.add(crash, nowNanos);
             addEvidence(crash, nowNanos);
         }
     }
 
     private void addEvidence(FleetMessage.TargetCrash crash, long nowNanos) {
-        List<PromptPartId> suspects =
+        List<SuspectId> suspects =
                 crash.parts().stream().filter(part -> !mSound.contains(part, nowNanos)).toList();
-        if (firstQuarantined(suspects).isEmpty()) {
+        if (suspects.stream().noneMatch(mQuarantined::containsKey)) {
             mEvidence.add(crash, suspects, nowNanos);
         }
     }
 
     /** Notes that a target has sent output for a call, so the parts of its prompt are sound. */
-    public void answerProgressed(List<PromptPartId> parts, long nowNanos, Effects out) {
-        for (PromptPartId part : parts) {
+    public void answerProgressed(CallContent content, long nowNanos, Effects out) {
+        for (SuspectId part : content.parts()) {
             mSoundHere.answered(part, nowNanos);
             if (mEvidence.isSuspect(part) || mQuarantined.containsKey(part)) {
                 mSoundUpdates.add(part, nowNanos);
@@ -101,7 +100,7 @@
         }
     }
 
-    private void clear(PromptPartId part, long nowNanos, Effects out) {
+    private void clear(SuspectId part, long nowNanos, Effects out) {
         mSound.answered(part, nowNanos);
         mEvidence.clear(part);
         if (mQuarantined.remove(part) != null) {
@@ -110,7 +109,7 @@
     }
 
     /** Applies another host's report. */
-    public void handle(FleetMessage.PromptReport report, long nowNanos, Effects out) {
+    public void handle(FleetMessage.CrashReport report, long nowNanos, Effects out) {
         report.sound().forEach(part -> clear(part, nowNanos, out));
         for (FleetMessage.TargetCrash crash : report.crashes()) {
             if (!mEvidence.contains(crash)) {
@@ -125,13 +124,13 @@
 
     /** Applies what the control hosts have stored. */
     public void handle(FleetMessage.Quarantine stored, long nowNanos, Effects out) {
-        adopt(stored.parts(), "stored by the control hosts", nowNanos, out);
+        adopt(stored.suspects(), "stored by the control hosts", nowNanos, out);
     }
 
     private void adopt(
-            List<FleetMessage.QuarantinedPart> parts, String why, long nowNanos, Effects out) {
-        for (FleetMessage.QuarantinedPart quarantined : parts) {
-            PromptPartId part = quarantined.part();
+            List<FleetMessage.Quarantined> parts, String why, long nowNanos, Effects out) {
+        for (FleetMessage.Quarantined quarantined : parts) {
+            SuspectId part = quarantined.suspect();
             if (!mQuarantined.containsKey(part) && !mSound.contains(part, nowNanos)) {
                 long end = nowNanos + TimeUnit.MILLISECONDS.toNanos(quarantined.remainingMillis());
                 quarantine(part, end, why, nowNanos, out);
@@ -139,7 +138,7 @@
         }
     }
 
-    private void quarantine(PromptPartId part, long end, String why, long nowNanos, Effects out) {
+    private void quarantine(SuspectId part, long end, String why, long nowNanos, Effects out) {
         if (mQuarantined.size() >= MAX_QUARANTINED) {
             mQuarantined.entrySet().stream()
                     .min(Comparator.comparingLong(Map.Entry::getValue))
@@ -151,7 +150,7 @@
         mVersion++;
         mNextRepeat = nowNanos;
         out.log(
-                EventCode.PART_QUARANTINED,
+                EventCode.SUSPECT_QUARANTINED,
                 LogField.of("part", part),
                 LogField.of("why", why),
                 LogField.of("seconds", TimeUnit.NANOSECONDS.toSeconds(end - nowNanos)),
@@ -159,9 +158,9 @@
         measure(out);
     }
 
-    private void logReleased(PromptPartId part, String why, Effects out) {
+    private void logReleased(SuspectId part, String why, Effects out) {
         out.log(
-                EventCode.PART_RELEASED,
+                EventCode.SUSPECT_RELEASED,
                 LogField.of("part", part),
                 LogField.of("why", why),
                 LogField.of("quarantined", mQuarantined.size()));
@@ -177,16 +176,16 @@
         if (nowNanos - nextTickNanos() < 0) {
             return;
         }
-        List<PromptPartId> expired =
+        List<SuspectId> expired =
                 mQuarantined.entrySet().stream()
                         .filter(part -> nowNanos - part.getValue() >= 0)
                         .map(Map.Entry::getKey)
                         .toList();
-        for (PromptPartId part : expired) {
+        for (SuspectId part : expired) {
             mQuarantined.remove(part);
             logReleased(part, "its time is over", out);
         }
-        Optional<PromptPartId> culprit = mEvidence.culprit(nowNanos);
+        Optional<SuspectId> culprit = mEvidence.culprit(nowNanos);
         while (culprit.isPresent()) {
             String why = mEvidence.describe(culprit.get(), nowNanos);
             quarantine(culprit.get(), nowNanos + QUARANTINE_NANOS, why, nowNanos, out);
@@ -202,26 +201,26 @@
     }
 
     /** Returns what has to be reported to the other hosts now; empty if nothing has. */
-    public Optional<FleetMessage.PromptReport> takeReport(long nowNanos) {
+    public Optional<FleetMessage.CrashReport> takeReport(long nowNanos) {
         if (nowNanos - nextReportNanos() < 0) {
             return Optional.empty();
         }
-        List<FleetMessage.QuarantinedPart> quarantined = List.of();
+        List<FleetMessage.Quarantined> quarantined = List.of();
         if (nowNanos - mNextRepeat >= 0) {
             quarantined = quarantined(nowNanos);
             mNextRepeat = quarantined.isEmpty() ? Node.NEVER : nowNanos + REPEAT_INTERVAL_NANOS;
         }
         return Optional.of(
-                new FleetMessage.PromptReport(
+                new FleetMessage.CrashReport(
                         mCrashUpdates.take(nowNanos), mSoundUpdates.take(nowNanos), quarantined));
     }
 
     /** Returns all quarantined parts with their remaining times. */
-    public List<FleetMessage.QuarantinedPart> quarantined(long nowNanos) {
+    public List<FleetMessage.Quarantined> quarantined(long nowNanos) {
         return mQuarantined.entrySet().stream()
                 .map(
                         part ->
-                                new FleetMessage.QuarantinedPart(
+                                new FleetMessage.Quarantined(
                                         part.getKey(),
                                         TimeUnit.NANOSECONDS.toMillis(part.getValue() - nowNanos)))
                 .toList();
--- a/src/main/java/org/coltsfootproxy/quarantine/SoundParts.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/SoundParts.java
@@ -3,7 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 
 /** The prompt parts with which calls were answered recently. */
 final class SoundParts {
@@ -16,23 +16,23 @@
     private static final int MAX_PARTS = 4_096;
 
     /** When the last answer was seen; the least recently answered part first. */
-    private final Map<PromptPartId, Long> mAnsweredAt =
+    private final Map<SuspectId, Long> mAnsweredAt =
             new LinkedHashMap<>(16, 0.75f, true) {
                 private static final long serialVersionUID = 1L;
 
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<PromptPartId, Long> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<SuspectId, Long> eldest) {
                     return size() > MAX_PARTS;
                 }
             };
 
     /** Notes that a call with a part was answered. */
-    void answered(PromptPartId part, long nowNanos) {
+    void answered(SuspectId part, long nowNanos) {
         mAnsweredAt.put(part, nowNanos);
     }
 
     /** Returns whether a call with a part was answered recently. */
-    boolean contains(PromptPartId part, long nowNanos) {
+    boolean contains(SuspectId part, long nowNanos) {
         Long answeredAt = mAnsweredAt.get(part);
         return answeredAt != null && nowNanos - answeredAt < VALIDITY_NANOS;
     }
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -297,7 +297,7 @@
     }
 
     /** Delivers a report on parts of prompts to all hosts that call targets. */
-    void reportPrompts(FleetMessage.PromptReport prompts) {
+    void reportPrompts(FleetMessage.CrashReport prompts) {
         HostId first = mEntryHosts.get(0);
         Stream.of(mEntryHosts, mStoreHosts)
                 .flatMap(List::stream)
@@ -306,7 +306,7 @@
         deliverReport(mEntryHosts.get(1), first, prompts);
     }
 
-    private void deliverReport(HostId from, HostId to, FleetMessage.PromptReport prompts) {
+    private void deliverReport(HostId from, HostId to, FleetMessage.CrashReport prompts) {
         var report =
                 new FleetMessage.HostReport(
                         from, mRandom.nextLong(), 1, null, null, null, List.of(), prompts);
--- a/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
@@ -9,7 +9,7 @@
 import java.util.Random;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
-import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.platform.PlatformSimulation.Answer;
 import org.testng.annotations.DataProvider;
@@ -159,7 +159,7 @@
     private void crashUntilQuarantined() {
         sendFor(5 * SECOND_NANOS);
         assertTrue(
-                mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED),
+                mSimulation.mLoggedEvents.contains(EventCode.SUSPECT_QUARANTINED),
                 mCrashes.size() + " crashes");
     }
 
@@ -202,8 +202,8 @@
         mSimulation.run(2 * SECOND_NANOS);
         mAllTargets.forEach(target -> target.mCrashingPart = "");
         mSimulation.reportPrompts(
-                new FleetMessage.PromptReport(
-                        List.of(), List.of(PromptPartId.of(CRASHING_PART)), List.of()));
+                new FleetMessage.CrashReport(
+                        List.of(), List.of(SuspectId.of(CRASHING_PART)), List.of()));
         mSimulation.run(40 * SECOND_NANOS);
         mSimulation.restartAllHosts();
         mSimulation.run(6 * SECOND_NANOS);
@@ -249,12 +249,12 @@
         List<Answer> waiting = List.of(sendCrashing(), sendCrashing());
         mSimulation.run(100 * MILLI_NANOS);
         mSimulation.reportPrompts(
-                new FleetMessage.PromptReport(
+                new FleetMessage.CrashReport(
                         List.of(),
                         List.of(),
                         List.of(
-                                new FleetMessage.QuarantinedPart(
-                                        PromptPartId.of(CRASHING_PART), 60_000))));
+                                new FleetMessage.Quarantined(
+                                        SuspectId.of(CRASHING_PART), 60_000))));
         mSimulation.run(SECOND_NANOS);
         waiting.forEach(answer -> assertEquals(answer.mStatus, 502, answer.toString()));
         mSimulation.run(5 * SECOND_NANOS);
@@ -272,6 +272,6 @@
             target.mCutAtEvent = 1;
             sendFor(400 * MILLI_NANOS);
         }
-        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED));
+        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.SUSPECT_QUARANTINED));
     }
 }
--- a/src/test/java/org/coltsfootproxy/platform/RequestCrashTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/RequestCrashTest.java
@@ -164,7 +164,7 @@
     private void crashUntilQuarantined() {
         sendFor(8 * SECOND_NANOS);
         assertTrue(
-                mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED),
+                mSimulation.mLoggedEvents.contains(EventCode.SUSPECT_QUARANTINED),
                 mTargets.mCrashes.size() + " crashes");
     }
 
@@ -227,7 +227,7 @@
         mSimulation.run(10 * MILLI_NANOS);
         List.copyOf(mSimulation.mTargets.values()).forEach(SimulatedTarget::crash);
         mSimulation.run(6 * SECOND_NANOS);
-        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED));
+        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.SUSPECT_QUARANTINED));
         Answer answer = sendCrashing(anyEntry());
         mSimulation.run(SECOND_NANOS);
         assertEquals(answer.mStatus, 200, answer.toString());
@@ -245,6 +245,6 @@
                 mSimulation.run(100 * MILLI_NANOS);
             }
         }
-        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.PART_QUARANTINED));
+        assertFalse(mSimulation.mLoggedEvents.contains(EventCode.SUSPECT_QUARANTINED));
     }
 }
--- a/src/test/java/org/coltsfootproxy/quarantine/PromptQuarantineTest.java
+++ b/src/test/java/org/coltsfootproxy/quarantine/CrashQuarantineTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Node;
@@ -18,33 +19,33 @@
 import org.testng.annotations.Test;
 
 /** Tests which parts of prompts are quarantined, and what hosts report to each other of it. */
-public final class PromptQuarantineTest {
+public final class CrashQuarantineTest {
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final List<Effect> mEffects = new ArrayList<>();
-    private PromptQuarantine mQuarantine;
-    private PromptQuarantine mOther;
+    private CrashQuarantine mQuarantine;
+    private CrashQuarantine mOther;
     private long mNow;
 
     @BeforeMethod
     public void begin() {
         mEffects.clear();
-        mQuarantine = PromptQuarantine.create();
-        mOther = PromptQuarantine.create();
+        mQuarantine = CrashQuarantine.create();
+        mOther = CrashQuarantine.create();
         mNow = 0;
     }
 
-    private static List<PromptPartId> parts(String... ids) {
-        return Stream.of(ids).map(PromptPartId::of).toList();
+    private static CallContent content(String... parts) {
+        return CallContent.ofItem(Stream.of(parts).map(PromptPartId::of).toList());
     }
 
-    private void crash(PromptQuarantine host, int target, String... parts) {
-        host.answerCut(TargetId.of("t" + target), "call-" + target, parts(parts), mNow);
+    private void crash(CrashQuarantine host, int target, String... parts) {
+        host.answerCut(TargetId.of("t" + target), "call-" + target, content(parts), mNow);
     }
 
-    private void answer(PromptQuarantine host, String... parts) {
-        host.answerProgressed(parts(parts), mNow, mEffects::add);
+    private void answer(CrashQuarantine host, String... parts) {
+        host.answerProgressed(content(parts), mNow, mEffects::add);
     }
 
     /** Lets time pass in which both hosts tick and exchange their reports. */
@@ -60,12 +61,12 @@
         Stream.of(mQuarantine, mOther).forEach(host -> host.tick(mNow, mEffects::add));
     }
 
-    private void exchange(PromptQuarantine from, PromptQuarantine to) {
+    private void exchange(CrashQuarantine from, CrashQuarantine to) {
         from.takeReport(mNow).ifPresent(report -> to.handle(report, mNow, mEffects::add));
     }
 
-    private boolean isQuarantined(PromptQuarantine host, String part) {
-        return host.firstQuarantined(parts(part)).isPresent();
+    private boolean isQuarantined(CrashQuarantine host, String part) {
+        return host.firstQuarantined(content(part)).isPresent();
     }
 
     @Test
@@ -80,8 +81,8 @@
         assertTrue(isQuarantined(mOther, "bad"));
         assertFalse(isQuarantined(mOther, "f1"));
         assertEquals(
-                mQuarantine.firstQuarantined(parts("f1", "bad", "x")),
-                Optional.of(PromptPartId.of("bad")));
+                mQuarantine.firstQuarantined(content("f1", "bad", "x")),
+                Optional.of(SuspectId.of("bad")));
     }
 
     @Test
@@ -121,7 +122,7 @@
     @Test
     public void repeatedCrashReportsOfOneTargetCountOnce() {
         for (int n = 0; n < 9; n++) {
-            mQuarantine.answerCut(TargetId.of("t" + n % 2), "call-" + n, parts("bad"), mNow);
+            mQuarantine.answerCut(TargetId.of("t" + n % 2), "call-" + n, content("bad"), mNow);
         }
         run(SECOND);
         assertFalse(isQuarantined(mQuarantine, "bad"));
@@ -161,7 +162,7 @@
     public void aHostThatStartsLaterLearnsWhatIsQuarantined() {
         IntStream.range(0, 3).forEach(n -> crash(mQuarantine, n, "bad"));
         run(10 * SECOND);
-        mOther = PromptQuarantine.create();
+        mOther = CrashQuarantine.create();
         run(2 * SECOND);
         assertTrue(isQuarantined(mOther, "bad"));
     }
@@ -170,7 +171,7 @@
     public void aQuarantineEndsAtAllHostsAndIsNotRevivedByReports() {
         IntStream.range(0, 3).forEach(n -> crash(mQuarantine, n, "bad"));
         run(SECOND);
-        mNow += PromptQuarantine.QUARANTINE_NANOS - 3 * SECOND;
+        mNow += CrashQuarantine.QUARANTINE_NANOS - 3 * SECOND;
         run(SECOND);
         assertTrue(isQuarantined(mOther, "bad"));
         run(4 * SECOND);
