A request that crashes targets again and again is quarantined

Sound requests at those targets were cut with them.

Cause: a crash counted against the target alone. Nothing related a repeat, which has a new id, to the crashes before it.

Change: a request is a suspect by the hash of its caller, host, path and body. Hosts report each call that a target cut. Three crashes without a complete answer in between quarantine the request at all hosts, with the reports, enrolments and log entries that quarantined parts have. Since all calls at a target are cut when it crashes, at least one of the crashed calls has to have been sent after a crash that was known; so an outage of many targets at once blames nobody. A part of prompts now needs crashes of two different calls, as one repeated request explains its own crashes.

Found beside it by the new tests: an update that is still being repeated was not sent anew (an answer after a further crash was told up to 500 ms late), mended in RepeatedUpdates.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -62,9 +62,11 @@
     CALLER_GONE(407, Level.INFO, "a caller disconnected before its answer was complete"),
     READINESS_CHANGED(408, Level.INFO, "the host's readiness changed"),
     SUSPECT_QUARANTINED(
-            409, Level.WARN, "a part of prompts was quarantined because it crashes targets"),
+            409,
+            Level.WARN,
+            "a request or a part of prompts was quarantined, because it crashes targets"),
     CALL_HELD(411, Level.INFO, "a request waits until the limit of a target allows it"),
-    SUSPECT_RELEASED(410, Level.INFO, "a part of prompts is no longer quarantined"),
+    SUSPECT_RELEASED(410, Level.INFO, "a request or a part of prompts is no longer quarantined"),
 
     // 500-599: agent and admission
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -22,6 +22,7 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.quarantine.CrashQuarantine;
+import org.coltsfootproxy.quarantine.CutCall;
 
 /**
  * Runs online requests at an entry that calls targets directly, from the caller's call to the end
@@ -113,14 +114,18 @@
         }
     }
 
-    /** Returns why a request may not be sent, if its prompt has a quarantined part. */
+    /** Returns why a request may not be sent, if it or a part of its prompt is quarantined. */
     private Optional<Failure> quarantineFailure(DirectRequest request) {
         return mQuarantine.firstQuarantined(request.content()).map(DirectCalls::refusal);
     }
 
-    private static Failure refusal(SuspectId part) {
-        return Failure.notRun(
-                ErrorKind.PROMPT_QUARANTINED, "part " + part + " of the prompt crashes targets", 0);
+    private static Failure refusal(SuspectId suspect) {
+        return suspect.isRequest()
+                ? Failure.notRun(ErrorKind.REQUEST_QUARANTINED, "the request crashes targets", 0)
+                : Failure.notRun(
+                        ErrorKind.PROMPT_QUARANTINED,
+                        "part " + suspect + " of the prompt crashes targets",
+                        0);
     }
 
     private void sendUnlessOverloaded(DirectRequest request, long now, Effects out) {
@@ -164,7 +169,8 @@
             mLoadExchange.preemptBatchItem(target.get(), out);
         }
         long call = mCalls.nextCall();
-        request.sentTo(target.get(), call, hasFreeSlot, now);
+        boolean isSuspect = mQuarantine.isSuspect(request.content());
+        request.sentTo(target.get(), call, hasFreeSlot, isSuspect, now);
         mTargets.callStarted(target.get(), TrafficClass.ONLINE, now);
         mCalls.start(
                 target.get().listed().address(),
@@ -282,7 +288,7 @@
         @Override
         public void ended(long now, Effects out) {
             if (mRequest.hasEventStream() && mRequest.events().isCut()) {
-                noteBrokenAnswer(mRequest, now);
+                noteCut(mRequest, now, out);
                 attemptFailed(
                         mRequest,
                         ErrorKind.ANSWER_CUT,
@@ -295,6 +301,7 @@
             if (!mRequest.hasProgressed()) {
                 mQuarantine.answerProgressed(mRequest.content(), now, out);
             }
+            mQuarantine.answerCompleted(mRequest.content(), now, out);
             mLoadShedder.completed(mRequest, now);
             releaseTarget(mRequest);
             mAnswers.complete(mRequest, now, out);
@@ -303,22 +310,23 @@
 
         @Override
         public void failed(Input.TargetFailed failure, long now, Effects out) {
-            if (failure.kind() == ErrorKind.ANSWER_CUT) {
-                noteBrokenAnswer(mRequest, now);
+            if (failure.ran() != Ran.NO && failure.kind() != ErrorKind.TARGET_TIMEOUT) {
+                noteCut(mRequest, now, out);
             }
             attemptFailed(mRequest, failure.kind(), failure.ran(), failure.detail(), now, out);
         }
     }
 
-    /** Reports a target that ended the connection as it began its answer. */
-    private void noteBrokenAnswer(DirectRequest request, long now) {
-        if (request.hasHead() && !request.hasProgressed()) {
-            mQuarantine.answerCut(
-                    request.target().orElseThrow().listed().id(),
-                    request.name(),
-                    request.content(),
-                    now);
-        }
+    /** Reports a target that closed the connection before its answer was complete. */
+    private void noteCut(DirectRequest request, long now, Effects out) {
+        var cut =
+                new CutCall(
+                        request.target().orElseThrow().listed().id(),
+                        request.name(),
+                        request.content(),
+                        request.hasHead() && !request.hasProgressed(),
+                        request.isSuspect());
+        mQuarantine.callCut(cut, now, out);
     }
 
     private void attemptRefused(DirectRequest request, TargetAnswer answer, long now, Effects out) {
@@ -447,7 +455,7 @@
         }
     }
 
-    /** Cancels the calls with a quarantined part that wait at a target. */
+    /** Cancels the calls with quarantined content that wait at a target. */
     private void cancelQuarantined(long now, Effects out) {
         List<DirectRequest> waiting =
                 mRequests.values().stream()
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -51,6 +51,7 @@
     private int mSends;
     private int mRuns;
     private boolean mHasHead;
+    private boolean mIsSuspect;
     private long mAdvancesAtSend;
     private boolean mHasEventStream;
     private boolean mHasPossiblyRun;
@@ -99,6 +100,7 @@
             long nowNanos) {
         long millis = Math.min(forward.callerTimeoutMillis(), route.timeoutMillis());
         Organisation caller = organisation.orElse(OpenCallers.ORGANISATION);
+        long contentHash = contentHash(call, forward, caller);
         return new DirectRequest(
                 call,
                 forward.requestName(),
@@ -106,8 +108,8 @@
                 service,
                 caller,
                 organisation.isEmpty(),
-                CallContent.ofItem(promptParts),
-                contentHash(call, forward, caller),
+                CallContent.ofRequest(promptParts, contentHash),
+                contentHash,
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
     }
@@ -196,9 +198,12 @@
      * Notes that the request is sent to a target.
      *
      * @param hasFreeSlot whether the target is believed to have a free slot
+     * @param isSuspect whether other targets have crashed on such a request
      */
-    void sentTo(Target target, long targetCall, boolean hasFreeSlot, long nowNanos) {
+    void sentTo(
+            Target target, long targetCall, boolean hasFreeSlot, boolean isSuspect, long nowNanos) {
         mHasFreeSlot = hasFreeSlot;
+        mIsSuspect = isSuspect;
         mIsSlotRechecked = false;
         mSentAt = nowNanos;
         mTarget = target;
@@ -273,6 +278,11 @@
         transition(DirectState.Event.HEAD);
     }
 
+    /** Returns whether other targets had crashed on such a request before it was last sent. */
+    boolean isSuspect() {
+        return mIsSuspect;
+    }
+
     /** Returns whether the current target has begun an answer. */
     boolean hasHead() {
         return mHasHead;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -37,6 +37,7 @@
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.quarantine.CrashQuarantine;
+import org.coltsfootproxy.quarantine.CutCall;
 
 /**
  * Runs batch items at targets that this host calls directly.
@@ -325,7 +326,7 @@
         @Override
         public void ended(long now, Effects out) {
             if (mRun.isCut()) {
-                noteBrokenAnswer(mRun, now);
+                noteBrokenAnswer(mRun, now, out);
                 attemptFailed(
                         mRun, "the stream ended within an event or before the first one", now, out);
                 return;
@@ -338,20 +339,21 @@
         @Override
         public void failed(Input.TargetFailed failure, long now, Effects out) {
             if (failure.kind() == ErrorKind.ANSWER_CUT) {
-                noteBrokenAnswer(mRun, now);
+                noteBrokenAnswer(mRun, now, out);
             }
             attemptFailed(mRun, failure.kind().label() + ": " + failure.detail(), now, out);
         }
     }
 
     /** Reports a target that ended the connection as it began its answer. */
-    private void noteBrokenAnswer(ItemRun run, long now) {
+    private void noteBrokenAnswer(ItemRun run, long now, Effects out) {
         if (run.hasSuccess() && !run.hasProgressed()) {
-            mQuarantine.answerCut(
-                    run.target().orElseThrow().listed().id(),
-                    run.lease().job() + "/" + run.lease().item(),
-                    run.content(),
-                    now);
+            var cut =
+                    CutCall.ofItem(
+                            run.target().orElseThrow().listed().id(),
+                            run.lease().job() + "/" + run.lease().item(),
+                            run.content());
+            mQuarantine.callCut(cut, now, out);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -178,7 +178,7 @@
     /**
      * What a host has seen of crashes of targets.
      *
-     * @param crashes targets that ended as they began an answer to a call of the host
+     * @param crashes targets that ended the connections of calls of the host
      * @param sound what others may suspect, and calls of the host with it were answered
      * @param quarantined what the calls that the host sends must not have
      */
@@ -193,12 +193,20 @@
     }
 
     /**
-     * A target that ended as it began the answer to a call.
+     * A target that ended the connection of a call which it may have run.
      *
      * @param call id of the request or batch item
-     * @param parts parts of its prompt that other calls may share, in their order
+     * @param parts if the target ended as it began the answer, the parts of the call's prompt that
+     *     other calls may share, in their order; empty otherwise
+     * @param request id of the request's content; null for a batch item
+     * @param recurred whether the call was sent after another target had crashed on the request
      */
-    record TargetCrash(TargetId target, String call, List<SuspectId> parts) {
+    record TargetCrash(
+            TargetId target,
+            String call,
+            List<SuspectId> parts,
+            SuspectId request,
+            boolean recurred) {
         /** Copies the list. */
         public TargetCrash {
             parts = List.copyOf(parts);
--- a/src/main/java/org/coltsfootproxy/quarantine/CrashEvidence.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashEvidence.java
@@ -31,6 +31,12 @@
     /** Number of crashed targets that shows that a part is the culprit, and not a coincidence. */
     static final int MIN_CRASHES = 3;
 
+    /**
+     * Number of different calls that show that the part is the culprit. If there is only one, the
+     * culprit may as well be that request, of which {@link RequestEvidence} decides.
+     */
+    private static final int MIN_CONTENTS = 2;
+
     /** Age at which a crash counts; by then the other hosts have cleared the parts they can. */
     static final long REVIEW_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
@@ -60,6 +66,7 @@
         private final SuspectId mPart;
         private final int mFirstCrash;
         private final Set<TargetId> mTargets = new HashSet<>();
+        private final Set<String> mContents = new HashSet<>();
         private int mPosition;
 
         Case(SuspectId part, int firstCrash) {
@@ -69,6 +76,7 @@
 
         boolean isProven(int crashes) {
             return mTargets.size() >= MIN_CRASHES
+                    && mContents.size() >= MIN_CONTENTS
                     && mTargets.size() >= MIN_SHARE * (crashes - mFirstCrash);
         }
     }
@@ -131,6 +139,7 @@
                         cases.computeIfAbsent(
                                 suspects.parts().get(i), part -> new Case(part, first));
                 suspect.mTargets.add(crash.getKey().target());
+                suspect.mContents.add(contentOf(crash.getKey()));
                 suspect.mPosition = i;
             }
             crashes++;
@@ -144,6 +153,10 @@
                 .map(suspect -> suspect.mPart);
     }
 
+    private static String contentOf(FleetMessage.TargetCrash crash) {
+        return crash.request() == null ? crash.call() : crash.request().value();
+    }
+
     /** Returns the crashes of which a part is a suspect, for the log. */
     String describe(SuspectId part, long nowNanos) {
         return mCrashes.entrySet().stream()
--- a/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
@@ -10,29 +10,29 @@
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.SuspectId;
-import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.node.Node;
 
 /**
- * One host's view of the prompt parts that crash targets, shared with the other hosts that call
- * targets.
+ * One host's view of the prompt parts and requests that crash targets, shared with the other hosts
+ * that call targets.
  *
  * <p>Every host draws its own conclusions from what all of them report, so none depends on another.
  * A conclusion is reported as well, regularly, for hosts that have started since.
  */
 public final class CrashQuarantine {
-    /** How long a part stays quarantined. */
+    /** How long a part or a request stays quarantined. */
     static final long QUARANTINE_NANOS = TimeUnit.HOURS.toNanos(1);
 
-    /** Interval between two reports of all quarantined parts. */
+    /** Interval between two reports of all that is quarantined. */
     private static final long REPEAT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private static final int MAX_QUARANTINED = 64;
 
     private final CrashEvidence mEvidence = new CrashEvidence();
+    private final RequestEvidence mRequests = new RequestEvidence();
 
     /** Parts that were answered at any host. */
     private final SoundParts mSound = new SoundParts();
@@ -40,7 +40,7 @@
     /** Parts that were answered at this host, which clears them at the others. */
     private final SoundParts mSoundHere = new SoundParts();
 
-    /** The end of each part's quarantine. */
+    /** What is quarantined, and until when. */
     private final Map<SuspectId, Long> mQuarantined = new LinkedHashMap<>();
 
     private final RepeatedUpdates<FleetMessage.TargetCrash> mCrashUpdates = new RepeatedUpdates<>();
@@ -50,12 +50,12 @@
 
     private CrashQuarantine() {}
 
-    /** Returns an instance without quarantined parts. */
+    /** Returns an instance that quarantines nothing. */
     public static CrashQuarantine create() {
         return new CrashQuarantine();
     }
 
-    /** Returns a number that grows whenever a part is quarantined. */
+    /** Returns a number that grows with each quarantine. */
     public long version() {
         return mVersion;
     }
@@ -67,21 +67,39 @@
                 : content.suspects().filter(mQuarantined::containsKey).findFirst();
     }
 
-    /**
-     * Notes that a target closed the connection of a call after it began its answer and before any
-     * output, as a target does that crashes on the call.
-     *
-     * @param call id of the call
-     */
-    public void answerCut(TargetId target, String call, CallContent content, long nowNanos) {
-        var crash = new FleetMessage.TargetCrash(target, call, content.parts());
+    /** Notes a call that was cut by its target. */
+    public void callCut(CutCall cut, long nowNanos, Effects out) {
+        List<SuspectId> parts = cut.hasOnlyBegun() ? cut.content().parts() : List.of();
+        SuspectId request = cut.content().request().orElse(null);
+        if (parts.isEmpty() && request == null) {
+            return;
+        }
+        var crash =
+                new FleetMessage.TargetCrash(
+                        cut.target(), cut.call(), parts, request, cut.recurred());
+        mCrashUpdates.add(crash, nowNanos);
+        addEvidence(crash, nowNanos, out);
+    }
+
+    /** Returns whether targets have crashed on a call with this content, as far as is known. */
+    public boolean isSuspect(CallContent content) {
+        return content.request().filter(mRequests::isSuspect).isPresent();
+    }
+
+    private void addEvidence(FleetMessage.TargetCrash crash, long nowNanos, Effects out) {
         if (!crash.parts().isEmpty() && !mEvidence.contains(crash)) {
-            mCrashUpdates.add(crash, nowNanos);
-            addEvidence(crash, nowNanos);
+            addPartEvidence(crash, nowNanos);
+        }
+        SuspectId request = crash.request();
+        if (request != null
+                && !mQuarantined.containsKey(request)
+                && mRequests.add(crash, nowNanos)) {
+            String why = mRequests.describe(request);
+            quarantine(request, nowNanos + QUARANTINE_NANOS, why, nowNanos, out);
         }
     }
 
-    private void addEvidence(FleetMessage.TargetCrash crash, long nowNanos) {
+    private void addPartEvidence(FleetMessage.TargetCrash crash, long nowNanos) {
         List<SuspectId> suspects =
                 crash.parts().stream().filter(part -> !mSound.contains(part, nowNanos)).toList();
         if (suspects.stream().noneMatch(mQuarantined::containsKey)) {
@@ -100,11 +118,23 @@
         }
     }
 
-    private void clear(SuspectId part, long nowNanos, Effects out) {
-        mSound.answered(part, nowNanos);
-        mEvidence.clear(part);
-        if (mQuarantined.remove(part) != null) {
-            logReleased(part, "a call with it was answered", out);
+    /** Notes that a target has answered a call completely, so the request is sound. */
+    public void answerCompleted(CallContent content, long nowNanos, Effects out) {
+        content.request()
+                .filter(id -> mRequests.isSuspect(id) || mQuarantined.containsKey(id))
+                .ifPresent(
+                        id -> {
+                            mSoundUpdates.add(id, nowNanos);
+                            clear(id, nowNanos, out);
+                        });
+    }
+
+    private void clear(SuspectId suspect, long nowNanos, Effects out) {
+        mSound.answered(suspect, nowNanos);
+        mEvidence.clear(suspect);
+        mRequests.clear(suspect);
+        if (mQuarantined.remove(suspect) != null) {
+            logReleased(suspect, "a call with it was answered", out);
         }
     }
 
@@ -116,8 +146,8 @@
                 crash.parts().stream()
                         .filter(part -> mSoundHere.contains(part, nowNanos))
                         .forEach(part -> mSoundUpdates.add(part, nowNanos));
-                addEvidence(crash, nowNanos);
             }
+            addEvidence(crash, nowNanos, out);
         }
         adopt(report.quarantined(), "another host's report", nowNanos, out);
     }
@@ -147,11 +177,12 @@
         }
         mQuarantined.put(part, end);
         mEvidence.removeCausedBy(part);
+        mRequests.clear(part);
         mVersion++;
         mNextRepeat = nowNanos;
         out.log(
                 EventCode.SUSPECT_QUARANTINED,
-                LogField.of("part", part),
+                LogField.of("suspect", part),
                 LogField.of("why", why),
                 LogField.of("seconds", TimeUnit.NANOSECONDS.toSeconds(end - nowNanos)),
                 LogField.of("quarantined", mQuarantined.size()));
@@ -161,7 +192,7 @@
     private void logReleased(SuspectId part, String why, Effects out) {
         out.log(
                 EventCode.SUSPECT_RELEASED,
-                LogField.of("part", part),
+                LogField.of("suspect", part),
                 LogField.of("why", why),
                 LogField.of("quarantined", mQuarantined.size()));
         measure(out);
@@ -171,7 +202,9 @@
         out.measure(Metric.QUARANTINED_PARTS, "", "", mQuarantined.size());
     }
 
-    /** Quarantines the culprits of crashes, and releases the parts whose time is over. */
+    /**
+     * Quarantines the parts that cause crashes, and releases what has been quarantined for long.
+     */
     public void tick(long nowNanos, Effects out) {
         if (nowNanos - nextTickNanos() < 0) {
             return;
@@ -215,7 +248,7 @@
                         mCrashUpdates.take(nowNanos), mSoundUpdates.take(nowNanos), quarantined));
     }
 
-    /** Returns all quarantined parts with their remaining times. */
+    /** Returns all that is quarantined, with the remaining times. */
     public List<FleetMessage.Quarantined> quarantined(long nowNanos) {
         return mQuarantined.entrySet().stream()
                 .map(
--- a/src/main/java/org/coltsfootproxy/quarantine/RepeatedUpdates.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/RepeatedUpdates.java
@@ -31,9 +31,10 @@
         }
     }
 
-    /** Adds an update, due at once. */
+    /** Adds an update, due at once; one that is still being sent begins anew. */
     void add(T update, long nowNanos) {
-        mUpdates.putIfAbsent(update, new Schedule(nowNanos));
+        mUpdates.remove(update);
+        mUpdates.put(update, new Schedule(nowNanos));
         if (mUpdates.size() > MAX_UPDATES) {
             Iterator<T> oldest = mUpdates.keySet().iterator();
             oldest.next();
--- a/src/test/java/org/coltsfootproxy/quarantine/CrashQuarantineTest.java
+++ b/src/test/java/org/coltsfootproxy/quarantine/CrashQuarantineTest.java
@@ -41,7 +41,10 @@
     }
 
     private void crash(CrashQuarantine host, int target, String... parts) {
-        host.answerCut(TargetId.of("t" + target), "call-" + target, content(parts), mNow);
+        host.callCut(
+                CutCall.ofItem(TargetId.of("t" + target), "call-" + target, content(parts)),
+                mNow,
+                mEffects::add);
     }
 
     private void answer(CrashQuarantine host, String... parts) {
@@ -122,7 +125,10 @@
     @Test
     public void repeatedCrashReportsOfOneTargetCountOnce() {
         for (int n = 0; n < 9; n++) {
-            mQuarantine.answerCut(TargetId.of("t" + n % 2), "call-" + n, content("bad"), mNow);
+            mQuarantine.callCut(
+                    CutCall.ofItem(TargetId.of("t" + n % 2), "call-" + n, content("bad")),
+                    mNow,
+                    mEffects::add);
         }
         run(SECOND);
         assertFalse(isQuarantined(mQuarantine, "bad"));
@@ -209,4 +215,135 @@
                 IntStream.range(0, 80).filter(n -> isQuarantined(mQuarantine, "bad" + n)).count();
         assertEquals(count, 64);
     }
+
+    private static CallContent request(long hash, String... parts) {
+        return CallContent.ofRequest(Stream.of(parts).map(PromptPartId::of).toList(), hash);
+    }
+
+    private void cut(CrashQuarantine host, int target, CallContent content) {
+        boolean recurred = host.isSuspect(content);
+        var id = TargetId.of("t" + target);
+        host.callCut(
+                new CutCall(id, "call-" + target, content, true, recurred), mNow, mEffects::add);
+    }
+
+    private boolean isQuarantined(CrashQuarantine host, CallContent content) {
+        return host.firstQuarantined(content).isPresent();
+    }
+
+    /** Guards against repeats at several hosts each being taken for a new request (BUDGET). */
+    @Test
+    public void aRequestOnWhichThreeTargetsCrashedIsQuarantinedAtAllHosts() {
+        cut(mQuarantine, 1, request(7));
+        run(SECOND);
+        cut(mOther, 2, request(7));
+        run(SECOND);
+        assertFalse(isQuarantined(mQuarantine, request(7)));
+        cut(mQuarantine, 3, request(7));
+        run(SECOND);
+        assertTrue(isQuarantined(mQuarantine, request(7)));
+        assertTrue(isQuarantined(mOther, request(7)));
+        assertFalse(isQuarantined(mOther, request(8)));
+    }
+
+    /** Guards against a request that is in flight everywhere being blamed for an outage. */
+    @Test
+    public void aRequestThatWasInFlightAtAllTargetsOfAnOutageIsNotQuarantined() {
+        for (int n = 1; n <= 12; n++) {
+            var id = TargetId.of("t" + n);
+            mQuarantine.callCut(
+                    new CutCall(id, "call-" + n, request(7), false, false), mNow, mEffects::add);
+        }
+        run(5 * SECOND);
+        assertFalse(isQuarantined(mQuarantine, request(7)));
+        assertFalse(isQuarantined(mOther, request(7)));
+    }
+
+    /** Guards against refusing the other requests with a part that only one request crashed on. */
+    @Test
+    public void aPartIsNotQuarantinedForTheCrashesOfOneRequest() {
+        for (int n = 1; n <= 4; n++) {
+            cut(mQuarantine, n, request(7, "shared"));
+            run(SECOND);
+        }
+        assertTrue(isQuarantined(mOther, request(7)));
+        assertFalse(isQuarantined(mOther, "shared"));
+    }
+
+    /** Guards against repeated requests hiding the part that they crash on. */
+    @Test
+    public void aPartIsQuarantinedThoughOneOfItsRequestsIsToo() {
+        for (int n = 1; n <= 3; n++) {
+            cut(mQuarantine, n, request(7, "bad"));
+            run(SECOND);
+        }
+        cut(mQuarantine, 4, request(8, "bad"));
+        run(SECOND);
+        assertTrue(isQuarantined(mOther, "bad"));
+    }
+
+    @Test
+    public void anAnsweredRequestIsReleasedAtAllHosts() {
+        for (int n = 1; n <= 3; n++) {
+            cut(mQuarantine, n, request(7));
+            run(SECOND);
+        }
+        mOther.answerCompleted(request(7), mNow, mEffects::add);
+        run(5 * SECOND);
+        assertFalse(isQuarantined(mQuarantine, request(7)));
+        assertFalse(isQuarantined(mOther, request(7)));
+    }
+
+    /** Guards against crashes adding up over answers that other hosts have seen in between. */
+    @Test
+    public void crashesBeforeAnAnswerDoNotCount() {
+        for (int n = 1; n <= 9; n++) {
+            cut(mQuarantine, n, request(7));
+            run(50 * MILLI);
+            mOther.answerCompleted(request(7), mNow, mEffects::add);
+            run(50 * MILLI);
+        }
+        run(3 * SECOND);
+        assertFalse(isQuarantined(mQuarantine, request(7)));
+        assertFalse(isQuarantined(mOther, request(7)));
+    }
+
+    @Test
+    public void severalCallsThatOneCrashCutCountOnce() {
+        cut(mQuarantine, 1, request(7));
+        run(SECOND);
+        for (int n = 0; n < 5; n++) {
+            mQuarantine.callCut(
+                    new CutCall(TargetId.of("t2"), "call-" + n, request(7), false, true),
+                    mNow,
+                    mEffects::add);
+        }
+        run(SECOND);
+        assertFalse(isQuarantined(mQuarantine, request(7)));
+    }
+
+    /** Guards against a small service whose targets start again under their ids. */
+    @Test
+    public void crashesOfOneTargetThatStartsAgainCount() {
+        for (int n = 1; n <= 3; n++) {
+            boolean recurred = mQuarantine.isSuspect(request(7));
+            mQuarantine.callCut(
+                    new CutCall(TargetId.of("t1"), "call-" + n, request(7), false, recurred),
+                    mNow,
+                    mEffects::add);
+            run(3 * SECOND);
+        }
+        assertTrue(isQuarantined(mOther, request(7)));
+    }
+
+    @Test
+    public void aHostThatStartsLaterLearnsWhichRequestsAreQuarantined() {
+        for (int n = 1; n <= 3; n++) {
+            cut(mQuarantine, n, request(7));
+            run(SECOND);
+        }
+        mOther = CrashQuarantine.create();
+        run(2 * SECOND);
+        assertTrue(isQuarantined(mOther, request(7)));
+    }
 }
