Logs say at which version a target runs, and which stream a caller takes up

Whether callers who take a stream up at another host add to them could not be told at all: neither Last-Event-Id nor Resumes was logged. The version of a target's software is read from the list now (SoftwareVersion in ListedTarget), and what a caller takes up is read from its call; nothing is decided by them yet.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
@@ -21,11 +21,15 @@
                 LogField.of("content", Long.toHexString(request.contentHash())),
                 LogField.of("promptParts", request.content().parts()),
                 LogField.of("target", target.listed().id()),
+                LogField.of("version", target.listed().version()),
+                LogField.of(
+                        "resumes",
+                        request.resumption().map(CallerCall.Resumption::firstRequest).orElse("")),
                 LogField.of("online", target.online()),
                 LogField.of("batch", target.batch()),
                 LogField.of("listing", listing),
                 LogField.of("send", request.sends()),
-                LogField.of("after", request.events().lastId().orElse("")),
+                LogField.of("after", lastEvent(request)),
                 LogField.of("leftMillis", TimeUnit.NANOSECONDS.toMillis(remainingNanos)));
     }
 
@@ -51,7 +55,15 @@
                 LogField.of("hadEvents", request.hasProgressed()),
                 LogField.of("content", Long.toHexString(request.contentHash())),
                 LogField.of("promptParts", request.content().parts()),
-                LogField.of("after", request.events().lastId().orElse("")));
+                LogField.of("after", lastEvent(request)));
+    }
+
+    /** Returns the last event that the caller has, from this answer or an earlier one. */
+    private static String lastEvent(DirectRequest request) {
+        return request.events()
+                .lastId()
+                .or(() -> request.resumption().map(CallerCall.Resumption::lastEvent))
+                .orElse("");
     }
 
     /** Logs that a caller has disconnected. */
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -39,6 +39,7 @@
     private final ServiceId mService;
     private final Organisation mOrganisation;
     private final boolean mIsOpen;
+    private final Optional<CallerCall.Resumption> mResumption;
     private final CallContent mContent;
     private final long mContentHash;
     private final long mArrived;
@@ -67,6 +68,7 @@
             ServiceId service,
             Organisation organisation,
             boolean isOpen,
+            Optional<CallerCall.Resumption> resumption,
             CallContent content,
             long contentHash,
             long arrived,
@@ -77,6 +79,7 @@
         mService = service;
         mOrganisation = organisation;
         mIsOpen = isOpen;
+        mResumption = resumption;
         mContent = content;
         mContentHash = contentHash;
         mArrived = arrived;
@@ -108,6 +111,7 @@
                 service,
                 caller,
                 organisation.isEmpty(),
+                forward.resumption(),
                 CallContent.ofRequest(promptParts, contentHash),
                 contentHash,
                 nowNanos,
@@ -156,6 +160,11 @@
         return mIsOpen;
     }
 
+    /** Returns the stream that the caller takes up again; empty for a new request. */
+    Optional<CallerCall.Resumption> resumption() {
+        return mResumption;
+    }
+
     /** Returns what of the request may crash targets. */
     CallContent content() {
         return mContent;
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -256,6 +256,7 @@
                 LogField.of("lease", run.lease().fence()),
                 LogField.of("promptParts", run.content().parts()),
                 LogField.of("target", target.get().listed().id()),
+                LogField.of("version", target.get().listed().version()),
                 LogField.of("online", target.get().online()),
                 LogField.of("batch", target.get().batch()),
                 LogField.of("listing", mTargets.listing().number()),
--- a/src/main/java/org/coltsfootproxy/message/ListedTarget.java
+++ b/src/main/java/org/coltsfootproxy/message/ListedTarget.java
@@ -5,6 +5,7 @@
 
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 
 /**
@@ -16,6 +17,8 @@
  * @param slots number of requests that the target runs concurrently, at least 1
  * @param startedAt Unix time in milliseconds at which the target started, by the target's clock; 0
  *     if unknown. A target that starts again may keep its id but not this time.
+ * @param version version of the target's software; a stream may go on only at the version that
+ *     began it
  */
 public record ListedTarget(
         TargetId id,
@@ -24,7 +27,8 @@
         String address,
         boolean leaving,
         int slots,
-        long startedAt) {
+        long startedAt,
+        SoftwareVersion version) {
     /** Checks the components. */
     public ListedTarget {
         checkNotNull(id, "target id is missing");
@@ -32,5 +36,7 @@
         checkNotNull(dataCentre, "data centre is missing");
         checkNotNull(address, "address is missing");
         checkArgument(slots > 0, "slots %s is below 1", slots);
+        // A host of an earlier version sends none.
+        version = version == null ? SoftwareVersion.UNNAMED : version;
     }
 }
--- a/src/main/java/org/coltsfootproxy/platform/PlatformCallerProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformCallerProtocol.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -64,9 +65,17 @@
                 host.toLowerCase(Locale.ROOT),
                 call.path(),
                 PlatformHeaders.value(call.headers(), PlatformHeaders.REQUEST_ID).orElse(""),
+                resumption(call.headers()),
                 Math.max(1, timeoutMillis));
     }
 
+    private static Optional<CallerCall.Resumption> resumption(List<Header> headers) {
+        String firstRequest = PlatformHeaders.value(headers, PlatformHeaders.RESUMES).orElse("");
+        return PlatformHeaders.value(headers, PlatformHeaders.LAST_EVENT_ID)
+                .filter(lastEvent -> !lastEvent.isEmpty())
+                .map(lastEvent -> new CallerCall.Resumption(firstRequest, lastEvent));
+    }
+
     private static CallerCall job(Input.HttpCall call, JobId job) throws ProxyException {
         return switch (call.method()) {
             case "GET" ->
--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -23,6 +23,12 @@
     /** Id of the last event that the sender has received; the stream resumes after it. */
     static final String LAST_EVENT_ID = "Last-Event-Id";
 
+    /**
+     * In a call that takes up a stream: {@link #REQUEST_ID} of the call that brought its first
+     * event.
+     */
+    static final String RESUMES = "Resumes";
+
     /** Signature of the target that ran the call; a success without it is not accepted. */
     static final String SERVER_STAMP = "Server-Stamp";
 
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetListProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetListProtocol.java
@@ -12,6 +12,7 @@
 import org.coltsfootproxy.base.Names;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.direct.TargetListProtocol;
 import org.coltsfootproxy.message.ListedTarget;
@@ -54,8 +55,9 @@
      * Returns the target that an entry describes; empty if the entry is malformed.
      *
      * <p>{@code zone} is the target's data centre, {@code slots} the number of requests it runs at
-     * once, {@code born} the time at which it started, and the state {@code draining} means that it
-     * is leaving and must get no new requests.
+     * once, {@code born} the time at which it started, {@code version} the version of its software
+     * (not of its models, which have versions of their own), and the state {@code draining} means
+     * that it is leaving and must get no new requests.
      */
     private static Optional<ListedTarget> target(JsonNode entry) {
         String state = entry.path("state").asText();
@@ -67,6 +69,7 @@
                         && isAddress(entry.path("addr"))
                         && slots.isIntegralNumber()
                         && slots.intValue() > 0
+                        && (entry.path("version").isMissingNode() || isName(entry.path("version")))
                         && (state.equals(STATE_READY) || state.equals(STATE_DRAINING));
         return isWellFormed
                 ? Optional.of(
@@ -77,10 +80,18 @@
                                 entry.path("addr").textValue(),
                                 state.equals(STATE_DRAINING),
                                 slots.intValue(),
-                                entry.path("born").asLong()))
+                                entry.path("born").asLong(),
+                                version(entry)))
                 : Optional.empty();
     }
 
+    private static SoftwareVersion version(JsonNode entry) {
+        JsonNode version = entry.path("version");
+        return version.isMissingNode()
+                ? SoftwareVersion.UNNAMED
+                : SoftwareVersion.of(version.textValue());
+    }
+
     private static boolean isName(JsonNode value) {
         return value.isTextual() && Names.isValid(value.textValue());
     }
--- a/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
@@ -14,6 +14,7 @@
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.message.FleetMessage;
@@ -50,7 +51,8 @@
 
     private static ListedTarget target(String id, DataCentre dataCentre) {
         String address = "10.8.0." + (id.charAt(0) - 'a' + 1) + ":80";
-        return new ListedTarget(TargetId.of(id), LM, dataCentre, address, false, 8, 0);
+        return new ListedTarget(
+                TargetId.of(id), LM, dataCentre, address, false, 8, 0, SoftwareVersion.UNNAMED);
     }
 
     private Target target(String id) {
