--- a/src/test/java/org/coltsfootproxy/platform/CrashingTargets.java
+++ b/src/test/java/org/coltsfootproxy/platform/CrashingTargets.java
@@ -46,6 +46,7 @@
         String id = target.mId.replaceFirst("r\\d+$", "") + "r" + restarts;
         SimulatedTarget next = mSimulation.replaceTarget(target, id);
         next.mIsPlain = target.mIsPlain;
+        next.mVersion = target.mVersion;
         add(next, restarts);
     }
 
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -399,13 +399,14 @@
     private static String listEntry(SimulatedTarget target) {
         return String.format(
                 "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%d,\"state\":\"%s\","
-                        + "\"born\":%d,\"id\":\"%s\"}",
+                        + "\"born\":%d,%s\"id\":\"%s\"}",
                 target.mService,
                 target.mAddress,
                 target.mDataCentre,
                 target.mSlots,
                 target.mIsDraining ? "draining" : "ready",
                 target.mStartedAt,
+                target.mVersion.isEmpty() ? "" : "\"version\":\"" + target.mVersion + "\",",
                 target.mId);
     }
 
@@ -475,6 +476,20 @@
         return call(entry, "POST", path, requestHeaders(name, key), "body of " + name);
     }
 
+    /**
+     * Takes up a stream.
+     *
+     * @param firstRequest name of the request that brought its first event; empty to name none
+     */
+    Answer resume(HostId entry, String name, String path, String firstRequest, int lastEvent) {
+        List<Header> headers = new ArrayList<>(requestHeaders(name, ALPHA_KEY));
+        headers.add(Header.of("Last-Event-Id", Integer.toString(lastEvent)));
+        if (!firstRequest.isEmpty()) {
+            headers.add(Header.of("Resumes", firstRequest));
+        }
+        return call(entry, "POST", path, headers, "body of " + name);
+    }
+
     /** Sends a request with the first organisation's key and the given body. */
     Answer requestWithBody(HostId entry, String name, String path, String body) {
         return call(entry, "POST", path, requestHeaders(name, ALPHA_KEY), body);
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -69,6 +69,9 @@
     /** Number of the first event that {@link #mFiller} replaces. */
     int mFillerFrom = 1;
 
+    /** Version of the software, in the list and at the end of each event; empty for none. */
+    String mVersion = "";
+
     /** Whether answers say that the target is leaving. */
     boolean mSaysLeaving;
 
@@ -217,7 +220,9 @@
             run.mHasHead = true;
             head(run, 200, List.of(Header.of("Content-Type", "text/event-stream")));
         }
-        String text = "id: " + number + "\ndata: " + run.mRequest + "-" + number + "\n\n";
+        String version = mVersion.isEmpty() ? "" : "@" + mVersion;
+        String data = run.mRequest + "-" + number + version;
+        String text = "id: " + number + "\ndata: " + data + "\n\n";
         boolean hasItsEvents = number > run.mResumeAfter + mEventsBeforeCrash;
         if (holdsCrashingPart(run) || crashesOn(run) && hasItsEvents) {
             chunk(run, text.substring(0, text.length() / 2));
