A stream goes on only at the software version that began it

Cause: a stream was resumed at any target of its service. The list names each target's version, and a caller who takes a stream up names the request that began it; both were read nowhere, and no host could tell at which version a stream of another host had begun.

Change: a stream is bound to the version whose target sent its first event, within the answer and over its caller's tries. While a service has targets of several versions, entries report which streams those have begun; an entry that starts asks others. A stream of unknown version, or of one that no longer serves, is refused at once as not run (503, stream-version-unavailable) rather than mixed. Where the list has shown one version for 30 s nothing changes.

The test of a version that has gone changed the version of targets in the middle of answers; it now waits for their end first.

--- a/src/main/java/org/coltsfootproxy/base/ErrorKind.java
+++ b/src/main/java/org/coltsfootproxy/base/ErrorKind.java
@@ -33,6 +33,8 @@
     NO_TARGET(503, Ran.NO, 69, "No target can take the request"),
     PROMPT_QUARANTINED(503, Ran.NO, 69, "A part of the prompt has crashed targets"),
     REQUEST_QUARANTINED(503, Ran.NO, 69, "The request has crashed targets"),
+    STREAM_VERSION_UNAVAILABLE(
+            503, Ran.NO, 69, "No target of the stream's version can go on with it"),
     CONFIG_STALE(503, Ran.NO, 69, "The configuration can't be confirmed as current"),
     NO_LEADER(503, Ran.NO, 69, "No control host can commit now"),
     COMMIT_UNKNOWN(503, Ran.MAYBE, 69, "The outcome of the commit is unknown; send it again"),
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -10,6 +10,7 @@
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.Ran;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
@@ -61,6 +62,7 @@
     private final LoadExchange mLoadExchange;
     private final LoadShedder mLoadShedder;
     private final CrashQuarantine mQuarantine;
+    private final StreamVersions mVersions;
     private final Limiter mLimiter;
     private final Map<Long, DirectRequest> mRequests = new HashMap<>();
     private final Timers<Long> mTimers = Timers.create();
@@ -76,6 +78,7 @@
             LoadExchange loadExchange,
             LoadShedder loadShedder,
             CrashQuarantine quarantine,
+            StreamVersions versions,
             Limiter limiter) {
         mAnswers = answers;
         mProtocol = protocol;
@@ -84,6 +87,7 @@
         mLoadExchange = loadExchange;
         mLoadShedder = loadShedder;
         mQuarantine = quarantine;
+        mVersions = versions;
         mLimiter = limiter;
     }
 
@@ -94,9 +98,10 @@
     /** Starts a request whose route and key have been checked. */
     void begin(DirectRequest request, long now, Effects out) {
         mRequests.put(request.call().call(), request);
-        Optional<Failure> quarantined = quarantineFailure(request);
-        if (quarantined.isPresent()) {
-            fail(request, quarantined.get(), now, out);
+        Optional<Failure> failure =
+                quarantineFailure(request).or(() -> resumptionFailure(request, now));
+        if (failure.isPresent()) {
+            fail(request, failure.get(), now, out);
             return;
         }
         if (request.isOpen()) {
@@ -114,6 +119,29 @@
         }
     }
 
+    /**
+     * Sets the version at which a stream that its caller takes up may go on; returns why it can't
+     * go on, if so.
+     */
+    private Optional<Failure> resumptionFailure(DirectRequest request, long now) {
+        if (request.resumption().isEmpty() || !request.isResumable()) {
+            return Optional.empty();
+        }
+        mVersions.versionOf(request, now).ifPresent(request::setVersion);
+        boolean isServed =
+                request.version()
+                        .filter(version -> mTargets.serves(request.service(), version))
+                        .isPresent();
+        String version = request.version().map(v -> "version " + v).orElse("an unknown version");
+        return isServed
+                ? Optional.empty()
+                : Optional.of(
+                        Failure.notRun(
+                                ErrorKind.STREAM_VERSION_UNAVAILABLE,
+                                "a target of " + version + " began the stream",
+                                RETRY_AFTER_MILLIS));
+    }
+
     /** Returns why a request may not be sent, if it or a part of its prompt is quarantined. */
     private Optional<Failure> quarantineFailure(DirectRequest request) {
         return mQuarantine.firstQuarantined(request.content()).map(DirectCalls::refusal);
@@ -155,7 +183,7 @@
             giveUp(request, quarantined.get(), now, out);
             return;
         }
-        Optional<Target> target = mTargets.chooseForOnline(request.service(), request.tried(), now);
+        Optional<Target> target = mTargets.chooseForOnline(request.service(), request::allows, now);
         long remaining = request.deadline() - now;
         if (target.isEmpty() && hold(request, now, out)) {
             return;
@@ -202,7 +230,7 @@
 
     /** Returns when the limit of some target allows a request; empty if that is too late. */
     private OptionalLong heldUntil(DirectRequest request, long now) {
-        OptionalLong wait = mTargets.limitWaitNanos(request.service(), request.tried(), now);
+        OptionalLong wait = mTargets.limitWaitNanos(request.service(), request::allows, now);
         return wait.isPresent() && now + wait.getAsLong() <= request.latestSend()
                 ? OptionalLong.of(now + wait.getAsLong())
                 : OptionalLong.empty();
@@ -273,6 +301,7 @@
             boolean hadProgressed = mRequest.hasProgressed();
             byte[] complete = mRequest.append(bytes, now);
             if (!hadProgressed && mRequest.hasProgressed()) {
+                noteVersion(mRequest, now);
                 mQuarantine.answerProgressed(mRequest.content(), now, out);
             }
             if (complete.length > 0) {
@@ -317,6 +346,15 @@
         }
     }
 
+    /** Notes which version has begun a stream that may have to go on elsewhere. */
+    private void noteVersion(DirectRequest request, long now) {
+        if (request.isResumable() && request.version().isEmpty()) {
+            SoftwareVersion version = request.target().orElseThrow().listed().version();
+            request.setVersion(version);
+            mVersions.begun(request, version, now);
+        }
+    }
+
     /** Reports a target that closed the connection before its answer was complete. */
     private void noteCut(DirectRequest request, long now, Effects out) {
         var cut =
@@ -360,7 +398,7 @@
                 && request.hasRunsLeft()
                 && request.deadline() - now >= MIN_REMAINING_NANOS
                 && quarantineFailure(request).isEmpty()
-                && (mTargets.chooseForOnline(request.service(), request.tried(), now).isPresent()
+                && (mTargets.chooseForOnline(request.service(), request::allows, now).isPresent()
                         || heldUntil(request, now).isPresent());
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -58,6 +58,8 @@
     private final CrashQuarantine mQuarantine = CrashQuarantine.create();
     private final HostReports mReports;
     private final LoadShedder mLoadShedder;
+    private final StreamVersions mVersions = StreamVersions.create();
+    private final StreamVersionSync mVersionSync;
     private final EarlyCalls mEarlyCalls = new EarlyCalls();
     private final SharedCountLimiter mLimiter;
     private final DirectCallerAnswers mAnswers;
@@ -105,7 +107,9 @@
                         loadExchange,
                         mQuarantine,
                         mLimiter,
-                        mLoadShedder);
+                        mLoadShedder,
+                        mVersions);
+        mVersionSync = new StreamVersionSync(settings.host(), mVersions);
         mAnswers = new DirectCallerAnswers(protocols.callers().retryAfter());
         mCalls =
                 new DirectCalls(
@@ -116,6 +120,7 @@
                         loadExchange,
                         mLoadShedder,
                         mQuarantine,
+                        mVersions,
                         mLimiter);
         JobRequestClient client = DirectJobs.createClient(membership.jobHosts(), random);
         mJobs = new DirectJobs(protocols.callers(), client);
@@ -285,9 +290,15 @@
                 hostsChanged(now, out);
             }
         } else if (message instanceof FleetMessage.Listing listing) {
-            mTargets.update(listing, out);
+            if (mTargets.update(listing, out)) {
+                mVersions.listed(listing, now);
+            }
         } else if (message instanceof FleetMessage.Quarantine stored) {
             mQuarantine.handle(stored, now, out);
+        } else if (message instanceof FleetMessage.AskStreams) {
+            mVersionSync.answer(from, now, out);
+        } else if (message instanceof FleetMessage.KnownStreams known) {
+            mVersions.handle(known.streams(), now);
         } else if (message instanceof FleetMessage.Reports reports) {
             mReports.handle(from, reports, now, out);
         }
@@ -301,6 +312,7 @@
                 .forEach(host -> out.add(new Effect.PeerAddress(host, mAddresses.of(host))));
         mLoadShedder.entryCount(mMembership.entries().size());
         mLimiter.entries(mMembership.entries(), now);
+        mVersionSync.entries(mMembership.entries(), now);
         mReports.hostsChanged(mMembership, now, out);
     }
 
@@ -313,6 +325,7 @@
         enrol(nowNanos, out);
         mQuarantine.tick(nowNanos, out);
         mReports.tick(nowNanos, out);
+        mVersionSync.tick(nowNanos, out);
         mCalls.tick(nowNanos, out);
         mJobs.tick(nowNanos, out);
         if (mStopping && !mRefusing && nowNanos - mRefuseAt >= 0) {
@@ -365,6 +378,7 @@
                                 mMembership.nextTickNanos(),
                                 mQuarantine.nextTickNanos(),
                                 mReports.nextTickNanos(),
+                                mVersionSync.nextTickNanos(),
                                 mEarlyCalls.nextTickNanos(),
                                 mCalls.nextTickNanos(),
                                 mJobs.nextTickNanos())
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.RequestKind;
@@ -46,6 +47,7 @@
     private final long mDeadline;
     private final Set<TargetId> mTried = new HashSet<>();
     private final EventReader mEvents = new EventReader();
+    private Optional<SoftwareVersion> mVersion = Optional.empty();
     private DirectState mState = DirectState.CHART.initial();
     private Target mTarget;
     private long mTargetCall;
@@ -277,8 +279,20 @@
         mTarget = null;
     }
 
-    Set<TargetId> tried() {
-        return mTried;
+    /** Sets the version of the targets at which the stream may go on. */
+    void setVersion(SoftwareVersion version) {
+        mVersion = Optional.of(version);
+    }
+
+    /** Returns the version of the targets at which the stream may go on; empty for any. */
+    Optional<SoftwareVersion> version() {
+        return mVersion;
+    }
+
+    /** Returns whether the request may be sent to a target. */
+    boolean allows(Target target) {
+        return !mTried.contains(target.listed().id())
+                && mVersion.filter(v -> !v.equals(target.listed().version())).isEmpty();
     }
 
     /** Notes that the current target has begun an answer that is being passed on. */
--- a/src/main/java/org/coltsfootproxy/direct/HostReports.java
+++ b/src/main/java/org/coltsfootproxy/direct/HostReports.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
@@ -17,7 +18,7 @@
 
 /**
  * Composes the reports of this host and applies those of the others: calls in flight, admitted and
- * refused requests, targets that leave, and what crashes targets.
+ * refused requests, targets that leave, what crashes targets, and streams that have begun.
  *
  * <p>All parts travel in one report, which is sent as soon as one part is due.
  */
@@ -32,6 +33,7 @@
     private final CrashQuarantine mQuarantine;
     private final Optional<SharedCountLimiter> mLimiter;
     private final Optional<LoadShedder> mShedder;
+    private final Optional<StreamVersions> mVersions;
     private final ReportRelay mRelay;
     private long mSequence;
     private long mPublishedAt;
@@ -44,7 +46,8 @@
             LoadExchange loads,
             CrashQuarantine quarantine,
             Optional<SharedCountLimiter> limiter,
-            Optional<LoadShedder> shedder) {
+            Optional<LoadShedder> shedder,
+            Optional<StreamVersions> versions) {
         mSelf = checkNotNull(self, "self");
         mEpoch = epoch;
         mTargets = checkNotNull(targets, "targets");
@@ -52,6 +55,7 @@
         mQuarantine = checkNotNull(quarantine, "quarantine");
         mLimiter = checkNotNull(limiter, "limiter");
         mShedder = checkNotNull(shedder, "shedder");
+        mVersions = checkNotNull(versions, "versions");
         mRelay = ReportRelay.create(self, new Received());
     }
 
@@ -67,7 +71,8 @@
             LoadExchange loads,
             CrashQuarantine quarantine,
             SharedCountLimiter limiter,
-            LoadShedder shedder) {
+            LoadShedder shedder,
+            StreamVersions versions) {
         return new HostReports(
                 self,
                 epoch,
@@ -75,7 +80,8 @@
                 loads,
                 quarantine,
                 Optional.of(limiter),
-                Optional.of(shedder));
+                Optional.of(shedder),
+                Optional.of(versions));
     }
 
     /**
@@ -90,7 +96,14 @@
             LoadExchange loads,
             CrashQuarantine quarantine) {
         return new HostReports(
-                self, epoch, targets, loads, quarantine, Optional.empty(), Optional.empty());
+                self,
+                epoch,
+                targets,
+                loads,
+                quarantine,
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty());
     }
 
     /** Applies the reports of other hosts. */
@@ -110,6 +123,7 @@
             if (report.refused() != null) {
                 mShedder.ifPresent(s -> s.handle(report.refused(), nowNanos));
             }
+            mVersions.ifPresent(versions -> versions.handle(report.streams(), nowNanos));
         }
 
         @Override
@@ -121,6 +135,7 @@
         public void reportsLost(long nowNanos) {
             mLoads.requireCompleteReport(nowNanos);
             mLimiter.ifPresent(SharedCountLimiter::requireCompleteReport);
+            mVersions.ifPresent(versions -> versions.reportAgain(nowNanos));
         }
     }
 
@@ -163,17 +178,20 @@
                         mLimiter.flatMap(l -> l.takeReport(nowNanos)).orElse(null),
                         mShedder.flatMap(LoadShedder::takeReport).orElse(null),
                         mTargets.leaving().recentlyHeard(nowNanos),
-                        mQuarantine.takeReport(nowNanos).orElse(null)),
+                        mQuarantine.takeReport(nowNanos).orElse(null),
+                        mVersions.map(StreamVersions::takeReport).orElse(List.of())),
                 nowNanos);
     }
 
     private long nextReportNanos() {
-        boolean hasRefused = mShedder.filter(LoadShedder::hasReport).isPresent();
+        boolean hasBatch =
+                mShedder.filter(LoadShedder::hasReport).isPresent()
+                        || mVersions.filter(StreamVersions::hasReport).isPresent();
         return LongStream.of(
                         mLoads.nextReportNanos(),
                         mQuarantine.nextReportNanos(),
                         mLimiter.map(SharedCountLimiter::nextReportNanos).orElse(Node.NEVER),
-                        hasRefused ? mPublishedAt + ReportRelay.BATCH_INTERVAL_NANOS : Node.NEVER)
+                        hasBatch ? mPublishedAt + ReportRelay.BATCH_INTERVAL_NANOS : Node.NEVER)
                 .min()
                 .getAsLong();
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -86,9 +86,14 @@
         return mStartedAt;
     }
 
-    /** Returns the targets that this item was sent to since its last pause. */
-    Set<TargetId> tried() {
-        return mTried;
+    /** Returns whether the item may be sent to a target. */
+    boolean allows(Target target) {
+        return !mTried.contains(target.listed().id());
+    }
+
+    /** Allows the targets again that the item was sent to. */
+    void forgetTried() {
+        mTried.clear();
     }
 
     void sentTo(Target target, long targetCall, long nowNanos) {
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -216,13 +216,13 @@
         ServiceId service = run.item().service();
         Optional<Target> target =
                 pacer(service).mayStart(now)
-                        ? mTargets.chooseForBatch(service, run.tried(), mWorkers, now)
+                        ? mTargets.chooseForBatch(service, run::allows, mWorkers, now)
                         : Optional.empty();
         if (target.isEmpty() && run.needsSlotNow(mMeanRunNanos, now)) {
-            target = mTargets.chooseForUrgent(service, run.tried(), now);
+            target = mTargets.chooseForUrgent(service, run::allows, now);
         }
         if (target.isEmpty()) {
-            run.tried().clear();
+            run.forgetTried();
             mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
             return;
         }
@@ -557,7 +557,7 @@
         releaseTarget(run, now);
         logAttemptEnd(run, "preempted by an online request", out);
         out.measure(Metric.BATCH_STOPPED, "", "", 1);
-        run.tried().clear();
+        run.forgetTried();
         mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.message.FleetMessage;
@@ -149,7 +148,7 @@
                                 .mapToDouble(OptionalDouble::getAsDouble)
                                 .sum()
                         / TimeUnit.SECONDS.toNanos(1);
-        long next = mTargets.limitWaitNanos(service, Set.of(), nowNanos).orElse(0);
+        long next = mTargets.limitWaitNanos(service, target -> true, nowNanos).orElse(0);
         return next + (perNano > 0 ? heldRequests * mEntryCount / perNano : 0);
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -13,12 +13,14 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.message.FleetMessage;
@@ -201,16 +203,21 @@
                                 !target.listed().leaving() && !mLeaving.contains(target.listed()));
     }
 
+    /** Returns whether a target of a version accepts new work of a service. */
+    boolean serves(ServiceId service, SoftwareVersion version) {
+        return active(service).anyMatch(target -> target.listed().version().equals(version));
+    }
+
     /**
      * Returns the target of a service that is expected to serve an online request soonest. At equal
      * load, a target in the local data centre is preferred.
      *
-     * @param tried targets that the request was already sent to, which are excluded
+     * @param allowed whether the request may be sent to a target
      */
-    Optional<Target> chooseForOnline(ServiceId service, Set<TargetId> tried, long nowNanos) {
+    Optional<Target> chooseForOnline(ServiceId service, Predicate<Target> allowed, long nowNanos) {
         List<Target> candidates =
                 active(service)
-                        .filter(target -> !tried.contains(target.listed().id()))
+                        .filter(allowed)
                         .filter(target -> target.rateLimit().allowedCalls(nowNanos) > 0)
                         .toList();
         List<Target> healthy = candidates.stream().filter(t -> !t.isAvoided(nowNanos)).toList();
@@ -221,11 +228,11 @@
 
     /**
      * Returns the time until the limit of some target of a service allows an online request, in
-     * nanoseconds; empty if there is no target that the request was not sent to.
+     * nanoseconds; empty if there is no target to which it may be sent.
      */
-    OptionalLong limitWaitNanos(ServiceId service, Set<TargetId> tried, long nowNanos) {
+    OptionalLong limitWaitNanos(ServiceId service, Predicate<Target> allowed, long nowNanos) {
         return active(service)
-                .filter(target -> !tried.contains(target.listed().id()))
+                .filter(allowed)
                 .mapToLong(target -> target.rateLimit().waitNanos(nowNanos))
                 .min();
     }
@@ -252,17 +259,18 @@
     /**
      * Returns the least loaded target of a service with a free slot for a batch item of this host.
      *
+     * @param allowed whether the item may be sent to a target
      * @param workers number of hosts that run items; all of them see the same free slots and share
      *     them
      */
     Optional<Target> chooseForBatch(
-            ServiceId service, Set<TargetId> tried, int workers, long nowNanos) {
+            ServiceId service, Predicate<Target> allowed, int workers, long nowNanos) {
         if (freeBatchSlots(service, nowNanos) <= 0) {
             return Optional.empty();
         }
         List<Target> candidates =
                 active(service)
-                        .filter(target -> !tried.contains(target.listed().id()))
+                        .filter(allowed)
                         .filter(target -> hasShareLeft(target, workers, nowNanos))
                         .toList();
         return candidates.isEmpty()
@@ -275,10 +283,10 @@
      * items already keep their fraction of every target's slots. An urgent item can't wait for a
      * free slot.
      */
-    Optional<Target> chooseForUrgent(ServiceId service, Set<TargetId> tried, long nowNanos) {
+    Optional<Target> chooseForUrgent(ServiceId service, Predicate<Target> allowed, long nowNanos) {
         List<Target> candidates =
                 active(service)
-                        .filter(target -> !tried.contains(target.listed().id()))
+                        .filter(allowed)
                         .filter(target -> !target.isAvoided(nowNanos) && mayAddKept(target))
                         .filter(target -> target.rateLimit().allowedCalls(nowNanos) > 0)
                         .toList();
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.WireCode;
@@ -159,6 +160,7 @@
      * @param refused refused requests; null if the report has none
      * @param leaving targets whose responses to the origin said recently that they are leaving
      * @param crashes what crashes targets; null if the report has none
+     * @param streams streams that the origin has begun and the others may not know
      */
     record HostReport(
             HostId origin,
@@ -168,10 +170,38 @@
             Usage usage,
             RefusedRequests refused,
             List<LeavingTarget> leaving,
-            CrashReport crashes) {
-        /** Copies the list. */
+            CrashReport crashes,
+            List<BegunStreams> streams) {
+        /** Copies the lists. */
         public HostReport {
             leaving = List.copyOf(leaving);
+            // A host of an earlier version sends none.
+            streams = streams == null ? List.of() : List.copyOf(streams);
+        }
+    }
+
+    /**
+     * Streams that targets of one software version have begun.
+     *
+     * @param streams hashes of the organisations and names of the requests that began them
+     */
+    record BegunStreams(SoftwareVersion version, List<Long> streams) {
+        /** Copies the list. */
+        public BegunStreams {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /** Entry to entry: asks for the recent streams, because the sender has just started. */
+    @WireCode(711)
+    record AskStreams() implements FleetMessage {}
+
+    /** Entry to entry: answers {@link AskStreams}. */
+    @WireCode(712)
+    record KnownStreams(List<BegunStreams> streams) implements FleetMessage {
+        /** Copies the list. */
+        public KnownStreams {
+            streams = List.copyOf(streams);
         }
     }
 
--- a/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
@@ -9,8 +9,8 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ServiceId;
@@ -26,6 +26,7 @@
 
 /** Tests of {@link LoadExchange} and of the choice of targets by the load that hosts report. */
 public final class LoadExchangeTest {
+    private static final Predicate<Target> ANY = target -> true;
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     private static final HostId SELF = HostId.of("10.0.2.1");
     private static final HostId STORE = HostId.of("10.0.1.1");
@@ -86,7 +87,7 @@
     }
 
     private String chosenForOnline() {
-        return mTargets.chooseForOnline(LM, Set.of(), 0).orElseThrow().listed().id().value();
+        return mTargets.chooseForOnline(LM, ANY, 0).orElseThrow().listed().id().value();
     }
 
     @Test
@@ -150,31 +151,30 @@
                 STORE, new FleetMessage.InFlight(List.of(use("a", 0, 7), use("b", 0, 8)), true), 0);
 
         assertEquals(
-                mTargets.chooseForBatch(LM, Set.of(), 1, 0).orElseThrow().listed().id().value(),
-                "a");
+                mTargets.chooseForBatch(LM, ANY, 1, 0).orElseThrow().listed().id().value(), "a");
         mTargets.callStarted(target("a"), TrafficClass.BATCH, 0);
-        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 1, 0).isEmpty());
+        assertTrue(mTargets.chooseForBatch(LM, ANY, 1, 0).isEmpty());
     }
 
     @Test
     public void slotsStayFreeOfBatchItemsForTheUsualVariationOfOnlineRequests() {
         mLoadExchange.handle(STORE, complete(use("a", 2, 5), use("b", 2, 4)), 0);
-        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 1, 0).isPresent());
+        assertTrue(mTargets.chooseForBatch(LM, ANY, 1, 0).isPresent());
 
         mLoadExchange.handle(STORE, complete(use("a", 2, 6), use("b", 2, 4)), 0);
-        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 1, 0).isEmpty());
+        assertTrue(mTargets.chooseForBatch(LM, ANY, 1, 0).isEmpty());
     }
 
     @Test
     public void hostsThatSeeTheSameFreeSlotsShareThem() {
         mLoadExchange.handle(STORE, new FleetMessage.InFlight(List.of(use("b", 8, 0)), true), 0);
         for (int started = 0; started < 2; started++) {
-            Target target = mTargets.chooseForBatch(LM, Set.of(), 4, 0).orElseThrow();
+            Target target = mTargets.chooseForBatch(LM, ANY, 4, 0).orElseThrow();
             mTargets.callStarted(target, TrafficClass.BATCH, 0);
             target.batchStarted(0);
         }
-        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 4, 0).isEmpty());
-        assertTrue(mTargets.chooseForBatch(LM, Set.of(), 4, 60 * MILLI).isPresent());
+        assertTrue(mTargets.chooseForBatch(LM, ANY, 4, 0).isEmpty());
+        assertTrue(mTargets.chooseForBatch(LM, ANY, 4, 60 * MILLI).isPresent());
     }
 
     @Test
@@ -183,13 +183,12 @@
                 STORE,
                 new FleetMessage.InFlight(List.of(use("a", 6, 2, 2), use("b", 8, 1, 1)), true),
                 0);
-        assertEquals(
-                mTargets.chooseForUrgent(LM, Set.of(), 0).orElseThrow().listed().id().value(), "b");
+        assertEquals(mTargets.chooseForUrgent(LM, ANY, 0).orElseThrow().listed().id().value(), "b");
         mLoadExchange.handle(
                 STORE,
                 new FleetMessage.InFlight(List.of(use("a", 6, 2, 2), use("b", 8, 2, 2)), true),
                 0);
-        assertTrue(mTargets.chooseForUrgent(LM, Set.of(), 0).isEmpty());
+        assertTrue(mTargets.chooseForUrgent(LM, ANY, 0).isEmpty());
     }
 
     @Test
@@ -261,9 +260,8 @@
         mLoadExchange.handle(STORE, changes(limited(use("a", 1, 0), 1, 2)), 0);
         assertEquals(chosenForOnline(), "b");
         mLoadExchange.handle(STORE, changes(limited(use("b", 1, 0), 1, 2)), 0);
-        assertTrue(mTargets.chooseForOnline(LM, Set.of(), 0).isEmpty());
+        assertTrue(mTargets.chooseForOnline(LM, ANY, 0).isEmpty());
         assertEquals(
-                mTargets.limitWaitNanos(LM, Set.of(), 0),
-                OptionalLong.of(TimeUnit.SECONDS.toNanos(1)));
+                mTargets.limitWaitNanos(LM, ANY, 0), OptionalLong.of(TimeUnit.SECONDS.toNanos(1)));
     }
 }
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -309,7 +309,15 @@
     private void deliverReport(HostId from, HostId to, FleetMessage.CrashReport prompts) {
         var report =
                 new FleetMessage.HostReport(
-                        from, mRandom.nextLong(), 1, null, null, null, List.of(), prompts);
+                        from,
+                        mRandom.nextLong(),
+                        1,
+                        null,
+                        null,
+                        null,
+                        List.of(),
+                        prompts,
+                        List.of());
         mFleet.deliver(
                 to, new Input.FromPeer(from, new FleetMessage.Reports(List.of(report), List.of())));
     }
--- a/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
@@ -236,6 +236,7 @@
     public void aStreamWhoseVersionHasGoneIsNotContinuedByAnother(long seed) {
         start(seed, "v1");
         begin(20);
+        mSimulation.run(SECOND_NANOS);
         mTargets.mAll.forEach(target -> target.mVersion = "v2");
         mSimulation.run(2 * SECOND_NANOS);
         mStreams.forEach(stream -> stream.resumeAt(anyEntry()));
--- a/src/test/java/org/coltsfootproxy/relay/ReportRelayTest.java
+++ b/src/test/java/org/coltsfootproxy/relay/ReportRelayTest.java
@@ -145,7 +145,8 @@
             mRelays.get(host)
                     .publish(
                             new FleetMessage.HostReport(
-                                    host, 1, sequence, null, null, null, List.of(), null),
+                                    host, 1, sequence, null, null, null, List.of(), null,
+                                    List.of()),
                             mNow);
         }
 
@@ -483,7 +484,7 @@
     private static FleetMessage.Reports reportOf(long epoch) {
         var report =
                 new FleetMessage.HostReport(
-                        host(0, 1), epoch, 1, null, null, null, List.of(), null);
+                        host(0, 1), epoch, 1, null, null, null, List.of(), null, List.of());
         return new FleetMessage.Reports(List.of(report), List.of());
     }
 
