Batch items go on only at the software version of their output

If no target of that version accepts work, or it is unknown and there are several, the item begins anew (event 605); its first piece then replaces the kept output of the other version.

For a rolling upgrade: hosts of an earlier version ignore a piece that replaces output, so stores of both versions must not share the job log for long; stop all stores for this upgrade, as for the last one.

--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.LeaseRef;
@@ -29,7 +30,8 @@
     private final CallContent mContent;
     private final long mStartedAt;
     private final Set<TargetId> mTried = new HashSet<>();
-    private final EventReader mEvents = new EventReader();
+    private EventReader mEvents = new EventReader();
+    private Optional<SoftwareVersion> mVersion;
     private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
     private Target mTarget;
     private long mTargetCall;
@@ -50,6 +52,7 @@
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
         mReportedBytes = partial.bytes().length;
+        mVersion = Optional.ofNullable(partial.version());
         if (!partial.lastEvent().isEmpty()) {
             mEvents.resumeAfter(partial.lastEvent());
         }
@@ -88,7 +91,22 @@
 
     /** Returns whether the item may be sent to a target. */
     boolean allows(Target target) {
-        return !mTried.contains(target.listed().id());
+        return !mTried.contains(target.listed().id())
+                && mVersion.filter(v -> !v.equals(target.listed().version())).isEmpty();
+    }
+
+    /** Returns the version of the targets that sent the output; empty if unknown or none did. */
+    Optional<SoftwareVersion> version() {
+        return mVersion;
+    }
+
+    /** Discards the output, because no target can resume it. */
+    void beginAnew() {
+        mOutput.reset();
+        mEvents = new EventReader();
+        mVersion = Optional.empty();
+        mReportedBytes = 0;
+        mActiveNanos = 0;
     }
 
     /** Allows the targets again that the item was sent to. */
@@ -191,6 +209,7 @@
         byte[] complete = mEvents.append(bytes);
         if (mEvents.advances() > advances) {
             mLastActivity = nowNanos;
+            mVersion = Optional.of(mTarget.listed().version());
         }
         if (complete.length > 0) {
             if (mOutput.size() > 0) {
@@ -227,8 +246,14 @@
             return Optional.empty();
         }
         byte[] newOutput = Arrays.copyOfRange(mOutput.toByteArray(), offset, mReportedBytes);
+        SoftwareVersion version = mVersion.orElse(null);
         return lastEvent()
-                .map(id -> new ItemProgress(lease(), offset, new PartialOutput(newOutput, id)));
+                .map(
+                        id ->
+                                new ItemProgress(
+                                        lease(),
+                                        offset,
+                                        new PartialOutput(newOutput, id, version)));
     }
 
     /** Counts a failed call; returns the number of failed calls since the last complete event. */
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -36,7 +36,6 @@
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
-import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.quarantine.CrashQuarantine;
 import org.coltsfootproxy.quarantine.CutCall;
 
@@ -203,7 +202,7 @@
                 mTimers.clear(lease);
                 mCalls.cancel(run.targetCall(), out);
                 releaseTarget(run, now);
-                logAttemptEnd(run, "the lease of the item was revoked", out);
+                ItemLog.attemptEnded(run, "the lease of the item was revoked", out);
             }
         }
     }
@@ -214,6 +213,10 @@
             return;
         }
         ServiceId service = run.item().service();
+        if (!mTargets.canResume(service, run.version(), run.lastEvent())) {
+            ItemLog.begunAnew(run, mTargets.listing().number(), out);
+            run.beginAnew();
+        }
         Optional<Target> target =
                 pacer(service).mayStart(now)
                         ? mTargets.chooseForBatch(service, run::allows, mWorkers, now)
@@ -249,18 +252,7 @@
         updateKept(run, now);
         mCalls.start(target.get().listed().address(), request, new Answer(run), out);
         mTimers.set(run.lease(), now + SILENCE_TIMEOUT_NANOS);
-        out.log(
-                EventCode.ITEM_SENT,
-                LogField.of("job", run.lease().job()),
-                LogField.of("item", run.lease().item()),
-                LogField.of("lease", run.lease().fence()),
-                LogField.of("promptParts", run.content().parts()),
-                LogField.of("target", target.get().listed().id()),
-                LogField.of("version", target.get().listed().version()),
-                LogField.of("online", target.get().online()),
-                LogField.of("batch", target.get().batch()),
-                LogField.of("listing", mTargets.listing().number()),
-                LogField.of("after", run.lastEvent().orElse("")));
+        ItemLog.sent(run, target.get(), mTargets.listing().number(), out);
     }
 
     /** Returns whether an item is not quarantined, or may be tried in spite of it. */
@@ -290,7 +282,7 @@
         for (ItemRun run : waiting) {
             mCalls.cancel(run.targetCall(), out);
             releaseTarget(run, now);
-            logAttemptEnd(run, "a part of the prompt was quarantined", out);
+            ItemLog.attemptEnded(run, "a part of the prompt was quarantined", out);
             mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
         }
     }
@@ -410,7 +402,7 @@
     }
 
     private void retry(ItemRun run, String why, long now, Effects out) {
-        logAttemptEnd(run, why, out);
+        ItemLog.attemptEnded(run, why, out);
         if (run.callFailed() >= MAX_FAILURES_WITHOUT_PROGRESS) {
             finish(run, ItemReport.givenBack(run.lease()), now, out);
         } else {
@@ -426,19 +418,6 @@
         run.leftTarget(now);
     }
 
-    private static void logAttemptEnd(ItemRun run, String why, Effects out) {
-        out.log(
-                EventCode.ITEM_TRY_ENDED,
-                LogField.of("job", run.lease().job()),
-                LogField.of("item", run.lease().item()),
-                LogField.of("lease", run.lease().fence()),
-                LogField.of("why", why),
-                LogField.of("hadHead", run.hasSuccess()),
-                LogField.of("hadEvents", run.hasProgressed()),
-                LogField.of("promptParts", run.content().parts()),
-                LogField.of("after", run.lastEvent().orElse("")));
-    }
-
     private void finish(ItemRun run, ItemReport report, long now, Effects out) {
         mRuns.remove(run.lease());
         mTimers.clear(run.lease());
@@ -447,14 +426,7 @@
     }
 
     private void report(ItemReport report, long now, Effects out) {
-        out.log(
-                EventCode.ITEM_REPORTED,
-                LogField.of("job", report.lease().job()),
-                LogField.of("item", report.lease().item()),
-                LogField.of("lease", report.lease().fence()),
-                LogField.of("outcome", report.outcome()),
-                LogField.of("why", report.error()),
-                LogField.of("bytes", report.body().length));
+        ItemLog.reported(report, out);
         mPuller.itemEnded(report, now, out);
     }
 
@@ -555,7 +527,7 @@
         pacer(run.item().service()).preempted(now);
         mCalls.cancel(run.targetCall(), out);
         releaseTarget(run, now);
-        logAttemptEnd(run, "preempted by an online request", out);
+        ItemLog.attemptEnded(run, "preempted by an online request", out);
         out.measure(Metric.BATCH_STOPPED, "", "", 1);
         run.forgetTried();
         mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -208,6 +208,23 @@
         return active(service).anyMatch(target -> target.listed().version().equals(version));
     }
 
+    /**
+     * Returns whether a target that accepts new work can resume a stream, or no target accepts any
+     * at the moment.
+     *
+     * @param version version that has begun the stream; empty if unknown
+     * @param lastEvent last event of the stream; empty if it has none, so that any target can begin
+     *     it
+     */
+    boolean canResume(
+            ServiceId service, Optional<SoftwareVersion> version, Optional<String> lastEvent) {
+        List<SoftwareVersion> versions =
+                active(service).map(target -> target.listed().version()).distinct().toList();
+        return lastEvent.isEmpty()
+                || versions.isEmpty()
+                || version.map(versions::contains).orElse(versions.size() == 1);
+    }
+
     /**
      * Returns the target of a service that is expected to serve an online request soonest. At equal
      * load, a target in the local data centre is preferred.
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -228,7 +228,7 @@
     /** Appends a piece to the partial output. */
     void appendPartialOutput(int index, PartialOutput piece) {
         byte[] bytes = Bytes.concat(partialOutput(index).bytes(), piece.bytes());
-        setPartialOutput(index, new PartialOutput(bytes, piece.lastEvent()));
+        setPartialOutput(index, new PartialOutput(bytes, piece.lastEvent(), piece.version()));
     }
 
     void setPartialOutput(int index, PartialOutput output) {
--- a/src/main/java/org/coltsfootproxy/job/ItemTransitions.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTransitions.java
@@ -1,10 +1,12 @@
 package org.coltsfootproxy.job;
 
+import java.util.Objects;
 import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobState;
 import org.coltsfootproxy.message.LeaseRef;
+import org.coltsfootproxy.message.PartialOutput;
 import org.coltsfootproxy.message.ReportVerdict;
 
 /**
@@ -74,23 +76,31 @@
     }
 
     /**
-     * Appends a piece to an item's partial output if it directly follows what is kept; tells
-     * whether it did.
+     * Appends a piece to an item's partial output if it directly follows what is kept, or replaces
+     * that by the first piece of a run at another software version; tells whether it did.
      *
      * <p>A piece of a run that began before the last piece was kept has another offset and is
      * ignored.
      */
     boolean progress(ItemProgress progress) {
         LeaseRef lease = progress.lease();
-        boolean isNextPiece =
-                isKnownItem(lease)
-                        && mJob.spec().repeatable()
-                        && mItems.state(lease.item()) == ItemState.WAITING
-                        && mItems.partialOutput(lease.item()).bytes().length == progress.offset();
-        if (isNextPiece) {
+        if (!isKnownItem(lease)
+                || !mJob.spec().repeatable()
+                || mItems.state(lease.item()) != ItemState.WAITING) {
+            return false;
+        }
+        PartialOutput kept = mItems.partialOutput(lease.item());
+        boolean isSameVersion = Objects.equals(kept.version(), progress.piece().version());
+        boolean isFirst = progress.offset() == 0;
+        boolean follows = kept.bytes().length == progress.offset() && (isFirst || isSameVersion);
+        if (!follows && isFirst && !isSameVersion) {
+            mItems.setPartialOutput(lease.item(), PartialOutput.NONE);
+            follows = true;
+        }
+        if (follows) {
             mItems.appendPartialOutput(lease.item(), progress.piece());
         }
-        return isNextPiece;
+        return follows;
     }
 
     /** Applies an agent's report. */
--- a/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.PartialOutput;
 import org.msgpack.core.MessageBufferPacker;
@@ -17,11 +18,14 @@
  * payloads.
  */
 final class LedgerSnapshot {
-    private static final int VERSION = 3;
+    private static final int VERSION = 4;
 
     /** Version that lacks the partial output of items that have not ended. */
     private static final int VERSION_WITHOUT_PARTIAL_OUTPUT = 2;
 
+    /** Version in which partial outputs don't name the software version that they come from. */
+    private static final int VERSION_WITHOUT_SOFTWARE_VERSIONS = 3;
+
     private static final ItemState[] STATES = ItemState.values();
     private static final ObjectMapper HEAD_MAPPER = new ObjectMapper(new MessagePackFactory());
 
@@ -84,6 +88,11 @@
         }
         writeBytes(output.bytes(), packer);
         packer.packString(output.lastEvent());
+        if (output.version() == null) {
+            packer.packNil();
+        } else {
+            packer.packString(output.version().value());
+        }
     }
 
     private static void writeBytes(byte[] bytes, MessageBufferPacker packer) throws IOException {
@@ -93,7 +102,7 @@
     static JobTable decode(byte[] snapshot) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(snapshot)) {
             int version = unpacker.unpackInt();
-            if (version != VERSION && version != VERSION_WITHOUT_PARTIAL_OUTPUT) {
+            if (version < VERSION_WITHOUT_PARTIAL_OUTPUT || version > VERSION) {
                 throw new IllegalStateException(
                         "unsupported version of the job ledger snapshot: " + version);
             }
@@ -121,9 +130,8 @@
             byte[] payload = readBytes(unpacker);
             ItemTable.FailureRecord failure = decodeFailure(unpacker);
             job.items().restore(state, hash, payload, failure, decodeRun(unpacker));
-            if (version == VERSION && !unpacker.tryUnpackNil()) {
-                byte[] output = readBytes(unpacker);
-                job.items().setPartialOutput(i, new PartialOutput(output, unpacker.unpackString()));
+            if (version > VERSION_WITHOUT_PARTIAL_OUTPUT && !unpacker.tryUnpackNil()) {
+                job.items().setPartialOutput(i, decodePartialOutput(version, unpacker));
             }
         }
         int resultCount = unpacker.unpackInt();
@@ -150,6 +158,17 @@
                 : new ItemTable.Run(unpacker.unpackLong(), unpacker.unpackString());
     }
 
+    private static PartialOutput decodePartialOutput(int version, MessageUnpacker unpacker)
+            throws IOException {
+        byte[] output = readBytes(unpacker);
+        String lastEvent = unpacker.unpackString();
+        boolean isVersionKnown =
+                version > VERSION_WITHOUT_SOFTWARE_VERSIONS && !unpacker.tryUnpackNil();
+        SoftwareVersion software =
+                isVersionKnown ? SoftwareVersion.of(unpacker.unpackString()) : null;
+        return new PartialOutput(output, lastEvent, software);
+    }
+
     private static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
         return unpacker.readPayload(unpacker.unpackBinaryHeader());
     }
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -10,6 +10,7 @@
 import org.coltsfootproxy.base.JobId;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.ItemState;
@@ -153,7 +154,15 @@
     }
 
     private int progress(int item, int offset, String bytes, String lastEvent) {
-        var piece = new PartialOutput(bytes.getBytes(StandardCharsets.UTF_8), lastEvent);
+        return progress(item, offset, bytes, lastEvent, "v1");
+    }
+
+    private int progress(int item, int offset, String bytes, String lastEvent, String version) {
+        var piece =
+                new PartialOutput(
+                        bytes.getBytes(StandardCharsets.UTF_8),
+                        lastEvent,
+                        SoftwareVersion.of(version));
         var progress = new ItemProgress(new LeaseRef(1, item, 1), offset, piece);
         var command = new JobCommand.Progress(2_000, List.of(progress));
         return ((JobOutcome.Count) apply(command)).changed();
@@ -179,6 +188,24 @@
         assertEquals(mLedger.bytes(), bytes);
     }
 
+    /** Guards against output of two software versions in one item. */
+    @Test
+    public void anItemThatBeginsAnewAtAnotherVersionReplacesItsOutput() {
+        submit(FORTH, "a", 1, 10);
+        assertEquals(progress(0, 0, "one", "4", "v1"), 1);
+        assertEquals(progress(0, 3, "\ntwo", "8", "v2"), 0);
+        assertEquals(partialOutput(0), "one after 4");
+        assertEquals(progress(0, 0, "uno", "3", "v2"), 1);
+        assertEquals(partialOutput(0), "uno after 3");
+        assertEquals(progress(0, 3, "\ntwo", "8", "v1"), 0);
+        assertEquals(progress(0, 3, "\ndue", "7", "v2"), 1);
+        byte[] snapshot = mLedger.snapshot();
+        begin();
+        mLedger.restore(snapshot);
+        assertEquals(partialOutput(0), "uno\ndue after 7");
+        assertEquals(progress(0, 7, "\ntre", "9", "v2"), 1);
+    }
+
     @Test
     public void aPieceThatDoesNotFollowTheKeptOutputIsIgnored() {
         submit(FORTH, "a", 1, 10);
