--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -11,7 +11,6 @@
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.base.SoftwareVersion;
-import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.entry.CallerCheck;
@@ -63,6 +62,7 @@
     private final LoadShedder mLoadShedder;
     private final CrashQuarantine mQuarantine;
     private final StreamVersions mVersions;
+    private final SendCheck mCheck;
     private final Limiter mLimiter;
     private final Map<Long, DirectRequest> mRequests = new HashMap<>();
     private final Timers<Long> mTimers = Timers.create();
@@ -88,6 +88,7 @@
         mLoadShedder = loadShedder;
         mQuarantine = quarantine;
         mVersions = versions;
+        mCheck = new SendCheck(quarantine, versions, targets);
         mLimiter = limiter;
     }
 
@@ -99,7 +100,7 @@
     void begin(DirectRequest request, long now, Effects out) {
         mRequests.put(request.call().call(), request);
         Optional<Failure> failure =
-                quarantineFailure(request).or(() -> resumptionFailure(request, now));
+                mCheck.quarantineFailure(request).or(() -> mCheck.resumptionFailure(request, now));
         if (failure.isPresent()) {
             fail(request, failure.get(), now, out);
             return;
@@ -119,43 +120,6 @@
         }
     }
 
-    /**
-     * Sets the version at which a stream that its caller takes up may go on; returns why it can't
-     * go on, if so.
-     */
-    private Optional<Failure> resumptionFailure(DirectRequest request, long now) {
-        if (request.resumption().isEmpty() || !request.isResumable()) {
-            return Optional.empty();
-        }
-        mVersions.versionOf(request, now).ifPresent(request::setVersion);
-        boolean isServed =
-                request.version()
-                        .filter(version -> mTargets.serves(request.service(), version))
-                        .isPresent();
-        String version = request.version().map(v -> "version " + v).orElse("an unknown version");
-        return isServed
-                ? Optional.empty()
-                : Optional.of(
-                        Failure.notRun(
-                                ErrorKind.STREAM_VERSION_UNAVAILABLE,
-                                "a target of " + version + " began the stream",
-                                RETRY_AFTER_MILLIS));
-    }
-
-    /** Returns why a request may not be sent, if it or a part of its prompt is quarantined. */
-    private Optional<Failure> quarantineFailure(DirectRequest request) {
-        return mQuarantine.firstQuarantined(request.content()).map(DirectCalls::refusal);
-    }
-
-    private static Failure refusal(SuspectId suspect) {
-        return suspect.isRequest()
-                ? Failure.notRun(ErrorKind.REQUEST_QUARANTINED, "the request crashes targets", 0)
-                : Failure.notRun(
-                        ErrorKind.PROMPT_QUARANTINED,
-                        "part " + suspect + " of the prompt crashes targets",
-                        0);
-    }
-
     private void sendUnlessOverloaded(DirectRequest request, long now, Effects out) {
         OptionalLong retryMillis =
                 mLoadShedder.refusalRetryMillis(request, heldRequests(request), now);
@@ -178,7 +142,7 @@
      * @param noTargetFailure the answer to the caller if no target can accept the request
      */
     private void send(DirectRequest request, Failure noTargetFailure, long now, Effects out) {
-        Optional<Failure> quarantined = quarantineFailure(request);
+        Optional<Failure> quarantined = mCheck.quarantineFailure(request);
         if (quarantined.isPresent()) {
             giveUp(request, quarantined.get(), now, out);
             return;
@@ -397,7 +361,7 @@
         return request.isRepeatable()
                 && request.hasRunsLeft()
                 && request.deadline() - now >= MIN_REMAINING_NANOS
-                && quarantineFailure(request).isEmpty()
+                && mCheck.quarantineFailure(request).isEmpty()
                 && (mTargets.chooseForOnline(request.service(), request::allows, now).isPresent()
                         || heldUntil(request, now).isPresent());
     }
@@ -498,14 +462,14 @@
         List<DirectRequest> waiting =
                 mRequests.values().stream()
                         .filter(request -> request.target().isPresent() && !request.hasHead())
-                        .filter(request -> quarantineFailure(request).isPresent())
+                        .filter(request -> mCheck.quarantineFailure(request).isPresent())
                         .toList();
         for (DirectRequest request : waiting) {
             mCalls.cancel(request.targetCall(), out);
             Target target = request.target().orElseThrow();
             releaseTarget(request);
             request.notePossiblyRun();
-            Failure failure = quarantineFailure(request).orElseThrow();
+            Failure failure = mCheck.quarantineFailure(request).orElseThrow();
             DirectCallLog.attemptEnded(request, target, failure.detail(), Ran.MAYBE, out);
             giveUp(request, failure, now, out);
         }
