--- a/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
+++ b/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
@@ -115,6 +115,9 @@
 
     /** Notes that a target of a version has sent the first event of a request's stream. */
     void begun(DirectRequest request, SoftwareVersion version, long nowNanos) {
+        if (request.name().isEmpty()) {
+            return;
+        }
         long stream = streamId(request.organisation().id(), request.name());
         remember(stream, new Begun(version, Optional.of(request.service()), nowNanos));
         if (versions(request.service(), nowNanos).size() > 1) {
--- a/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
@@ -220,6 +220,18 @@
         }
     }
 
+    /** Guards against taking one request without an id for another one. */
+    @Test
+    public void aStreamOfARequestWithoutAnIdIsNotTakenForAnother() {
+        start(1, "v1", "v1.1");
+        Answer begun = mSimulation.request(anyEntry(), "", "/ask/1");
+        mSimulation.run(2 * SECOND_NANOS);
+        assertTrue(begun.mIsComplete, begun.toString());
+        Answer answer = mSimulation.resume(anyEntry(), "r1", "/ask/2", "", 3);
+        mSimulation.run(SECOND_NANOS);
+        assertEquals(answer.mStatus, 503, answer.toString());
+    }
+
     /** Guards against refusing streams for their versions where only one has served for long. */
     @Test
     public void anyStreamGoesOnWhereOnlyOneVersionServes() {
