--- a/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
@@ -220,6 +220,41 @@
         }
     }
 
+    /** Guards against other entries not knowing the streams from before a release (ORDER). */
+    @Test(dataProvider = "seeds")
+    public void aStreamThatBeganBeforeTheSecondVersionCameGoesOnAtItsVersion(long seed) {
+        start(seed, "v1");
+        mTargets.mAll.forEach(target -> target.mEventIntervalNanos = 100 * MILLI_NANOS);
+        begin(40);
+        for (int n = 1; n <= TARGETS; n++) {
+            SimulatedTarget target =
+                    mSimulation.target("lm-new-" + n, PlatformSimulation.LM_SERVICE, "z1");
+            target.mVersion = "v2";
+            target.mEventCount = EVENTS;
+        }
+        mSimulation.run(1_200 * MILLI_NANOS);
+        List<Stream> resumed = crashEntryAndResumeItsStreams(mStreams.get(30).mEntry, false);
+        mSimulation.run(3 * SECOND_NANOS);
+        assertNoStreamMixesVersions();
+        assertTrue(resumed.size() >= 3, "resumed " + resumed.size());
+        long goOn = resumed.stream().filter(Stream::isComplete).count();
+        assertTrue(goOn >= MIN_RESUMED_SHARE * resumed.size(), goOn + " of " + resumed);
+    }
+
+    /** Guards against taking the version that a release leaves for that of any earlier stream. */
+    @Test
+    public void aStreamOfUnknownVersionIsRefusedUntilAReleaseIsLongOver() {
+        start(1, "v1");
+        mTargets.mAll.forEach(target -> target.mVersion = "v2");
+        mSimulation.run(10 * SECOND_NANOS);
+        Answer soon = mSimulation.resume(anyEntry(), "r1", "/ask/1", "never-seen", 3);
+        mSimulation.run(30 * SECOND_NANOS);
+        Answer later = mSimulation.resume(anyEntry(), "r2", "/ask/1", "never-seen", 3);
+        mSimulation.run(2 * SECOND_NANOS);
+        assertEquals(soon.mStatus, 503, soon.toString());
+        assertEquals(later.mStatus, 200, later.toString());
+    }
+
     /** Guards against taking one request without an id for another one. */
     @Test
     public void aStreamOfARequestWithoutAnIdIsNotTakenForAnother() {
