The test of streams begun before a release could not fail: it starts long after another version

Without StreamVersions' report at the change to several versions it passed, because the targets of the test had been listed without a version 30 s before, which counts as a second one.

--- a/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
@@ -224,6 +224,7 @@
     @Test(dataProvider = "seeds")
     public void aStreamThatBeganBeforeTheSecondVersionCameGoesOnAtItsVersion(long seed) {
         start(seed, "v1");
+        mSimulation.run(40 * SECOND_NANOS);
         mTargets.mAll.forEach(target -> target.mEventIntervalNanos = 100 * MILLI_NANOS);
         begin(40);
         for (int n = 1; n <= TARGETS; n++) {
@@ -232,7 +233,7 @@
             target.mVersion = "v2";
             target.mEventCount = EVENTS;
         }
-        mSimulation.run(1_200 * MILLI_NANOS);
+        mSimulation.run(2 * SECOND_NANOS);
         List<Stream> resumed = crashEntryAndResumeItsStreams(mStreams.get(30).mEntry, false);
         mSimulation.run(3 * SECOND_NANOS);
         assertNoStreamMixesVersions();
