An answer clears the crashes that the same report names

Found while reading: a host applied the answers of a report before its crashes, so that a request which a target had cut and another one answered within one report stayed a suspect at the other hosts until the report's repeat, 500 ms later. The new test failed before; CrashQuarantineTest and PromptCrashTest pass.

--- a/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
@@ -168,7 +168,6 @@
 
     /** Applies another host's report. */
     public void handle(FleetMessage.CrashReport report, long nowNanos, Effects out) {
-        report.sound().forEach(part -> clear(part, nowNanos, out));
         for (FleetMessage.TargetCrash crash : report.crashes()) {
             if (!mEvidence.contains(crash)) {
                 crash.parts().stream()
@@ -177,6 +176,7 @@
             }
             addEvidence(crash, nowNanos, out);
         }
+        report.sound().forEach(suspect -> clear(suspect, nowNanos, out));
         adopt(report.quarantined(), "another host's report", nowNanos, out);
     }
 
--- a/src/test/java/org/coltsfootproxy/quarantine/CrashQuarantineTest.java
+++ b/src/test/java/org/coltsfootproxy/quarantine/CrashQuarantineTest.java
@@ -308,6 +308,15 @@
         assertFalse(isQuarantined(mOther, request(7)));
     }
 
+    /** Guards against a crash that counts after the answer that came in the same report. */
+    @Test
+    public void anAnswerClearsTheCrashesOfTheSameReport() {
+        cut(mQuarantine, 1, request(7));
+        mQuarantine.answerCompleted(request(7), mNow, mEffects::add);
+        exchange(mQuarantine, mOther);
+        assertFalse(mOther.isSuspect(request(7)));
+    }
+
     @Test
     public void severalCallsThatOneCrashCutCountOnce() {
         cut(mQuarantine, 1, request(7));
