Names, and one fixture for targets that crash

No change of logic but that a store looks for other tried items only if an item is quarantined. What is quarantined is called a suspect throughout CrashQuarantine; PromptCrashTest uses CrashingTargets, with the same checks.

--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -257,11 +257,13 @@
 
     /** Returns whether an item is not quarantined, or may be tried in spite of it. */
     private boolean maySend(ItemRun run, long now) {
-        boolean isOtherTried =
-                mRuns.values().stream()
-                        .anyMatch(other -> other.target().isPresent() && isQuarantined(other));
         return !isQuarantined(run)
-                || !isOtherTried && mQuarantine.mayTry(run.content(), mTrialJitter, now);
+                || !isAnyTried() && mQuarantine.mayTry(run.content(), mTrialJitter, now);
+    }
+
+    private boolean isAnyTried() {
+        return mRuns.values().stream()
+                .anyMatch(run -> run.target().isPresent() && isQuarantined(run));
     }
 
     private boolean isQuarantined(ItemRun run) {
--- a/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
@@ -186,41 +186,41 @@
     }
 
     private void adopt(
-            List<FleetMessage.Quarantined> parts, String why, long nowNanos, Effects out) {
-        for (FleetMessage.Quarantined quarantined : parts) {
-            SuspectId part = quarantined.suspect();
-            if (!mQuarantined.containsKey(part) && !mSound.contains(part, nowNanos)) {
+            List<FleetMessage.Quarantined> suspects, String why, long nowNanos, Effects out) {
+        for (FleetMessage.Quarantined quarantined : suspects) {
+            SuspectId suspect = quarantined.suspect();
+            if (!mQuarantined.containsKey(suspect) && !mSound.contains(suspect, nowNanos)) {
                 long end = nowNanos + TimeUnit.MILLISECONDS.toNanos(quarantined.remainingMillis());
-                quarantine(part, end, why, nowNanos, out);
+                quarantine(suspect, end, why, nowNanos, out);
             }
         }
     }
 
-    private void quarantine(SuspectId part, long end, String why, long nowNanos, Effects out) {
+    private void quarantine(SuspectId suspect, long end, String why, long nowNanos, Effects out) {
         if (mQuarantined.size() >= MAX_QUARANTINED) {
             mQuarantined.entrySet().stream()
                     .min(Comparator.comparingLong(entry -> entry.getValue().end()))
                     .map(Map.Entry::getKey)
                     .ifPresent(mQuarantined::remove);
         }
-        mQuarantined.put(part, new QuarantineTerm(end, nowNanos));
-        mEvidence.removeCausedBy(part);
-        mRequests.clear(part);
+        mQuarantined.put(suspect, new QuarantineTerm(end, nowNanos));
+        mEvidence.removeCausedBy(suspect);
+        mRequests.clear(suspect);
         mVersion++;
         mNextRepeat = nowNanos;
         out.log(
                 EventCode.SUSPECT_QUARANTINED,
-                LogField.of("suspect", part),
+                LogField.of("suspect", suspect),
                 LogField.of("why", why),
                 LogField.of("seconds", TimeUnit.NANOSECONDS.toSeconds(end - nowNanos)),
                 LogField.of("quarantined", mQuarantined.size()));
         measure(out);
     }
 
-    private void logReleased(SuspectId part, String why, Effects out) {
+    private void logReleased(SuspectId suspect, String why, Effects out) {
         out.log(
                 EventCode.SUSPECT_RELEASED,
-                LogField.of("suspect", part),
+                LogField.of("suspect", suspect),
                 LogField.of("why", why),
                 LogField.of("quarantined", mQuarantined.size()));
         measure(out);
@@ -239,12 +239,12 @@
         }
         List<SuspectId> expired =
                 mQuarantined.entrySet().stream()
-                        .filter(part -> nowNanos - part.getValue().end() >= 0)
+                        .filter(suspect -> nowNanos - suspect.getValue().end() >= 0)
                         .map(Map.Entry::getKey)
                         .toList();
-        for (SuspectId part : expired) {
-            mQuarantined.remove(part);
-            logReleased(part, "its time is over", out);
+        for (SuspectId suspect : expired) {
+            mQuarantined.remove(suspect);
+            logReleased(suspect, "its time is over", out);
         }
         Optional<SuspectId> culprit = mEvidence.culprit(nowNanos);
         while (culprit.isPresent()) {
@@ -283,11 +283,11 @@
     public List<FleetMessage.Quarantined> quarantined(long nowNanos) {
         return mQuarantined.entrySet().stream()
                 .map(
-                        part ->
+                        suspect ->
                                 new FleetMessage.Quarantined(
-                                        part.getKey(),
+                                        suspect.getKey(),
                                         TimeUnit.NANOSECONDS.toMillis(
-                                                part.getValue().end() - nowNanos)))
+                                                suspect.getValue().end() - nowNanos)))
                 .toList();
     }
 
--- a/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/PromptCrashTest.java
@@ -37,50 +37,28 @@
 
     private static final int ENTRIES = 4;
     private static final int TARGETS = 8;
-    private static final long TARGET_RESTART_NANOS = 3 * SECOND_NANOS;
 
-    private final List<Long> mCrashes = new ArrayList<>();
     private final List<Answer> mSound = new ArrayList<>();
-    private final List<SimulatedTarget> mAllTargets = new ArrayList<>();
     private PlatformSimulation mSimulation;
+    private CrashingTargets mTargets;
     private Random mRandom;
     private int mNumber;
 
     private void start(long seed) {
         mRandom = new Random(seed);
         mNumber = 0;
-        mCrashes.clear();
         mSound.clear();
-        mAllTargets.clear();
         mSimulation = PlatformSimulation.startServing(seed, ENTRIES);
         for (int n = 3; n <= TARGETS; n++) {
             mSimulation.target("lm-" + n, PlatformSimulation.LM_SERVICE, "z" + (1 + n % 3));
         }
         mSimulation.run(2 * SECOND_NANOS);
+        mTargets = new CrashingTargets(mSimulation, target -> target.mCrashingPart = CRASHING_PART);
         for (int n = 1; n <= TARGETS; n++) {
-            prepare(mSimulation.target("lm-" + n), 0);
+            mTargets.add(mSimulation.target("lm-" + n));
         }
     }
 
-    /** Lets a target crash on the part, and another one take its address some seconds later. */
-    private void prepare(SimulatedTarget target, int restarts) {
-        mAllTargets.add(target);
-        target.mCrashingPart = CRASHING_PART;
-        target.mOnCrash =
-                () -> {
-                    mCrashes.add(mSimulation.now());
-                    String id = target.mId.replaceFirst("r.*", "") + "r" + (restarts + 1);
-                    mSimulation
-                            .fleet()
-                            .after(
-                                    TARGET_RESTART_NANOS,
-                                    () ->
-                                            prepare(
-                                                    mSimulation.replaceTarget(target, id),
-                                                    restarts + 1));
-                };
-    }
-
     private HostId anyEntry() {
         return mSimulation.entry(mRandom.nextInt(ENTRIES));
     }
@@ -115,7 +93,7 @@
     }
 
     private long runsWithPartSince(long nanos) {
-        return mAllTargets.stream()
+        return mTargets.mAll.stream()
                 .flatMap(target -> target.mRuns.stream())
                 .filter(run -> run.mRequest.startsWith("b"))
                 .filter(run -> run.mArrivalNanos >= nanos)
@@ -124,11 +102,14 @@
 
     private void assertFewLateRuns() {
         long late =
-                mCrashes.size() < KNOWN_AFTER_CRASHES
+                mTargets.mCrashes.size() < KNOWN_AFTER_CRASHES
                         ? 0
-                        : runsWithPartSince(mCrashes.get(KNOWN_AFTER_CRASHES - 1) + CONTACT_NANOS);
-        assertTrue(mCrashes.size() > 1, "crashes " + mCrashes.size());
-        assertTrue(late <= MAX_LATE_RUNS, late + " late runs, " + mCrashes.size() + " crashes");
+                        : runsWithPartSince(
+                                mTargets.mCrashes.get(KNOWN_AFTER_CRASHES - 1) + CONTACT_NANOS);
+        assertTrue(mTargets.mCrashes.size() > 1, "crashes " + mTargets.mCrashes.size());
+        assertTrue(
+                late <= MAX_LATE_RUNS,
+                late + " late runs, " + mTargets.mCrashes.size() + " crashes");
     }
 
     @DataProvider
@@ -160,7 +141,7 @@
         sendFor(5 * SECOND_NANOS);
         assertTrue(
                 mSimulation.mLoggedEvents.contains(EventCode.SUSPECT_QUARANTINED),
-                mCrashes.size() + " crashes");
+                mTargets.mCrashes.size() + " crashes");
     }
 
     /** Guards against an entry that starts later sending the part until it learns by itself. */
@@ -168,7 +149,7 @@
     public void anEntryThatHasRestartedRefusesAQuarantinedPart(long seed) {
         start(seed);
         crashUntilQuarantined();
-        int crashes = mCrashes.size();
+        int crashes = mTargets.mCrashes.size();
         HostId entry = mSimulation.entry(0);
         mSimulation.fleet().crash(entry);
         mSimulation.run(SECOND_NANOS);
@@ -178,7 +159,7 @@
                 mSimulation.requestWithPrompt(entry, "b-late", "/ask/1", CRASHING_PART + ":1,e0:1");
         mSimulation.run(SECOND_NANOS);
         assertEquals(answer.mStatus, 503, answer.toString());
-        assertEquals(mCrashes.size(), crashes);
+        assertEquals(mTargets.mCrashes.size(), crashes);
     }
 
     /** Guards against the fleet learning a part anew, by crashes, after all hosts have ended. */
@@ -189,9 +170,9 @@
         mSimulation.run(2 * SECOND_NANOS);
         mSimulation.restartAllHosts();
         mSimulation.run(6 * SECOND_NANOS);
-        int crashes = mCrashes.size();
+        int crashes = mTargets.mCrashes.size();
         sendFor(3 * SECOND_NANOS);
-        assertEquals(mCrashes.size(), crashes);
+        assertEquals(mTargets.mCrashes.size(), crashes);
     }
 
     /** Guards against a quarantine that has ended being revived by what is stored. */
@@ -200,7 +181,7 @@
         start(1);
         crashUntilQuarantined();
         mSimulation.run(2 * SECOND_NANOS);
-        mAllTargets.forEach(target -> target.mCrashingPart = "");
+        mTargets.mAll.forEach(target -> target.mCrashingPart = "");
         mSimulation.reportPrompts(
                 new FleetMessage.CrashReport(
                         List.of(), List.of(SuspectId.of(CRASHING_PART)), List.of()));
@@ -236,7 +217,7 @@
     @Test(dataProvider = "seeds")
     public void batchItemsWithAQuarantinedPartAreDoneByTheirDeadline(long seed) {
         start(seed);
-        mAllTargets.forEach(target -> target.mCrashingPart = "");
+        mTargets.mAll.forEach(target -> target.mCrashingPart = "");
         quarantineEverywhere();
         Answer job =
                 mSimulation.submitWithPrompt(
@@ -263,7 +244,7 @@
     @Test(dataProvider = "seeds")
     public void callsThatWaitAtATargetAreCancelledOnceTheirPartIsQuarantined(long seed) {
         start(seed);
-        for (SimulatedTarget target : mAllTargets) {
+        for (SimulatedTarget target : mTargets.mAll) {
             target.mSlots = 1;
             target.mEventIntervalNanos = 300 * MILLI_NANOS;
         }
@@ -279,7 +260,7 @@
         mSimulation.run(SECOND_NANOS);
         waiting.forEach(answer -> assertEquals(answer.mStatus, 502, answer.toString()));
         mSimulation.run(5 * SECOND_NANOS);
-        assertEquals(mCrashes.size(), 0);
+        assertEquals(mTargets.mCrashes.size(), 0);
         sound.forEach(answer -> assertTrue(answer.mIsComplete, answer.toString()));
     }
 
@@ -287,7 +268,7 @@
     @Test(dataProvider = "seeds")
     public void crashesWithoutACommonPartQuarantineNothing(long seed) {
         start(seed);
-        mAllTargets.forEach(target -> target.mCrashingPart = "");
+        mTargets.mAll.forEach(target -> target.mCrashingPart = "");
         for (int n = 0; n < 40; n++) {
             SimulatedTarget target = mSimulation.target("lm-" + (1 + n % TARGETS));
             target.mCutAtEvent = 1;
