Bounds: calls that the evidence names, streams that a starting entry is told

Found while reading: the set of cut calls of a suspect grew as long as no target answered it; only ten are kept for the log. An entry that starts was told the streams of the last 30 s, 567 KB at 2,100 streams a second (computed) from each of nine others; callers take up within seconds, 10 s do.

--- a/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
+++ b/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
@@ -36,7 +36,7 @@
     private static final long STREAM_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
     /** Age of the streams that other entries are told of when they may have missed some. */
-    private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
 
     private static final int MAX_STREAMS = 50_000;
 
--- a/src/main/java/org/coltsfootproxy/quarantine/RequestEvidence.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/RequestEvidence.java
@@ -33,6 +33,9 @@
     /** How long a cut call is remembered, whose report comes several times. */
     private static final long DUPLICATE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+    /** Number of cut calls of a suspect that the log names. */
+    private static final int MAX_DESCRIBED_CALLS = 10;
+
     private static final int MAX_SUSPECTS = 10_000;
     private static final int MAX_CUT_CALLS = 50_000;
 
@@ -58,7 +61,9 @@
 
         void add(FleetMessage.TargetCrash crash, long nowNanos) {
             mLastAt = nowNanos;
-            mCalls.add(new CutAt(crash.target(), crash.call()));
+            if (mCalls.size() < MAX_DESCRIBED_CALLS) {
+                mCalls.add(new CutAt(crash.target(), crash.call()));
+            }
             mHasRecurred |= crash.recurred();
             Long last = mLastCrashes.put(crash.target(), nowNanos);
             if (last == null || nowNanos - last >= SAME_CRASH_NANOS) {
