--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -29,7 +29,9 @@
     PEERS_SILENT(Shape.COUNTER, "Peer connections closed because they went silent"),
     PEER_MESSAGES_DROPPED(Shape.COUNTER, "Messages to peers dropped before they were sent"),
     CONNECTIONS_REFUSED(Shape.COUNTER, "Connections refused because too many were open"),
-    QUARANTINED_PARTS(Shape.GAUGE, "Parts of prompts that are refused because they crash targets"),
+    QUARANTINED_PARTS(
+            Shape.GAUGE,
+            "Requests and parts of prompts that are refused because they crash targets"),
     CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers");
 
     /** Type of a metric, as Prometheus defines it. */
