Test of the share of streams that go on after the end of two entries

Two of four entries end at once with 30 streams; the others get as many new streams beside those that are taken up.

--- a/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/StreamVersionTest.java
@@ -184,6 +184,36 @@
         assertTrue(goOn >= MIN_RESUMED_SHARE * resumed.size(), goOn + " of " + resumed);
     }
 
+    /** Guards against refusing most of the streams that callers take up after a crash (LOST). */
+    @Test(dataProvider = "seeds")
+    public void moreThanHalfOfTheStreamsOfTwoLostEntriesGoOnElsewhere(long seed) {
+        start(seed, "v1", "v1.1");
+        for (int n = 0; n < 60; n++) {
+            mStreams.add(new Stream("q" + n, mSimulation.entry(n % ENTRIES)));
+            mSimulation.run(8 * MILLI_NANOS);
+        }
+        List<HostId> lost = List.of(mSimulation.entry(0), mSimulation.entry(1));
+        List<Stream> broken =
+                mStreams.stream()
+                        .filter(stream -> lost.contains(stream.mEntry))
+                        .filter(stream -> stream.lastEvent() > 0)
+                        .toList();
+        lost.forEach(mSimulation.fleet()::crash);
+        mSimulation.run(100 * MILLI_NANOS);
+        List<Stream> fresh = new ArrayList<>();
+        for (int n = 0; n < broken.size(); n++) {
+            HostId entry = mSimulation.entry(2 + n % 2);
+            broken.get(n).resumeAt(entry);
+            fresh.add(new Stream("n" + n, entry));
+            mSimulation.run(8 * MILLI_NANOS);
+        }
+        mSimulation.run(4 * SECOND_NANOS);
+        assertNoStreamMixesVersions();
+        long begun = fresh.stream().filter(stream -> stream.lastEvent() > 0).count();
+        assertTrue(begun > 0.5 * fresh.size(), begun + " of " + fresh.size() + " new streams");
+        assertShareCompletes(broken, MIN_RESUMED_SHARE * begun / fresh.size());
+    }
+
     /** Guards against an entry that has restarted not knowing the versions of streams (ORDER). */
     @Test(dataProvider = "seeds")
     public void anEntryThatHasRestartedGoesOnWithStreamsAtTheirVersions(long seed) {
