Check references of a configuration in proportion to its routes

Cause: for each route, ReferenceCheck searched (and sorted) all routes for another of the same host and path. Each control host does so when it applies a document, so with 1,440 routes each change took seconds of each control host's only decision thread, longer than the election timeout.

Change: indexes of routes by host and path, and of first referrers, built once for each ticket.

--- a/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
+++ b/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
@@ -1,8 +1,10 @@
 package org.coltsfootproxy.config;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.OrganisationId;
@@ -24,6 +26,28 @@
     private final ObjectTable mTable;
     private final Map<ObjectName, ConfigChange> mChanges = new HashMap<>();
 
+    // Both indexes hold the objects that would exist after the ticket and are built when first
+    // needed. A search through all routes for each route took seconds with 1,440 routes, during
+    // which a control host answered no heartbeat.
+    private Map<Path, List<Route>> mRoutesByPath;
+    private Map<ObjectName, ObjectName> mFirstReferrers;
+
+    /** What two routes must not share; host names are compared without regard to case. */
+    private record Path(String hostName, String pathPrefix) {
+        static Path of(Route route) {
+            return new Path(foldCase(route.hostName()), route.pathPrefix());
+        }
+
+        /** Maps texts to equal ones exactly if {@link String#equalsIgnoreCase} holds. */
+        private static String foldCase(String text) {
+            char[] chars = text.toCharArray();
+            for (int i = 0; i < chars.length; i++) {
+                chars[i] = Character.toLowerCase(Character.toUpperCase(chars[i]));
+            }
+            return new String(chars);
+        }
+    }
+
     private ReferenceCheck(ObjectTable table, Ticket ticket) {
         mTable = table;
         ticket.changes().forEach(change -> mChanges.put(change.objectName(), change));
@@ -56,7 +80,7 @@
     }
 
     private void checkKey(Key key) throws ProxyException {
-        mustExist(key, ObjectName.of(ObjectKind.ORGANISATION, key.organisation().value()));
+        mustExist(key, organisation(key.organisation()));
         Optional<ObjectName> other =
                 mTable.keyByDigest(key.digest())
                         .filter(name -> !name.equals(key.objectName()))
@@ -68,15 +92,13 @@
 
     private void checkRoute(Route route) throws ProxyException {
         for (ServiceId service : route.services().toList()) {
-            mustExist(route, ObjectName.of(ObjectKind.SERVICE, service.value()));
+            mustExist(route, service(service));
         }
         for (OrganisationId organisation : route.organisations()) {
-            mustExist(route, ObjectName.of(ObjectKind.ORGANISATION, organisation.value()));
+            mustExist(route, organisation(organisation));
         }
         Optional<Route> other =
-                objectsAfter(ObjectKind.ROUTE, Route.class)
-                        .filter(r -> r.pathPrefix().equals(route.pathPrefix()))
-                        .filter(r -> r.hostName().equalsIgnoreCase(route.hostName()))
+                routesByPath().getOrDefault(Path.of(route), List.of()).stream()
                         .filter(r -> !r.id().equals(route.id()))
                         .findFirst();
         if (other.isPresent()) {
@@ -84,40 +106,52 @@
         }
     }
 
+    private Map<Path, List<Route>> routesByPath() {
+        if (mRoutesByPath == null) {
+            mRoutesByPath =
+                    objectsAfter(ObjectKind.ROUTE, Route.class)
+                            .collect(Collectors.groupingBy(Path::of));
+        }
+        return mRoutesByPath;
+    }
+
     private void checkRemoved(ObjectName name) throws ProxyException {
         if (mTable.find(name).isEmpty()) {
             throw fault(new Removed(name), "can't be removed: it never existed");
         }
-        Optional<ObjectName> referrer = referrers(name).findFirst();
-        if (referrer.isPresent()) {
-            throw fault(new Removed(name), "can't be removed: " + referrer.get() + " refers to it");
+        ObjectName referrer = firstReferrers().get(name);
+        if (referrer != null) {
+            throw fault(new Removed(name), "can't be removed: " + referrer + " refers to it");
         }
     }
 
-    private Stream<ObjectName> referrers(ObjectName name) {
-        return switch (name.kind()) {
-            case ORGANISATION ->
-                    Stream.concat(
-                            objectsAfter(ObjectKind.KEY, Key.class)
-                                    .filter(key -> key.organisation().value().equals(name.id()))
-                                    .map(Key::objectName),
-                            objectsAfter(ObjectKind.ROUTE, Route.class)
-                                    .filter(route -> refersToOrganisation(route, name))
-                                    .map(Route::objectName));
-            case SERVICE ->
-                    objectsAfter(ObjectKind.ROUTE, Route.class)
-                            .filter(route -> refersToService(route, name))
-                            .map(Route::objectName);
-            default -> Stream.empty();
-        };
+    /** Returns the first object that refers to each one: the keys come before the routes. */
+    private Map<ObjectName, ObjectName> firstReferrers() {
+        if (mFirstReferrers == null) {
+            mFirstReferrers = new HashMap<>();
+            objectsAfter(ObjectKind.KEY, Key.class)
+                    .forEach(key -> addReferrer(key, organisation(key.organisation())));
+            objectsAfter(ObjectKind.ROUTE, Route.class)
+                    .forEach(
+                            route -> {
+                                route.organisations()
+                                        .forEach(o -> addReferrer(route, organisation(o)));
+                                route.services().forEach(s -> addReferrer(route, service(s)));
+                            });
+        }
+        return mFirstReferrers;
+    }
+
+    private void addReferrer(ConfigObject referrer, ObjectName referent) {
+        mFirstReferrers.putIfAbsent(referent, referrer.objectName());
     }
 
-    private static boolean refersToService(Route route, ObjectName service) {
-        return route.services().anyMatch(s -> s.value().equals(service.id()));
+    private static ObjectName organisation(OrganisationId id) {
+        return ObjectName.of(ObjectKind.ORGANISATION, id.value());
     }
 
-    private static boolean refersToOrganisation(Route route, ObjectName organisation) {
-        return route.organisations().stream().anyMatch(o -> o.value().equals(organisation.id()));
+    private static ObjectName service(ServiceId id) {
+        return ObjectName.of(ObjectKind.SERVICE, id.value());
     }
 
     /** Returns the objects of a kind that would exist after the ticket. */
