The fourth figure of a target's load report is read as its speed

Cause: Server-Load is "running,waiting,slots[,speed]", and a report with four figures was ignored as a whole, so the load of such a target was unknown.

Change: TargetLoad has the speed as a multiple of the usual time (100 is 1). Figures are read by position: "x,3,1,8" is no longer taken for "3,1,8". Figures after the fourth are ignored, so that a further one hides nothing.

Nothing uses the speed yet.

--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -41,7 +41,10 @@
      */
     static final String PROMPT_PREFIX = "Prompt-Prefix";
 
-    /** A target's running requests, waiting requests and slots, separated by commas. */
+    /**
+     * A target's running requests, waiting requests and slots, separated by commas; some targets
+     * add how long work takes there now, in percent of the usual time.
+     */
     static final String SERVER_LOAD = "Server-Load";
 
     /** Set to 1 by a target that is leaving, in all its answers. */
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -29,6 +29,9 @@
 
     private static final Splitter PART_SPLITTER = Splitter.on(',').trimResults().omitEmptyStrings();
 
+    /** Figures of a load report that every target tells: running, waiting, slots. */
+    private static final int LOAD_FIGURES = 3;
+
     private static final int MISDIRECTED_REQUEST_STATUS = 421;
 
     /** First digit of the status codes that mean success. */
@@ -117,17 +120,35 @@
                 : TargetAnswer.Verdict.RAN;
     }
 
+    /** Reads three numbers, or four with the target's speed; further figures are ignored. */
     private static Optional<TargetLoad> load(Input.TargetHead head) {
-        List<Integer> loadValues =
-                PlatformHeaders.value(head.headers(), PlatformHeaders.SERVER_LOAD).stream()
-                        .flatMap(text -> Splitter.on(',').trimResults().splitToStream(text))
-                        .map(Ints::tryParse)
-                        .filter(number -> number != null && number >= 0)
-                        .toList();
-        return loadValues.size() == 3 && loadValues.get(2) > 0
-                ? Optional.of(
-                        new TargetLoad(loadValues.get(0), loadValues.get(1), loadValues.get(2)))
-                : Optional.empty();
+        List<String> figures =
+                PlatformHeaders.value(head.headers(), PlatformHeaders.SERVER_LOAD)
+                        .map(Splitter.on(',').trimResults()::splitToList)
+                        .orElse(List.of());
+        if (figures.size() < LOAD_FIGURES) {
+            return Optional.empty();
+        }
+        Integer running = Ints.tryParse(figures.get(0));
+        Integer waiting = Ints.tryParse(figures.get(1));
+        Integer slots = Ints.tryParse(figures.get(2));
+        boolean isValid = running != null && waiting != null && slots != null;
+        if (!isValid || running < 0 || waiting < 0 || slots <= 0) {
+            return Optional.empty();
+        }
+        OptionalDouble speed =
+                figures.size() > LOAD_FIGURES
+                        ? speed(figures.get(LOAD_FIGURES))
+                        : OptionalDouble.empty();
+        return Optional.of(new TargetLoad(running, waiting, slots, speed));
+    }
+
+    /** Converts a percentage of the usual time; an incredible one is treated as not told. */
+    private static OptionalDouble speed(String percent) {
+        Double number = Doubles.tryParse(percent);
+        return number != null && TargetLoad.isCredible(number / 100)
+                ? OptionalDouble.of(number / 100)
+                : OptionalDouble.empty();
     }
 
     @Override
