Package work: expected cost of calls and speed of targets, learned

Cause: requests that look alike differ greatly in cost, and a choice of target that counts calls can't see it.

--- a/src/test/java/org/coltsfootproxy/docs/LayersTest.java
+++ b/src/test/java/org/coltsfootproxy/docs/LayersTest.java
@@ -25,6 +25,7 @@
                     "membership",
                     "relay",
                     "quarantine",
+                    "work",
                     "limit",
                     "routing",
                     "admission",
