Cold targets get no more requests in a second than they stand

Cause: nothing limited what a target that has just started gets from all hosts.

Change: services name cold_per_s and cold_start_s, entries of the list cold_left_ms, answers Cold-Ms. Each host has a fixed part, by the known hosts, of the calls that a cold target stands in one second, and keeps it at all times; while a target is known to be cold, all hosts debit the bucket of TargetRateLimit at cold_per_s as well.

A host notices after 1.2 s that it hears others no longer, and a target that turns cold without a restart is known to be cold only after 0.8 to 2 s.

Services without cold_per_s are as before.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -49,6 +49,7 @@
     RELAY_CHANGED(319, Level.INFO, "another host relays this host's reports"),
     TARGET_LEAVING(320, Level.INFO, "a target said that it is leaving"),
     TARGET_LIMITED(321, Level.INFO, "a target named, changed or lifted a limit on its requests"),
+    TARGET_COLD(325, Level.INFO, "a target is cold, so that it gets few requests for a while"),
     CLOCK_JUMPED(316, Level.WARN, "the host was suspended or its clock was set"),
 
     // 400-499: entry, limits and routing
--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -32,6 +32,7 @@
     QUARANTINED_PARTS(
             Shape.GAUGE,
             "Requests and parts of prompts that are refused because they crash targets"),
+    COLD_TARGETS(Shape.GAUGE, "Targets that the list of targets shows as cold"),
     CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers");
 
     /** Type of a metric, as Prometheus defines it. */
--- a/src/main/java/org/coltsfootproxy/config/Service.java
+++ b/src/main/java/org/coltsfootproxy/config/Service.java
@@ -1,5 +1,7 @@
 package org.coltsfootproxy.config;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import java.util.Comparator;
 import java.util.List;
 import org.coltsfootproxy.base.DataCentre;
@@ -18,6 +20,7 @@
  *     if not, the agent beside each target does
  * @param affinityBytes length of the prefix of the body, in bytes, whose hash assigns requests to
  *     the same targets; 0 for no affinity
+ * @param coldStart limit for targets that have just started; null if the service names none
  */
 @WireCode(3)
 public record Service(
@@ -26,7 +29,8 @@
         int concurrency,
         List<ServiceTarget> targets,
         boolean targetsFence,
-        int affinityBytes)
+        int affinityBytes,
+        ColdStart coldStart)
         implements ConfigObject {
     /** Copies the targets and sorts them by id. */
     public Service {
@@ -36,7 +40,40 @@
     /** Returns a service without affinity whose targets don't check fencing numbers. */
     public static Service of(
             ServiceId id, boolean streaming, int concurrency, List<ServiceTarget> targets) {
-        return new Service(id, streaming, concurrency, targets, false, 0);
+        return new Service(id, streaming, concurrency, targets, false, 0, null);
+    }
+
+    /** Returns this service with a limit for its cold targets. */
+    public Service withColdStart(ColdStart limit) {
+        return new Service(id, streaming, concurrency, targets, targetsFence, affinityBytes, limit);
+    }
+
+    /**
+     * Limit for targets that are cold: that have just started, or lost what speeds them up.
+     *
+     * @param durationMillis how long a target is cold after a start, in milliseconds
+     * @param callsPerSecond calls a second that a cold target takes from all hosts together
+     */
+    public record ColdStart(long durationMillis, double callsPerSecond) {
+        /** Factor by which a target may exceed its rate in any one second. */
+        private static final double BURST_FACTOR = 1.5;
+
+        /** Calls beyond that in any one second. */
+        private static final int BURST_CALLS = 5;
+
+        /** Checks the components. */
+        public ColdStart {
+            checkArgument(durationMillis >= 0, "durationMillis %s is below 0", durationMillis);
+            checkArgument(
+                    callsPerSecond >= 0 && Double.isFinite(callsPerSecond),
+                    "callsPerSecond %s is not a rate",
+                    callsPerSecond);
+        }
+
+        /** Returns how many calls, from all hosts, a cold target stands in any one second. */
+        public int maxCallsInOneSecond() {
+            return (int) (BURST_FACTOR * callsPerSecond) + BURST_CALLS;
+        }
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -148,6 +148,7 @@
         Member self = Member.of(mSettings.self(), mSettings.incarnation());
         mGroup.start(raft, self, mRandom, nowNanos);
         mGroup.node().setProbeHosts(List.of());
+        mTargets.started(nowNanos);
         mConfig.start(nowNanos, mOut);
         mMembership.start(nowNanos);
         runUntilIdle(nowNanos);
@@ -201,7 +202,9 @@
         } else if (message instanceof JobMessage job) {
             mJobService.handle(from, job, nowNanos, mOut);
         } else if (message instanceof ConfigMessage config) {
-            mConfig.handle(from, config, nowNanos, mOut);
+            if (mConfig.handle(from, config, nowNanos, mOut)) {
+                mTargets.configure(mConfig.view(), nowNanos);
+            }
         } else if (message instanceof FleetMessage fleet) {
             receiveFleet(from, fleet, nowNanos);
         }
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -238,6 +238,7 @@
             if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
                 mTargets.limitNamed(
                         target, answer.requestsPerSecond(), mRequest.sentAt(), now, out);
+                answer.coldMillis().ifPresent(cold -> mTargets.coldNamed(target, cold, now, out));
             }
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -155,6 +155,7 @@
     @Override
     public void start(long nowNanos, Effects out) {
         mEarlyCalls.notReady(nowNanos);
+        mTargets.started(nowNanos);
         mConfig.start(nowNanos, out);
         mMembership.start(nowNanos);
         enrol(nowNanos, out);
@@ -282,6 +283,7 @@
         if (message instanceof ConfigMessage config) {
             if (mConfig.handle(from, config, now, out)) {
                 mLimiter.configure(mConfig.view(), now);
+                mTargets.configure(mConfig.view(), now);
             }
         } else if (message instanceof JobMessage job) {
             mJobs.handle(from, job, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/FleetDirectory.java
+++ b/src/main/java/org/coltsfootproxy/direct/FleetDirectory.java
@@ -3,9 +3,13 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.membership.FleetRoster;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
@@ -123,8 +127,17 @@
         }
     }
 
-    private void listRead(List<ListedTarget> targets, Effects out) {
+    private void listRead(List<ListedTarget> read, Effects out) {
         FleetMessage.Listing known = mTargets.listing();
+        Map<TargetId, ListedTarget> earlier =
+                known.targets().stream()
+                        .collect(
+                                Collectors.toMap(
+                                        ListedTarget::id, Function.identity(), (a, b) -> b));
+        List<ListedTarget> targets =
+                read.stream()
+                        .map(target -> target.continuing(earlier.getOrDefault(target.id(), target)))
+                        .toList();
         boolean isSame = targets.equals(known.targets()) && known.number() >= mHighestNumber;
         if (isSame) {
             sendToControls(new FleetMessage.TargetListRead(known.number()), out);
--- a/src/main/java/org/coltsfootproxy/direct/HostReports.java
+++ b/src/main/java/org/coltsfootproxy/direct/HostReports.java
@@ -142,6 +142,7 @@
     /** Applies a change of the fleet's hosts. */
     public void hostsChanged(FleetMembership membership, long nowNanos, Effects out) {
         mLoads.hosts(membership.targetCallers());
+        mTargets.coldLimits().hosts(mSelf, mLimiter.isPresent(), membership, nowNanos);
         mRelay.groups(RelayGroups.of(membership), nowNanos, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -304,6 +304,7 @@
             answer.load().ifPresent(load -> target.updateLoad(load, now));
             if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
                 mTargets.limitNamed(target, answer.requestsPerSecond(), mRun.sentAt(), now, out);
+                answer.coldMillis().ifPresent(cold -> mTargets.coldNamed(target, cold, now, out));
             }
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -148,8 +148,13 @@
                                 .mapToDouble(OptionalDouble::getAsDouble)
                                 .sum()
                         / TimeUnit.SECONDS.toNanos(1);
+        double ownPerNano =
+                mTargets.active(service)
+                        .mapToDouble(target -> target.rateLimit().cold().ownPerNano(nowNanos))
+                        .sum();
         long next = mTargets.limitWaitNanos(service, target -> true, nowNanos).orElse(0);
-        return next + (perNano > 0 ? heldRequests * mEntryCount / perNano : 0);
+        double forOwn = ownPerNano > 0 ? heldRequests / ownPerNano : 0;
+        return next + Math.max(forOwn, perNano > 0 ? heldRequests * mEntryCount / perNano : 0);
     }
 
     private static double waitNanos(Target target, double hold, long nowNanos) {
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -54,13 +54,14 @@
     private long mBatchStartsSince = Long.MIN_VALUE / 2;
     private int mFailures;
     private long mAvoidUntil = Long.MIN_VALUE / 2;
-    private final TargetRateLimit mRateLimit = new TargetRateLimit();
+    private final TargetRateLimit mRateLimit;
     private int mUnreportedStarts;
     private double mNamedPerSecond;
     private long mNamedAt = Long.MIN_VALUE / 2;
 
-    Target(ListedTarget listed) {
+    Target(ListedTarget listed, ColdLimits coldLimits) {
         mListed = listed;
+        mRateLimit = new TargetRateLimit(new ColdLimit(coldLimits, listed));
     }
 
     ListedTarget listed() {
@@ -69,12 +70,14 @@
 
     void listed(ListedTarget listed) {
         mListed = listed;
+        mRateLimit.cold().listed(listed);
     }
 
     /** Notes that a call from this host has started. */
     void callStarted(TrafficClass type, long nowNanos) {
         count(type, 1);
         mUnreportedStarts++;
+        mRateLimit.cold().sent(nowNanos);
         mRateLimit.started(1, nowNanos);
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/TargetAnswer.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetAnswer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.coltsfootproxy.message.Header;
 
 /**
@@ -15,6 +16,7 @@
  * @param isLeaving whether the target says that it is leaving and wants no new calls
  * @param requestsPerSecond requests that the target takes from all hosts together; empty if it
  *     names no limit
+ * @param coldMillis how long the target is still cold, in milliseconds; empty if it does not say
  */
 public record TargetAnswer(
         Verdict verdict,
@@ -22,7 +24,8 @@
         List<Header> headers,
         Optional<TargetLoad> load,
         boolean isLeaving,
-        OptionalDouble requestsPerSecond) {
+        OptionalDouble requestsPerSecond,
+        OptionalLong coldMillis) {
     private static final String EVENT_STREAM = "text/event-stream";
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
@@ -46,6 +49,7 @@
         headers = List.copyOf(headers);
         checkNotNull(load, "load is missing");
         checkNotNull(requestsPerSecond, "requestsPerSecond is missing");
+        checkNotNull(coldMillis, "coldMillis is missing");
     }
 
     boolean isSuccess() {
--- a/src/main/java/org/coltsfootproxy/direct/TargetRateLimit.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetRateLimit.java
@@ -1,14 +1,17 @@
 package org.coltsfootproxy.direct;
 
+import static com.google.common.primitives.Doubles.isFinite;
+
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The limit on calls that a target has named, as a token bucket that all hosts debit.
+ * The limit on calls that a target has named or that holds while it is cold, as a token bucket that
+ * all hosts debit.
  *
  * <p>This host debits its own calls at once and those of other hosts when their reports arrive. The
  * bucket may become negative by what others start meanwhile; this debt is refilled before this host
- * starts another call.
+ * starts another call. Besides, {@link ColdLimit} binds each host alone.
  */
 final class TargetRateLimit {
     /** Lowest rate that is kept to, so that a call now and then shows whether the limit is over. */
@@ -22,14 +25,58 @@
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private OptionalDouble mPerSecond = OptionalDouble.empty();
+    private final ColdLimit mCold;
+    private OptionalDouble mNamed = OptionalDouble.empty();
+    private double mColdPerSecond = Double.POSITIVE_INFINITY;
     private double mLevel;
     private long mFilledAt;
     private long mKnownSince;
 
+    TargetRateLimit() {
+        this(ColdLimit.none());
+    }
+
+    TargetRateLimit(ColdLimit cold) {
+        mCold = cold;
+    }
+
     /** Returns the limit in calls a second; empty if there is none. */
     OptionalDouble perSecond() {
-        return mPerSecond;
+        double perSecond = rate();
+        return isFinite(perSecond) ? OptionalDouble.of(perSecond) : OptionalDouble.empty();
+    }
+
+    /** Returns the limit that the target has named, in calls a second; empty if it names none. */
+    OptionalDouble named() {
+        return mNamed;
+    }
+
+    /** Returns what a cold target allows, and what its service allows this host in any case. */
+    ColdLimit cold() {
+        return mCold;
+    }
+
+    private double rate() {
+        return Math.min(mNamed.orElse(Double.POSITIVE_INFINITY), mColdPerSecond);
+    }
+
+    private boolean isLimited() {
+        return isFinite(rate());
+    }
+
+    /** Applies that the target has become cold or is no longer cold. */
+    private void updateCold(long nowNanos) {
+        double coldPerSecond = mCold.perSecond(nowNanos);
+        if (coldPerSecond != mColdPerSecond) {
+            prepareChange(nowNanos);
+            mColdPerSecond = Math.max(MIN_PER_SECOND, coldPerSecond);
+        }
+    }
+
+    /** Fills the bucket at the rate until now; empties it if there was no limit. */
+    private void prepareChange(long nowNanos) {
+        mLevel = isLimited() ? level(nowNanos) : 0;
+        mFilledAt = nowNanos;
     }
 
     /**
@@ -38,14 +85,12 @@
      * @param perSecond calls a second from all hosts together
      */
     void set(double perSecond, long nowNanos) {
-        if (mPerSecond.isEmpty()) {
-            mLevel = 0;
+        updateCold(nowNanos);
+        prepareChange(nowNanos);
+        if (mNamed.isEmpty()) {
             mKnownSince = nowNanos;
-        } else {
-            fill(nowNanos);
         }
-        mFilledAt = nowNanos;
-        mPerSecond = OptionalDouble.of(Math.max(MIN_PER_SECOND, perSecond));
+        mNamed = OptionalDouble.of(Math.max(MIN_PER_SECOND, perSecond));
     }
 
     /**
@@ -54,51 +99,58 @@
      */
     void notNamed(long sentAt) {
         if (sentAt - mKnownSince > 0) {
-            mPerSecond = OptionalDouble.empty();
+            mNamed = OptionalDouble.empty();
         }
     }
 
     /** Debits calls that this host or another one has started. */
     void started(int calls, long nowNanos) {
-        if (mPerSecond.isPresent()) {
-            fill(nowNanos);
-            double maxDebt = MAX_DEBT_SECONDS * mPerSecond.getAsDouble();
+        updateCold(nowNanos);
+        if (isLimited()) {
+            prepareChange(nowNanos);
+            double maxDebt = MAX_DEBT_SECONDS * rate();
             mLevel = Math.max(mLevel - calls, Math.min(mLevel, -maxDebt));
         }
     }
 
-    private void fill(long nowNanos) {
-        mLevel = level(nowNanos);
-        mFilledAt = nowNanos;
-    }
-
     private double level(long nowNanos) {
-        double added = mPerSecond.getAsDouble() * (nowNanos - mFilledAt) / NANOS_PER_SECOND;
+        double added = rate() * (nowNanos - mFilledAt) / NANOS_PER_SECOND;
         return Math.min(fullLevel(), mLevel + added);
     }
 
     private double fullLevel() {
-        return 1 + BURST_SECONDS * mPerSecond.getAsDouble();
+        return 1 + BURST_SECONDS * rate();
     }
 
     /** Returns which fraction of a full bucket is used up; 0 without a limit. */
     double usedFraction(long nowNanos) {
-        return mPerSecond.isEmpty() ? 0 : 1 - Math.max(0, level(nowNanos)) / fullLevel();
+        updateCold(nowNanos);
+        return !isLimited() ? 0 : 1 - Math.max(0, level(nowNanos)) / fullLevel();
     }
 
     /**
      * Returns how many calls this host may start now; {@link Integer#MAX_VALUE} without a limit.
      */
     int allowedCalls(long nowNanos) {
-        return mPerSecond.isEmpty() ? Integer.MAX_VALUE : (int) Math.max(0, level(nowNanos));
+        return Math.min(sharedAllowedCalls(nowNanos), mCold.allowedCalls(nowNanos));
+    }
+
+    /** Returns how many calls all hosts together may start now, whichever of them does. */
+    int sharedAllowedCalls(long nowNanos) {
+        updateCold(nowNanos);
+        return isLimited() ? (int) Math.max(0, level(nowNanos)) : Integer.MAX_VALUE;
     }
 
     /** Returns the time until this host may start a call, in nanoseconds; 0 if it may now. */
     long waitNanos(long nowNanos) {
-        if (allowedCalls(nowNanos) > 0) {
+        return Math.max(sharedWaitNanos(nowNanos), mCold.waitNanos(nowNanos));
+    }
+
+    private long sharedWaitNanos(long nowNanos) {
+        if (sharedAllowedCalls(nowNanos) > 0) {
             return 0;
         }
         double missing = 1 - level(nowNanos);
-        return (long) Math.ceil(missing / mPerSecond.getAsDouble() * NANOS_PER_SECOND);
+        return (long) Math.ceil(missing / rate() * NANOS_PER_SECOND);
     }
 }
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -19,10 +19,12 @@
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
 import org.coltsfootproxy.node.Effects;
@@ -57,6 +59,7 @@
     private FleetMessage.Listing mListing = new FleetMessage.Listing(0, List.of());
     private final Set<Target> mChangedTargets = new LinkedHashSet<>();
     private final LeavingTargets mLeaving = LeavingTargets.create();
+    private final ColdLimits mColdLimits = new ColdLimits();
 
     private Targets(DataCentre localDataCentre, RandomGenerator random) {
         mLocalDataCentre = checkNotNull(localDataCentre, "local data centre is missing");
@@ -85,14 +88,21 @@
         Set<TargetId> listed = new HashSet<>();
         Map<ServiceId, List<Target>> byService = new HashMap<>();
         for (ListedTarget entry : listing.targets()) {
-            Target target = mById.computeIfAbsent(entry.id(), id -> new Target(entry));
+            boolean wasCold = isListedCold(entry.id());
+            Target target = mById.computeIfAbsent(entry.id(), id -> new Target(entry, mColdLimits));
             target.listed(entry);
+            if (!wasCold && isListedCold(entry.id())) {
+                logCold(target, entry.coldMillis(), "list", out);
+            }
             listed.add(entry.id());
             byService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(target);
         }
         mById.keySet().retainAll(listed);
         mLeaving.listed(listing.targets());
+        mColdLimits.listed(listed);
         mByService = byService;
+        out.measure(
+                Metric.COLD_TARGETS, "", "", listed.stream().filter(this::isListedCold).count());
         out.log(
                 EventCode.TARGETS_LISTED,
                 LogField.of("listing", listing.number()),
@@ -143,6 +153,21 @@
                 .toList();
     }
 
+    /** Returns what the services' limits for cold targets allow this host. */
+    ColdLimits coldLimits() {
+        return mColdLimits;
+    }
+
+    /** Notes that this host starts. */
+    public void started(long nowNanos) {
+        mColdLimits.started(nowNanos);
+    }
+
+    /** Applies the services' limits for cold targets. */
+    public void configure(ConfigView config, long nowNanos) {
+        mColdLimits.configure(config, nowNanos);
+    }
+
     /** Returns the targets that have said that they are leaving. */
     LeavingTargets leaving() {
         return mLeaving;
@@ -166,9 +191,9 @@
      */
     void limitNamed(
             Target target, OptionalDouble perSecond, long sentAt, long nowNanos, Effects out) {
-        OptionalDouble before = target.rateLimit().perSecond();
+        OptionalDouble before = target.rateLimit().named();
         target.limitNamed(perSecond, sentAt, nowNanos);
-        OptionalDouble after = target.rateLimit().perSecond();
+        OptionalDouble after = target.rateLimit().named();
         if (perSecond.isPresent()) {
             mChangedTargets.add(target);
         }
@@ -183,6 +208,25 @@
         }
     }
 
+    /** Notes that an answer of a target says how long it is cold. */
+    void coldNamed(Target target, long coldMillis, long nowNanos, Effects out) {
+        if (target.rateLimit().cold().named(coldMillis, nowNanos)) {
+            logCold(target, coldMillis, "answer", out);
+        }
+    }
+
+    private boolean isListedCold(TargetId id) {
+        return byId(id).filter(target -> target.listed().coldMillis() > 0).isPresent();
+    }
+
+    private static void logCold(Target target, long millis, String source, Effects out) {
+        out.log(
+                EventCode.TARGET_COLD,
+                LogField.of("target", target.listed().id()),
+                LogField.of("coldMillis", millis),
+                LogField.of("source", source));
+    }
+
     private static String text(OptionalDouble requestsPerSecond) {
         return requestsPerSecond.isPresent() ? "" + requestsPerSecond.getAsDouble() : "none";
     }
@@ -250,6 +294,7 @@
     OptionalLong limitWaitNanos(ServiceId service, Predicate<Target> allowed, long nowNanos) {
         return active(service)
                 .filter(allowed)
+                .filter(target -> target.rateLimit().cold().hasQuota(nowNanos))
                 .mapToLong(target -> target.rateLimit().waitNanos(nowNanos))
                 .min();
     }
@@ -321,7 +366,9 @@
     private static boolean hasShareLeft(Target target, int workers, long nowNanos) {
         int freeSlots = freeBatchSlots(target, nowNanos);
         int started = target.recentBatchStarts(nowNanos);
-        return freeSlots > 0 && started * workers < freeSlots + started;
+        return freeSlots > 0
+                && target.rateLimit().allowedCalls(nowNanos) > 0
+                && started * workers < freeSlots + started;
     }
 
     /**
@@ -340,7 +387,7 @@
     /** Returns the number of slots of a target that are free for batch items. */
     private static int freeBatchSlots(Target target, long nowNanos) {
         int freeSlots = target.slots() - target.inFlight(nowNanos);
-        int free = Math.min(freeSlots, target.rateLimit().allowedCalls(nowNanos));
+        int free = Math.min(freeSlots, target.rateLimit().sharedAllowedCalls(nowNanos));
         return target.isAvoided(nowNanos) ? 0 : Math.max(0, free);
     }
 
--- a/src/main/java/org/coltsfootproxy/message/ListedTarget.java
+++ b/src/main/java/org/coltsfootproxy/message/ListedTarget.java
@@ -19,6 +19,9 @@
  *     if unknown. A target that starts again may keep its id but not this time.
  * @param version version of the target's software; a stream may go on only at the version that
  *     began it
+ * @param coldMillis how long the target is cold, in milliseconds, as the list said when it first
+ *     showed this cold period; unchanged while the time runs down; {@link #WARM} if the list says
+ *     that the target is not cold, 0 if it does not say
  */
 public record ListedTarget(
         TargetId id,
@@ -28,7 +31,11 @@
         boolean leaving,
         int slots,
         long startedAt,
-        SoftwareVersion version) {
+        SoftwareVersion version,
+        long coldMillis) {
+    /** Value of {@code coldMillis} of a target that is not cold. */
+    public static final long WARM = -1;
+
     /** Checks the components. */
     public ListedTarget {
         checkNotNull(id, "target id is missing");
@@ -39,4 +46,25 @@
         // A host of an earlier version sends none.
         version = version == null ? SoftwareVersion.UNNAMED : version;
     }
+
+    /**
+     * Returns this entry with the cold period that an earlier entry shows, if that still runs. So
+     * the list does not change each time it is read.
+     */
+    public ListedTarget continuing(ListedTarget earlier) {
+        boolean isSamePeriod =
+                earlier.startedAt == startedAt && coldMillis > 0 && coldMillis < earlier.coldMillis;
+        return isSamePeriod
+                ? new ListedTarget(
+                        id,
+                        service,
+                        dataCentre,
+                        address,
+                        leaving,
+                        slots,
+                        startedAt,
+                        version,
+                        earlier.coldMillis)
+                : this;
+    }
 }
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -28,6 +28,8 @@
 final class PlatformConfig {
     private static final ErrorKind ERROR_KIND = ErrorKind.INVALID_TICKET;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** Number of leading characters of a key's digest that form the key's id. */
     private static final int KEY_ID_LENGTH = 32;
 
@@ -40,7 +42,8 @@
      * in requests per second, {@code engine.slots} the number of requests that a target runs at
      * once, {@code goal_ms} the time goal for the response or its first event, {@code gap_aim_ms}
      * the longest expected pause between events, {@code run_target_ms} the time within which a
-     * batch job is due, and {@code max_attempts} the most targets that may run a request.
+     * batch job is due, and {@code max_attempts} the most targets that may run a request. A service
+     * with {@code cold_per_s} names how many requests a second its cold targets take.
      *
      * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET} if the document is not valid
      */
@@ -89,7 +92,24 @@
 
     private static Service service(JsonNode node) throws ProxyException {
         int slots = (int) Json.number(node.path("engine"), "slots", ERROR_KIND);
-        return Service.of(ServiceId.of(name(node, "name")), false, Math.max(1, slots), List.of());
+        Service service =
+                Service.of(ServiceId.of(name(node, "name")), false, Math.max(1, slots), List.of());
+        return node.hasNonNull("cold_per_s") ? service.withColdStart(coldStart(node)) : service;
+    }
+
+    /**
+     * Reads how many calls a second a cold target takes, {@code cold_per_s}, and how long a target
+     * is cold after a start, {@code cold_start_s}.
+     */
+    private static Service.ColdStart coldStart(JsonNode node) throws ProxyException {
+        double perSecond = Json.number(node, "cold_per_s", ERROR_KIND);
+        double seconds = Json.number(node, "cold_start_s", ERROR_KIND);
+        boolean isValid = perSecond >= 0 && seconds >= 0 && Double.isFinite(perSecond + seconds);
+        if (!isValid) {
+            throw invalid(
+                    "'cold_per_s' or 'cold_start_s' of " + name(node, "name") + " is below 0");
+        }
+        return new Service.ColdStart((long) Math.ceil(MILLIS_PER_SECOND * seconds), perSecond);
     }
 
     private static Route route(JsonNode node) throws ProxyException {
--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -52,6 +52,9 @@
      */
     static final String SERVER_LIMIT = "Server-Limit";
 
+    /** Time in milliseconds for which a target is still cold; 0 if it is not. */
+    static final String COLD_MS = "Cold-Ms";
+
     /** Longest time, in milliseconds, that a read of results may wait for the next result. */
     static final String WAIT_MS = "Wait-Ms";
 
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetListProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetListProtocol.java
@@ -56,8 +56,9 @@
      *
      * <p>{@code zone} is the target's data centre, {@code slots} the number of requests it runs at
      * once, {@code born} the time at which it started, {@code version} the version of its software
-     * (not of its models, which have versions of their own), and the state {@code draining} means
-     * that it is leaving and must get no new requests.
+     * (not of its models, which have versions of their own), {@code cold_left_ms} the time for
+     * which it is still cold, and the state {@code draining} means that it is leaving and must get
+     * no new requests.
      */
     private static Optional<ListedTarget> target(JsonNode entry) {
         String state = entry.path("state").asText();
@@ -81,10 +82,19 @@
                                 state.equals(STATE_DRAINING),
                                 slots.intValue(),
                                 entry.path("born").asLong(),
-                                version(entry)))
+                                version(entry),
+                                coldMillis(entry.path("cold_left_ms"))))
                 : Optional.empty();
     }
 
+    /** Returns how long a target is cold; 0 if the entry does not say it. */
+    private static long coldMillis(JsonNode left) {
+        if (!left.isNumber() || !(left.doubleValue() >= 0)) {
+            return 0;
+        }
+        return left.doubleValue() == 0 ? ListedTarget.WARM : (long) Math.ceil(left.doubleValue());
+    }
+
     private static SoftwareVersion version(JsonNode entry) {
         JsonNode version = entry.path("version");
         return version.isMissingNode()
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.coltsfootproxy.base.Names;
 import org.coltsfootproxy.base.PromptPartId;
@@ -31,6 +32,9 @@
 
     private static final int MISDIRECTED_REQUEST_STATUS = 421;
 
+    /** Longest cold time that is believed; many times that of any sound target. */
+    private static final double MAX_COLD_MILLIS = 3_600_000;
+
     /** First digit of the status codes that mean success. */
     private static final int SUCCESS_CLASS = 2;
 
@@ -85,7 +89,8 @@
                 headers,
                 load(head),
                 isLeaving(head),
-                requestsPerSecond(head));
+                requestsPerSecond(head),
+                coldMillis(head));
     }
 
     /** An answer of another target says nothing about the target that was called. */
@@ -104,6 +109,15 @@
                 .findFirst();
     }
 
+    /** Returns for how long the target is cold; empty if the answer does not say so. */
+    private static OptionalLong coldMillis(Input.TargetHead head) {
+        return PlatformHeaders.value(head.headers(), PlatformHeaders.COLD_MS).stream()
+                .map(Doubles::tryParse)
+                .filter(millis -> millis != null && millis >= 0 && millis <= MAX_COLD_MILLIS)
+                .mapToLong(millis -> (long) Math.ceil(millis))
+                .findFirst();
+    }
+
     private static TargetAnswer.Verdict verdict(Input.TargetHead head) {
         if (head.status() == MISDIRECTED_REQUEST_STATUS) {
             return TargetAnswer.Verdict.OTHER_TARGET;
--- a/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
@@ -53,7 +53,7 @@
     private static ListedTarget target(String id, DataCentre dataCentre) {
         String address = "10.8.0." + (id.charAt(0) - 'a' + 1) + ":80";
         return new ListedTarget(
-                TargetId.of(id), LM, dataCentre, address, false, 8, 0, SoftwareVersion.UNNAMED);
+                TargetId.of(id), LM, dataCentre, address, false, 8, 0, SoftwareVersion.UNNAMED, 0);
     }
 
     private Target target(String id) {
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -13,9 +13,11 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.config.ConfigSubscriber;
 import org.coltsfootproxy.config.ConfigTiming;
 import org.coltsfootproxy.consensus.StoredWrites;
@@ -59,6 +61,12 @@
     final List<String> mDamagedEntries = new ArrayList<>();
     final List<EventCode> mLoggedEvents = new ArrayList<>();
 
+    /** Whether reads of the list of targets fail. */
+    boolean mIsListUnreadable;
+
+    /** Time by which the list lags behind what it shows of cold targets. */
+    private static final long LIST_LAG_NANOS = 800 * MILLI_NANOS;
+
     /** Seconds after the order to stop at which a process is closed, as on the platform. */
     static final int STOP_SECONDS = 7;
 
@@ -385,6 +393,19 @@
     private void callTarget(HostId host, Effect.AddressedTargetCall call) {
         if (call.address().equals(LIST_ADDRESS)) {
             long number = call.call().call();
+            if (mIsListUnreadable) {
+                mFleet.after(
+                        MILLI_NANOS,
+                        () ->
+                                mFleet.deliver(
+                                        host,
+                                        new Input.TargetFailed(
+                                                number,
+                                                ErrorKind.TARGET_FAILED,
+                                                Ran.NO,
+                                                "the list is down")));
+                return;
+            }
             byte[] page = targetList().getBytes(StandardCharsets.UTF_8);
             mFleet.after(MILLI_NANOS, () -> deliverPage(host, number, page));
         } else {
@@ -400,20 +421,25 @@
 
     private String targetList() {
         List<String> entries = new ArrayList<>(mDamagedEntries);
-        mTargets.values().stream().map(PlatformSimulation::listEntry).forEach(entries::add);
+        mTargets.values().stream().map(this::listEntry).forEach(entries::add);
         return "{\"instances\":[" + String.join(",", entries) + "],\"next_token\":null}";
     }
 
-    private static String listEntry(SimulatedTarget target) {
+    private String listEntry(SimulatedTarget target) {
+        long shownAt = mFleet.now() - LIST_LAG_NANOS;
+        boolean isStartShown = !target.mTellsCold || shownAt >= target.mColdFrom;
+        long coldMillis =
+                isStartShown ? Math.max(0, (target.mColdUntil - shownAt) / MILLI_NANOS) : 0;
         return String.format(
                 "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%d,\"state\":\"%s\","
-                        + "\"born\":%d,%s\"id\":\"%s\"}",
+                        + "\"born\":%d,%s%s\"id\":\"%s\"}",
                 target.mService,
                 target.mAddress,
                 target.mDataCentre,
                 target.mSlots,
                 target.mIsDraining ? "draining" : "ready",
-                target.mStartedAt,
+                isStartShown ? target.mStartedAt : target.mStartedBefore,
+                target.mTellsCold ? "\"cold_left_ms\":" + coldMillis + "," : "",
                 target.mVersion.isEmpty() ? "" : "\"version\":\"" + target.mVersion + "\",",
                 target.mId);
     }
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -81,6 +81,20 @@
     /** When the target started, in the list of targets. */
     long mStartedAt = 1;
 
+    /** Whether the list shows how long the target is still cold. */
+    boolean mTellsCold;
+
+    /** When the latest cold period began and ends; equal if there was none. */
+    long mColdFrom;
+
+    long mColdUntil;
+
+    /** {@link #mStartedAt} before the latest cold period. */
+    long mStartedBefore = 1;
+
+    /** Whether answers say how long the target is still cold. */
+    boolean mSaysCold;
+
     /** Whether answers lack the target's signature. */
     boolean mIsUnsigned;
 
@@ -128,6 +142,10 @@
                             .map(Integer::parseInt)
                             .orElse(0);
         }
+
+        private boolean isFor(String id) {
+            return PlatformHeaders.value(mCall.headers(), "Target-Instance").orElse(id).equals(id);
+        }
     }
 
     SimulatedTarget(
@@ -143,6 +161,30 @@
         return mRunningCount;
     }
 
+    /** Makes the target cold from now on. */
+    void turnCold(long nanos) {
+        mColdFrom = mFleet.now();
+        mColdUntil = mColdFrom + nanos;
+        mStartedBefore = mStartedAt;
+    }
+
+    /** Starts the target again under the same id, cold. */
+    void startCold(long nanos) {
+        turnCold(nanos);
+        mIsDown = false;
+        mStartedAt++;
+    }
+
+    /** Returns when calls arrived while the target was cold, without those for other targets. */
+    long[] coldArrivals() {
+        return mArrivals.stream()
+                .filter(run -> run.isFor(mId))
+                .mapToLong(run -> run.mArrivalNanos)
+                .filter(at -> at >= mColdFrom && at < mColdUntil)
+                .sorted()
+                .toArray();
+    }
+
     void call(HostId host, Effect.TargetCall call) {
         mFleet.after(LINK_NANOS, () -> accept(host, call));
         mFleet.after(
@@ -165,9 +207,7 @@
             fail(host, call.call(), ErrorKind.TARGET_FAILED, Ran.NO);
         } else if (mIsSilent) {
             mOpenCalls.put(new CallKey(host, call.call()), run);
-        } else if (!PlatformHeaders.value(call.headers(), "Target-Instance")
-                .orElse(mId)
-                .equals(mId)) {
+        } else if (!run.isFor(mId)) {
             refuse(run, 421);
         } else if (mRunningCount >= mSlots && mWaitingRuns.size() >= mQueueCapacity) {
             refuse(run, 503);
@@ -329,6 +369,10 @@
         if (mSaysLeaving) {
             headers.add(Header.of("Server-Leaving", "1"));
         }
+        if (mSaysCold && mFleet.now() < mColdUntil) {
+            long leftMillis = (mColdUntil - mFleet.now()) / MILLI_NANOS;
+            headers.add(Header.of("Cold-Ms", Long.toString(leftMillis)));
+        }
         if (mRequestsPerSecond > 0) {
             headers.add(Header.of("Server-Limit", Double.toString(mRequestsPerSecond)));
         }
