Encode and decode reports between hosts without reflection

Cause: the record Reports, sent and received up to 50 times a second by each host that calls targets, was encoded and decoded by Jackson by reflection; each id in it was created and checked by a regular expression.

Change: RecordCodec uses the encoding that a record names by @EncodedBy.

Ruled out: passing on undecoded bytes at relays; they need each report themselves, and encoding is the smaller part now.

--- a/src/main/java/org/coltsfootproxy/base/Names.java
+++ b/src/main/java/org/coltsfootproxy/base/Names.java
@@ -3,14 +3,12 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.regex.Pattern;
-
 /** Validates names that operators and callers choose. */
 public final class Names {
     /** Maximum length of a name in characters. */
     public static final int MAX_LENGTH = 128;
 
-    private static final Pattern PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:@-]*");
+    private static final String OTHER_CHARACTERS = "._:@-";
 
     private Names() {}
 
@@ -30,6 +28,20 @@
 
     /** Returns whether {@code value} is a valid name. */
     public static boolean isValid(String value) {
-        return value.length() <= MAX_LENGTH && PATTERN.matcher(value).matches();
+        // A plain loop, since each id that is decoded is checked.
+        if (value.isEmpty() || value.length() > MAX_LENGTH || !isAlphanumeric(value.charAt(0))) {
+            return false;
+        }
+        for (int i = 1; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (!isAlphanumeric(c) && OTHER_CHARACTERS.indexOf(c) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isAlphanumeric(char c) {
+        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9';
     }
 }
--- a/src/main/java/org/coltsfootproxy/base/RecordCodec.java
+++ b/src/main/java/org/coltsfootproxy/base/RecordCodec.java
@@ -38,12 +38,22 @@
     private final Map<Class<?>, Entry> mByClass = new HashMap<>();
     private final Map<Integer, Entry> mByCode = new HashMap<>();
 
-    private record Entry(int code, ObjectWriter writer, ObjectReader reader) {}
+    /**
+     * A record type.
+     *
+     * @param encoding encoding of a frequent type; null if it is encoded by reflection
+     */
+    private record Entry(
+            int code,
+            ObjectWriter writer,
+            ObjectReader reader,
+            Class<?> type,
+            RecordEncoding<Object> encoding) {}
 
-    private RecordCodec(Class<T> root) {
+    private RecordCodec(Class<T> root, boolean usesEncodings) {
         mRoot = root;
         ObjectMapper mapper = createMapper();
-        records(root).forEach(type -> register(mapper, type));
+        records(root).forEach(type -> register(mapper, type, usesEncodings));
     }
 
     /**
@@ -53,7 +63,12 @@
      */
     public static <T> RecordCodec<T> of(Class<T> root) {
         checkArgument(root.isSealed(), "%s is not sealed", root);
-        return new RecordCodec<>(root);
+        return new RecordCodec<>(root, true);
+    }
+
+    /** Returns a codec that encodes and decodes all types by reflection, as a reference. */
+    static <T> RecordCodec<T> byReflection(Class<T> root) {
+        return new RecordCodec<>(root, false);
     }
 
     private static ObjectMapper createMapper() {
@@ -75,10 +90,17 @@
                 : Stream.of(type);
     }
 
-    private void register(ObjectMapper mapper, Class<?> type) {
+    private void register(ObjectMapper mapper, Class<?> type, boolean usesEncodings) {
         WireCode code = type.getAnnotation(WireCode.class);
         checkState(code != null, "%s has no @WireCode", type);
-        Entry entry = new Entry(code.value(), mapper.writerFor(type), mapper.readerFor(type));
+        RecordEncoding<Object> encoding = usesEncodings ? encodingOf(type) : null;
+        Entry entry =
+                new Entry(
+                        code.value(),
+                        mapper.writerFor(type),
+                        mapper.readerFor(type),
+                        type,
+                        encoding);
         checkState(
                 mByCode.put(code.value(), entry) == null,
                 "wire code of %s is already used by another record",
@@ -86,10 +108,31 @@
         mByClass.put(type, entry);
     }
 
+    /** Returns the encoding that is named for a type; null if none is. */
+    @SuppressWarnings("unchecked")
+    private static RecordEncoding<Object> encodingOf(Class<?> type) {
+        EncodedBy encodedBy = type.getAnnotation(EncodedBy.class);
+        if (encodedBy == null) {
+            return null;
+        }
+        try {
+            var constructor = encodedBy.value().getDeclaredConstructor();
+            return (RecordEncoding<Object>) constructor.newInstance();
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("can't create the encoding of " + type, e);
+        }
+    }
+
     /** Returns the encoding of {@code value}. */
     public byte[] encode(T value) {
         Entry entry = mByClass.get(value.getClass());
         checkArgument(entry != null, "%s is not a record type of %s", value.getClass(), mRoot);
+        if (entry.encoding() != null) {
+            PackWriter out = new PackWriter();
+            out.raw(new byte[] {(byte) (entry.code() >> Byte.SIZE), (byte) entry.code()});
+            entry.encoding().write(value, out);
+            return out.toByteArray();
+        }
         try {
             byte[] body = entry.writer().writeValueAsBytes(value);
             return ByteBuffer.allocate(CODE_BYTES + body.length)
@@ -119,14 +162,24 @@
             throw ProxyException.of(ErrorKind.MALFORMED_REQUEST, "unknown record type " + code);
         }
         try {
+            if (entry.encoding() != null) {
+                return decode(entry, bytes);
+            }
             return mRoot.cast(
                     entry.reader().readValue(bytes, CODE_BYTES, bytes.length - CODE_BYTES));
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException | RuntimeException e) {
             String detail = "malformed record of type " + code;
             throw ProxyException.of(ErrorKind.MALFORMED_REQUEST, detail, e);
         }
     }
 
+    private T decode(Entry entry, byte[] bytes) {
+        PackReader in = new PackReader(bytes, CODE_BYTES, bytes.length - CODE_BYTES);
+        T value = mRoot.cast(in.record(entry.encoding()::read));
+        checkArgument(value != null, "a %s is null", entry.type());
+        return value;
+    }
+
     /** Writes records as arrays, which are smaller than maps with named fields. */
     private static final class ArrayShapeIntrospector
             extends com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector {
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.coltsfootproxy.base.DataCentre;
+import org.coltsfootproxy.base.EncodedBy;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Member;
@@ -141,6 +142,7 @@
      * @param ended hosts whose processes have ended, as the loss of their connections shows
      */
     @WireCode(709)
+    @EncodedBy(ReportsEncoding.class)
     record Reports(List<HostReport> reports, List<HostId> ended) implements FleetMessage {
         /** Copies the lists. */
         public Reports {
