--- a/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
+++ b/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
@@ -117,7 +117,7 @@
                 });
         time("choose a target", () -> targets.chooseForOnline(SERVICE, target -> true, 0));
         time("time until limits allow a call", () -> limitWait(targets));
-        time("free slots for items", () -> targets.freeBatchSlots(SERVICE, 0));
+        time("free slots for items", () -> targets.freeBatchSlots(SERVICE, 0, 0));
         time("choose a target for an item", () -> choosesForBatch(targets));
         time(
                 "start and end a call, compose a report",
@@ -208,7 +208,8 @@
                                                 false,
                                                 8,
                                                 1_700_000_000_000L + target,
-                                                SoftwareVersion.of("1.4")))
+                                                SoftwareVersion.of("1.4"),
+                                                ListedTarget.WARM))
                         .toList());
     }
 
