--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -323,6 +323,8 @@
     }
 
     private void start(HostId host, Node node) {
+        // The calls of the host's earlier process have ended with its connections.
+        mTargets.values().forEach(target -> target.callerEnded(host));
         int incarnationNumber = mStartCounts.merge(host, 1, Integer::sum);
         mFleet.start(host, Incarnation.of(incarnationNumber), node);
     }
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -304,6 +304,15 @@
                 });
     }
 
+    /** Ends the calls of a host whose process has ended, together with its connections. */
+    void callerEnded(HostId host) {
+        for (CallKey key : List.copyOf(mOpenCalls.keySet())) {
+            if (key.host().equals(host)) {
+                finish(mOpenCalls.remove(key));
+            }
+        }
+    }
+
     /** Stops the target and cuts all calls in flight. */
     void crash() {
         mIsDown = true;
