Streams keep their version after a restart of all entries

Cause: an entry that has just started took the only version in its first target list for the one that began any stream, and could ask only other entries for the streams.

Change: stores keep the streams that entries report and answer AskStreams. The control hosts keep the versions that each service had in the last 30 s in the replicated log (FleetState, VersionRecord), and each target list carries those that it doesn't show (Listing.earlier). An entry takes a single version for the right one only if list and record agree, or it has itself seen lists for 30 s. An entry that would refuse unknown streams waits up to 400 ms after its start for the answer of a store.

The command has its own tag in log 0, which replicas of an earlier version ignore; an unknown fleet command would have stopped them. Only the leader corrects received lists, since two hosts with different memories would do so without end.

Ruled out: recording streams in a replicated log (some 20 commits a second during a release); withholding a list until its versions are committed (without a quorum, hosts would not learn of targets that left).

Conclusion: a restart of all entries costs refusals, not mixed streams.

--- a/src/main/java/org/coltsfootproxy/control/ConfigStateMachine.java
+++ b/src/main/java/org/coltsfootproxy/control/ConfigStateMachine.java
@@ -21,6 +21,10 @@
     private static final byte CONFIG_TAG = 0;
     private static final byte LEASE_TAG = 1;
     private static final byte FLEET_TAG = 2;
+
+    /** Replicas of an earlier version ignore unknown tags, but fail on unknown fleet commands. */
+    private static final byte VERSIONS_TAG = 3;
+
     private static final byte[] EMPTY_RESULT = new byte[0];
 
     private final ConfigState mConfig = ConfigState.create();
@@ -45,6 +49,11 @@
         return tagged(FLEET_TAG, FleetCommand.CODEC.encode(command));
     }
 
+    /** Returns the command of group 0 that records software versions. */
+    static byte[] versionsCommand(FleetCommand.RecordVersions command) {
+        return tagged(VERSIONS_TAG, FleetCommand.CODEC.encode(command));
+    }
+
     /** Returns the command of group 0 for a command of the configuration. */
     static byte[] configCommand(byte[] command) {
         return tagged(CONFIG_TAG, command);
@@ -83,7 +92,7 @@
         return switch (command[0]) {
             case CONFIG_TAG -> mConfig.apply(index, payload);
             case LEASE_TAG -> mLeases.apply(index, payload);
-            case FLEET_TAG -> mFleet.apply(index, payload);
+            case FLEET_TAG, VERSIONS_TAG -> mFleet.apply(index, payload);
             default -> EMPTY_RESULT;
         };
     }
--- a/src/main/java/org/coltsfootproxy/control/FleetCommand.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCommand.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.RecordCodec;
 import org.coltsfootproxy.base.SuspectId;
 import org.coltsfootproxy.base.WireCode;
+import org.coltsfootproxy.message.ServiceVersions;
 
 /** A command of the configuration log that changes the {@link FleetState}. */
 sealed interface FleetCommand {
@@ -22,4 +23,8 @@
     /** Replaces the quarantined parts of prompts. */
     @WireCode(3)
     record Quarantine(List<SuspectId> parts) implements FleetCommand {}
+
+    /** Replaces the software versions that services have had recently. */
+    @WireCode(4)
+    record RecordVersions(List<ServiceVersions> versions) implements FleetCommand {}
 }
--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -9,6 +9,7 @@
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.direct.FleetDirectory;
+import org.coltsfootproxy.direct.ListedVersions;
 import org.coltsfootproxy.direct.TargetCalls;
 import org.coltsfootproxy.direct.TargetListReader;
 import org.coltsfootproxy.direct.Targets;
@@ -34,6 +35,7 @@
     private final FleetDirectory mDirectory;
     private final JobLogBootstrap mBootstrap;
     private final QuarantineStore mQuarantine;
+    private final VersionRecord mVersionRecord;
     private List<HostId> mControlHosts;
     private long mStartNanos;
 
@@ -51,10 +53,13 @@
         Targets targets = Targets.create(settings.dataCentre(), random);
         TargetListReader reader =
                 TargetListReader.create(fleetSettings.listAddress(), fleetSettings.list(), mCalls);
-        mDirectory = FleetDirectory.create(settings.self(), mControlHosts, targets, reader);
+        ListedVersions versions = ListedVersions.create();
+        mDirectory =
+                FleetDirectory.create(settings.self(), mControlHosts, targets, reader, versions);
         mBootstrap =
                 new JobLogBootstrap(fleetSettings.voters(), mDirectory.roster(), state, config);
         mQuarantine = new QuarantineStore(state, config);
+        mVersionRecord = new VersionRecord(versions, state, config);
     }
 
     void start(long nowNanos, Effects out) {
@@ -66,10 +71,12 @@
 
     /** Handles the input of a call to a target; returns false for any other input. */
     boolean handle(Input input, long nowNanos, Effects out) {
+        updateVersions(nowNanos, out);
         return mCalls.handle(input, nowNanos, out);
     }
 
     void handle(HostId from, FleetMessage message, long nowNanos, Effects out) {
+        updateVersions(nowNanos, out);
         if (message instanceof FleetMessage.Enrol enrol) {
             // Before the list of targets, without which the host sends no calls.
             mQuarantine.enrolled(from, enrol, nowNanos, out);
@@ -84,7 +91,15 @@
         mDirectory.controlUp(host, out);
     }
 
+    private void updateVersions(long nowNanos, Effects out) {
+        if (mVersionRecord.update(nowNanos)) {
+            mDirectory.versionsChanged(out);
+        }
+    }
+
     void tick(long nowNanos, Effects out) {
+        updateVersions(nowNanos, out);
+        mVersionRecord.tick(out);
         updateControlHosts(nowNanos, out);
         mDirectory.roster().retiring(mState.retiring(), out);
         if (mDirectory.nextTickNanos() <= nowNanos) {
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -21,6 +21,7 @@
 import org.coltsfootproxy.direct.HostReports;
 import org.coltsfootproxy.direct.ItemWorker;
 import org.coltsfootproxy.direct.LoadExchange;
+import org.coltsfootproxy.direct.StreamVersions;
 import org.coltsfootproxy.direct.TargetCalls;
 import org.coltsfootproxy.direct.Targets;
 import org.coltsfootproxy.job.EpochClock;
@@ -68,6 +69,7 @@
     private final TargetCalls mCalls = TargetCalls.create();
     private final Targets mTargets;
     private final CrashQuarantine mQuarantine = CrashQuarantine.create();
+    private final StreamVersions mVersions = StreamVersions.create();
     private final HostReports mReports;
     private final ItemWorker mWorker;
     private Optional<HostId> mLeader = Optional.empty();
@@ -106,7 +108,8 @@
                         random.nextLong(),
                         mTargets,
                         LoadExchange.create(settings.self(), mTargets),
-                        mQuarantine);
+                        mQuarantine,
+                        mVersions);
         mWorker =
                 ItemWorker.create(
                         settings.incarnation(),
@@ -218,6 +221,8 @@
             mGroup.node().bootstrap(bootstrap.members(), nowNanos, mOut);
         } else if (message instanceof FleetMessage.Reports reports) {
             mReports.handle(from, reports, nowNanos, mOut);
+        } else if (message instanceof FleetMessage.AskStreams) {
+            mOut.send(from, new FleetMessage.KnownStreams(mVersions.recent(nowNanos)));
         } else if (message instanceof FleetMessage.Quarantine stored) {
             mQuarantine.handle(stored, nowNanos, mOut);
         } else if (message instanceof FleetMessage.PreemptItem yield) {
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -43,10 +43,10 @@
  */
 public final class DirectEntryNode implements Node {
     /**
-     * Longest time that a starting entry waits for the admission counts of the others. Connections
-     * take 0.2 to 0.4 s under load; an unreachable entry must not keep others from starting.
+     * Longest time that a starting entry waits for what the others know. Connections take 0.2 to
+     * 0.4 s under load; an unreachable entry must not keep others from starting.
      */
-    private static final long LIMITER_SYNC_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final long SYNC_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final EntrySettings mSettings;
     private final Protocols mProtocols;
@@ -66,8 +66,8 @@
     private final DirectCalls mCalls;
     private final DirectJobs mJobs;
     private final RandomGenerator mRandom;
-    private long mLimiterSyncDeadline = NEVER;
-    private boolean mIsLimiterSynced;
+    private long mSyncDeadline = NEVER;
+    private boolean mIsSynced;
     private boolean mStopping;
     private long mRefuseAt;
     private boolean mRefusing;
@@ -298,7 +298,7 @@
         } else if (message instanceof FleetMessage.AskStreams) {
             mVersionSync.answer(from, now, out);
         } else if (message instanceof FleetMessage.KnownStreams known) {
-            mVersions.handle(known.streams(), now);
+            mVersionSync.answered(from, known, now);
         } else if (message instanceof FleetMessage.Reports reports) {
             mReports.handle(from, reports, now, out);
         }
@@ -312,7 +312,7 @@
                 .forEach(host -> out.add(new Effect.PeerAddress(host, mAddresses.of(host))));
         mLoadShedder.entryCount(mMembership.entries().size());
         mLimiter.entries(mMembership.entries(), now);
-        mVersionSync.entries(mMembership.entries(), now);
+        mVersionSync.hosts(mMembership.entries(), mMembership.roster().stores(), now);
         mReports.hostsChanged(mMembership, now, out);
     }
 
@@ -338,7 +338,7 @@
         boolean isFresh = mConfig.isFresh(now);
         long listing = mTargets.listing().number();
         boolean hasConfigAndTargets = isFresh && mConfig.view().version() > 0 && listing > 0;
-        boolean isReady = !mStopping && hasConfigAndTargets && isLimiterSynced(now);
+        boolean isReady = !mStopping && hasConfigAndTargets && isSynced(now);
         if (isReady != mIsReady) {
             mIsReady = isReady;
             out.log(
@@ -356,18 +356,19 @@
         }
     }
 
-    /** Returns whether the other entries' admission counts are known, or the wait has timed out. */
-    private boolean isLimiterSynced(long now) {
-        if (mIsLimiterSynced) {
+    /** Returns whether the others' admission counts and streams are known, or the wait is over. */
+    private boolean isSynced(long now) {
+        if (mIsSynced) {
             return true;
         }
-        if (mLimiterSyncDeadline == NEVER) {
-            mLimiterSyncDeadline = now + LIMITER_SYNC_NANOS;
+        if (mSyncDeadline == NEVER) {
+            mSyncDeadline = now + SYNC_NANOS;
         }
         boolean hasRoster = !mMembership.entries().isEmpty();
-        mIsLimiterSynced =
-                now - mLimiterSyncDeadline >= 0 || hasRoster && mLimiter.hasReportsFromAll(now);
-        return mIsLimiterSynced;
+        mIsSynced =
+                now - mSyncDeadline >= 0
+                        || hasRoster && mLimiter.hasReportsFromAll(now) && mVersionSync.isDone(now);
+        return mIsSynced;
     }
 
     @Override
@@ -384,7 +385,7 @@
                                 mJobs.nextTickNanos())
                         .min()
                         .getAsLong();
-        long nextWithSync = mIsLimiterSynced ? next : Math.min(next, mLimiterSyncDeadline);
+        long nextWithSync = mIsSynced ? next : Math.min(next, mSyncDeadline);
         return mStopping && !mRefusing ? Math.min(nextWithSync, mRefuseAt) : nextWithSync;
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/FleetDirectory.java
+++ b/src/main/java/org/coltsfootproxy/direct/FleetDirectory.java
@@ -9,6 +9,7 @@
 import org.coltsfootproxy.membership.FleetRoster;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
+import org.coltsfootproxy.message.ServiceVersions;
 import org.coltsfootproxy.node.Effects;
 
 /**
@@ -30,18 +31,24 @@
     private final FleetRoster mRoster;
     private final Targets mTargets;
     private final TargetListReader mReader;
+    private final ListedVersions mVersions;
     private List<HostId> mControls;
     private long mHighestNumber;
     private long mNextRead;
     private long mReaderMessageAt;
 
     private FleetDirectory(
-            HostId self, List<HostId> controls, Targets targets, TargetListReader reader) {
+            HostId self,
+            List<HostId> controls,
+            Targets targets,
+            TargetListReader reader,
+            ListedVersions versions) {
         mSelf = checkNotNull(self, "self");
         mControls = List.copyOf(controls);
         mRoster = FleetRoster.create(controls);
         mTargets = checkNotNull(targets, "targets");
         mReader = checkNotNull(reader, "reader");
+        mVersions = checkNotNull(versions, "versions");
         mReader.listener(this::listRead);
     }
 
@@ -51,8 +58,12 @@
      * @param controls known control hosts; this one may be among them
      */
     public static FleetDirectory create(
-            HostId self, List<HostId> controls, Targets targets, TargetListReader reader) {
-        return new FleetDirectory(self, controls, targets, reader);
+            HostId self,
+            List<HostId> controls,
+            Targets targets,
+            TargetListReader reader,
+            ListedVersions versions) {
+        return new FleetDirectory(self, controls, targets, reader, versions);
     }
 
     /** Starts; the first read is due at once, because no other host may have a list yet. */
@@ -81,7 +92,13 @@
         } else if (message instanceof FleetMessage.Listing listing) {
             readerMessageReceived(listing.number(), nowNanos);
             if (mTargets.update(listing, out)) {
+                mVersions.listed(listing.targets());
                 sendToHosts(out);
+                if (mVersions.isLeader()) {
+                    // Another host's list may lack what only the leader knows. Only one host
+                    // corrects lists, since two with different memories would do so without end.
+                    versionsChanged(out);
+                }
             }
         } else if (message instanceof FleetMessage.TargetListRead read) {
             readerMessageReceived(read.number(), nowNanos);
@@ -124,17 +141,36 @@
     }
 
     private void listRead(List<ListedTarget> targets, Effects out) {
+        mVersions.listed(targets);
+        if (!publish(targets, out)) {
+            sendToControls(new FleetMessage.TargetListRead(mTargets.listing().number()), out);
+        }
+    }
+
+    /** Distributes the target list again if the versions that it has to carry have changed. */
+    public void versionsChanged(Effects out) {
+        if (mTargets.listing().number() > 0) {
+            publish(mTargets.listing().targets(), out);
+        }
+    }
+
+    /** Distributes a list, and returns whether it differs from the list in force. */
+    private boolean publish(List<ListedTarget> targets, Effects out) {
         FleetMessage.Listing known = mTargets.listing();
-        boolean isSame = targets.equals(known.targets()) && known.number() >= mHighestNumber;
+        List<ServiceVersions> earlier = mVersions.earlier(targets, known);
+        boolean isSame =
+                targets.equals(known.targets())
+                        && earlier.equals(known.earlier())
+                        && known.number() >= mHighestNumber;
         if (isSame) {
-            sendToControls(new FleetMessage.TargetListRead(known.number()), out);
-            return;
+            return false;
         }
         mHighestNumber = Math.max(mHighestNumber, known.number()) + 1;
-        FleetMessage.Listing next = new FleetMessage.Listing(mHighestNumber, targets);
+        FleetMessage.Listing next = new FleetMessage.Listing(mHighestNumber, targets, earlier);
         mTargets.update(next, out);
         sendToControls(next, out);
         sendToHosts(out);
+        return true;
     }
 
     private void sendToControls(FleetMessage message, Effects out) {
--- a/src/main/java/org/coltsfootproxy/direct/HostReports.java
+++ b/src/main/java/org/coltsfootproxy/direct/HostReports.java
@@ -87,6 +87,7 @@
     /**
      * Returns the reports of a store.
      *
+     * @param versions keeps the streams that entries report
      * @param epoch number that differs between the processes of a host
      */
     public static HostReports ofStore(
@@ -94,7 +95,8 @@
             long epoch,
             Targets targets,
             LoadExchange loads,
-            CrashQuarantine quarantine) {
+            CrashQuarantine quarantine,
+            StreamVersions versions) {
         return new HostReports(
                 self,
                 epoch,
@@ -103,7 +105,7 @@
                 quarantine,
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty());
+                Optional.of(versions));
     }
 
     /** Applies the reports of other hosts. */
--- a/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
+++ b/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
@@ -1,7 +1,6 @@
 package org.coltsfootproxy.direct;
 
-import static java.util.stream.Collectors.groupingBy;
-import static java.util.stream.Collectors.mapping;
+import static java.util.stream.Collectors.toMap;
 import static java.util.stream.Collectors.toSet;
 
 import com.google.common.hash.Hashing;
@@ -19,19 +18,17 @@
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.message.FleetMessage;
-import org.coltsfootproxy.message.ListedTarget;
+import org.coltsfootproxy.message.ServiceVersions;
+import org.coltsfootproxy.node.Node;
 
 /**
- * The software versions of the targets that began streams, shared among the entries.
+ * The software versions of the targets that began streams, shared among entries and stores.
  *
  * <p>A caller may take up a stream at any entry, also after the end of the entry that began it. The
  * stream may go on only at the version that began it. Entries share what they know while a service
  * has targets of several versions; otherwise the only version is the right one.
  */
-final class StreamVersions {
-    /** How long a version is remembered that the list no longer shows. */
-    private static final long LISTED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(30);
-
+public final class StreamVersions {
     /** How long a stream is remembered. */
     private static final long STREAM_RETENTION_NANOS = TimeUnit.MINUTES.toNanos(10);
 
@@ -43,6 +40,15 @@
     /** The versions of each service that the list shows. */
     private Map<ServiceId, Set<SoftwareVersion>> mListed = Map.of();
 
+    /**
+     * For each service whose listed versions are on record at the control hosts, the versions that
+     * the list no longer shows.
+     */
+    private Map<ServiceId, Set<SoftwareVersion>> mEarlier = Map.of();
+
+    /** When this host got its first list; {@link Node#NEVER} before. */
+    private long mFirstListed = Node.NEVER;
+
     /** Until when earlier lists have shown the versions of a service. */
     private final Map<ServiceId, Map<SoftwareVersion, Long>> mShownUntil = new HashMap<>();
 
@@ -61,7 +67,7 @@
     private StreamVersions() {}
 
     /** Returns an instance that knows no streams. */
-    static StreamVersions create() {
+    public static StreamVersions create() {
         return new StreamVersions();
     }
 
@@ -82,12 +88,11 @@
         mListed.forEach(
                 (service, versions) ->
                         versions.forEach(version -> noteShown(service, version, nowNanos)));
-        mListed =
-                listing.targets().stream()
-                        .collect(
-                                groupingBy(
-                                        ListedTarget::service,
-                                        mapping(ListedTarget::version, toSet())));
+        mFirstListed = mFirstListed == Node.NEVER ? nowNanos : mFirstListed;
+        mListed = ListedVersions.of(listing.targets());
+        mEarlier =
+                listing.earlier().stream()
+                        .collect(toMap(ServiceVersions::service, v -> Set.copyOf(v.versions())));
         Set<ServiceId> mixed = mixedServices(nowNanos);
         mixed.removeAll(mixedBefore);
         reportOwn(mixed, nowNanos);
@@ -98,21 +103,55 @@
     }
 
     private Set<ServiceId> mixedServices(long nowNanos) {
-        return Stream.concat(mListed.keySet().stream(), mShownUntil.keySet().stream())
+        return Stream.of(mListed, mShownUntil, mEarlier)
+                .flatMap(services -> services.keySet().stream())
                 .filter(service -> versions(service, nowNanos).size() > 1)
                 .collect(toSet());
     }
 
-    /** Returns the versions of a service that the list shows or has shown recently. */
+    /** Returns the versions of a service that are listed or known to have been so recently. */
     private Set<SoftwareVersion> versions(ServiceId service, long nowNanos) {
         Stream<SoftwareVersion> earlier =
                 mShownUntil.getOrDefault(service, Map.of()).entrySet().stream()
-                        .filter(shown -> nowNanos - shown.getValue() < LISTED_RETENTION_NANOS)
+                        .filter(
+                                shown ->
+                                        nowNanos - shown.getValue()
+                                                < ListedVersions.RETENTION_NANOS)
                         .map(Map.Entry::getKey);
-        return Stream.concat(mListed.getOrDefault(service, Set.of()).stream(), earlier)
+        return Stream.of(
+                        mListed.getOrDefault(service, Set.of()).stream(),
+                        mEarlier.getOrDefault(service, Set.of()).stream(),
+                        earlier)
+                .flatMap(versions -> versions)
                 .collect(toSet());
     }
 
+    /**
+     * Returns whether all versions of a service are known that may have begun a recent stream: they
+     * are on record, or this host has had a list for as long as a version is remembered.
+     */
+    private boolean knowsVersions(ServiceId service, long nowNanos) {
+        return mEarlier.containsKey(service)
+                || mFirstListed != Node.NEVER
+                        && nowNanos - mFirstListed >= ListedVersions.RETENTION_NANOS;
+    }
+
+    /**
+     * Returns whether a stream of a listed service would be refused if this host didn't know it.
+     */
+    boolean needsStreams(long nowNanos) {
+        return mListed.keySet().stream()
+                .anyMatch(service -> onlyVersion(service, nowNanos).isEmpty());
+    }
+
+    /** Returns the version that must have begun any recent stream of a service. */
+    private Optional<SoftwareVersion> onlyVersion(ServiceId service, long nowNanos) {
+        Set<SoftwareVersion> versions = versions(service, nowNanos);
+        return versions.size() == 1 && knowsVersions(service, nowNanos)
+                ? versions.stream().findFirst()
+                : Optional.empty();
+    }
+
     /** Notes that a target of a version has sent the first event of a request's stream. */
     void begun(DirectRequest request, SoftwareVersion version, long nowNanos) {
         if (request.name().isEmpty()) {
@@ -148,8 +187,7 @@
         if (begun != null) {
             return Optional.of(begun.version());
         }
-        Set<SoftwareVersion> versions = versions(request.service(), nowNanos);
-        return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
+        return onlyVersion(request.service(), nowNanos);
     }
 
     /** Applies another entry's report. */
@@ -191,7 +229,7 @@
     /**
      * Returns all recent streams that any entry has reported or begun, for one that has started.
      */
-    List<FleetMessage.BegunStreams> recent(long nowNanos) {
+    public List<FleetMessage.BegunStreams> recent(long nowNanos) {
         Map<Long, SoftwareVersion> recent = new LinkedHashMap<>();
         mStreams.forEach(
                 (stream, begun) -> {
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -54,7 +54,7 @@
     private final RandomGenerator mRandom;
     private final Map<TargetId, Target> mById = new HashMap<>();
     private Map<ServiceId, List<Target>> mByService = Map.of();
-    private FleetMessage.Listing mListing = new FleetMessage.Listing(0, List.of());
+    private FleetMessage.Listing mListing = new FleetMessage.Listing(0, List.of(), List.of());
     private final Set<Target> mChangedTargets = new LinkedHashSet<>();
     private final LeavingTargets mLeaving = LeavingTargets.create();
 
@@ -212,7 +212,8 @@
      * Returns whether a target that accepts new work can resume a stream, or no target accepts any
      * at the moment.
      *
-     * @param version version that has begun the stream; empty if unknown
+     * @param version version that has begun the stream; empty if unknown, which no target can
+     *     resume, as the only version now need not be the one that began it
      * @param lastEvent last event of the stream; empty if it has none, so that any target can begin
      *     it
      */
@@ -222,7 +223,7 @@
                 active(service).map(target -> target.listed().version()).distinct().toList();
         return lastEvent.isEmpty()
                 || versions.isEmpty()
-                || version.map(versions::contains).orElse(versions.size() == 1);
+                || version.filter(versions::contains).isPresent();
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -121,12 +121,18 @@
      * Control to control, entry or store: the platform's target list.
      *
      * @param number version of the list, which grows with each change; 0 for the empty initial list
+     * @param earlier for each service whose listed versions are on record at the control hosts, the
+     *     versions that may have begun streams and are not listed; a service is missing while its
+     *     versions are not on record
      */
     @WireCode(702)
-    record Listing(long number, List<ListedTarget> targets) implements FleetMessage {
-        /** Copies the list. */
+    record Listing(long number, List<ListedTarget> targets, List<ServiceVersions> earlier)
+            implements FleetMessage {
+        /** Copies the lists. */
         public Listing {
             targets = List.copyOf(targets);
+            // A host of an earlier version sends none.
+            earlier = earlier == null ? List.of() : List.copyOf(earlier);
         }
     }
 
@@ -192,11 +198,13 @@
         }
     }
 
-    /** Entry to entry: asks for the recent streams, because the sender has just started. */
+    /**
+     * Entry to entry or store: asks for the recent streams, because the sender has just started.
+     */
     @WireCode(711)
     record AskStreams() implements FleetMessage {}
 
-    /** Entry to entry: answers {@link AskStreams}. */
+    /** Entry or store to entry: answers {@link AskStreams}. */
     @WireCode(712)
     record KnownStreams(List<BegunStreams> streams) implements FleetMessage {
         /** Copies the list. */
--- a/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
@@ -43,7 +43,8 @@
         mEffects.clear();
         mTargets = Targets.create(LOCAL, new Random(1));
         mTargets.update(
-                new FleetMessage.Listing(1, List.of(target("a", LOCAL), target("b", REMOTE))),
+                new FleetMessage.Listing(
+                        1, List.of(target("a", LOCAL), target("b", REMOTE)), List.of()),
                 mEffects::add);
         mLoadExchange = LoadExchange.create(SELF, mTargets);
         mLoadExchange.hosts(List.of(SELF, STORE));
--- a/src/test/java/org/coltsfootproxy/platform/StreamVersionRestartTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/StreamVersionRestartTest.java
@@ -340,4 +340,50 @@
         assertShareIsResumed(
                 playOneVersion(moment, seed, this::loseAllPower), MIN_ONLY_VERSION_SHARE);
     }
+
+    /** Guards against streams being known to one store only, or to hosts that end with entries. */
+    @Test(dataProvider = "momentsAtReadyEntries")
+    public void halfOfTheStreamsGoOnWhenAllStoresButOneAreLostWithTheEntries(
+            Moment moment, long seed) {
+        List<BrokenStream> broken =
+                play(
+                        Change.NONE,
+                        moment,
+                        seed,
+                        change -> {
+                            IntStream.range(1, 4)
+                                    .mapToObj(mSimulation::store)
+                                    .forEach(mSimulation.fleet()::crash);
+                            restartEntries(change);
+                        });
+        assertNoneIsMixed(broken);
+        assertShareIsResumed(broken, MIN_RESUMED_SHARE);
+    }
+
+    @DataProvider
+    Object[][] controls() {
+        return new Object[][] {{0, true}, {1, true}, {2, true}, {0, false}, {1, false}, {2, false}};
+    }
+
+    /**
+     * Guards against a new leader, or a control host that has restarted, that forgets a version.
+     */
+    @Test(dataProvider = "controls")
+    public void noStreamChangesItsVersionWhenAControlHostIsLostAsWell(
+            int control, boolean isRestarted) {
+        List<BrokenStream> broken =
+                play(
+                        Change.OLD_GONE_BEFORE,
+                        Moment.WHEN_READY,
+                        1,
+                        change -> {
+                            mSimulation.fleet().crash(mSimulation.control(control));
+                            if (isRestarted) {
+                                mSimulation.startControl(mSimulation.control(control));
+                            }
+                            restartEntries(change);
+                        });
+        assertNoneIsMixed(broken);
+        assertShareIsResumed(broken, MIN_RESUMED_SHARE);
+    }
 }
