--- a/src/test/java/org/coltsfootproxy/direct/ColdLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ColdLimitTest.java
@@ -68,7 +68,7 @@
                         startedAt,
                         SoftwareVersion.UNNAMED,
                         coldMillis);
-        mTargets.update(new FleetMessage.Listing(++mListing, List.of(entry)), IGNORED);
+        mTargets.update(new FleetMessage.Listing(++mListing, List.of(entry), List.of()), IGNORED);
     }
 
     private Target target() {
@@ -140,7 +140,7 @@
     public void aTargetThatTheListLeavesOutForAMomentKeepsItsCount() {
         list(1, ListedTarget.WARM);
         sendAll(20 * SECOND, MILLI);
-        mTargets.update(new FleetMessage.Listing(++mListing, List.of()), IGNORED);
+        mTargets.update(new FleetMessage.Listing(++mListing, List.of(), List.of()), IGNORED);
         list(1, ListedTarget.WARM);
         assertEquals(target().rateLimit().allowedCalls(20 * SECOND + 500 * MILLI), 0);
     }
--- a/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
+++ b/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
@@ -210,7 +210,8 @@
                                                 1_700_000_000_000L + target,
                                                 SoftwareVersion.of("1.4"),
                                                 ListedTarget.WARM))
-                        .toList());
+                        .toList(),
+                List.of());
     }
 
     private static FleetMessage.Enrol enrolment() {
