Requests and jobs stay in the regions that routes and organisations allow

Cause: allowed_regions was read nowhere.

Change: routes, organisations and jobs carry allowed regions, entries and stores the table of data centres (setting regions, filled from zones). A request's own test of targets asks them, so sends, repeats, resumptions and waits are all bound. What nothing is allowed for is refused at once with region-unavailable, not run. A job is refused unless all stores are in allowed regions, since each may keep and run it. Stores send no items before they have a configuration.

Ruled out: jobs at the stores of one region only. The job log is one group over all data centres, and each of its voters keeps all items.

--- a/src/main/java/org/coltsfootproxy/base/ErrorKind.java
+++ b/src/main/java/org/coltsfootproxy/base/ErrorKind.java
@@ -35,6 +35,7 @@
     REQUEST_QUARANTINED(503, Ran.NO, 69, "The request has crashed targets"),
     STREAM_VERSION_UNAVAILABLE(
             503, Ran.NO, 69, "No target of the stream's version can go on with it"),
+    REGION_UNAVAILABLE(503, Ran.NO, 69, "Nothing in the allowed regions can take the request"),
     CONFIG_STALE(503, Ran.NO, 69, "The configuration can't be confirmed as current"),
     NO_LEADER(503, Ran.NO, 69, "No control host can commit now"),
     COMMIT_UNKNOWN(503, Ran.MAYBE, 69, "The outcome of the commit is unknown; send it again"),
--- a/src/main/java/org/coltsfootproxy/config/Organisation.java
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -1,6 +1,9 @@
 package org.coltsfootproxy.config;
 
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.Set;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.WireCode;
 
 /**
@@ -9,10 +12,28 @@
  * @param ratePerSecond limit of online requests per second across the fleet; 0 for no limit
  * @param burst number of requests that may arrive at once, at least 1
  * @param weight share of capacity relative to other organisations, above 0
+ * @param allowedRegions regions that requests and their bodies may reach; empty for all
  */
 @WireCode(1)
-public record Organisation(OrganisationId id, double ratePerSecond, double burst, double weight)
+public record Organisation(
+        OrganisationId id,
+        double ratePerSecond,
+        double burst,
+        double weight,
+        Set<Region> allowedRegions)
         implements ConfigObject {
+    /** Copies the set in sorted order, so that every replica encodes it identically. */
+    public Organisation {
+        // A log of an earlier version has none.
+        allowedRegions =
+                allowedRegions == null ? Set.of() : ImmutableSortedSet.copyOf(allowedRegions);
+    }
+
+    /** Returns an organisation whose requests may reach all regions. */
+    public Organisation(OrganisationId id, double ratePerSecond, double burst, double weight) {
+        this(id, ratePerSecond, burst, weight, Set.of());
+    }
+
     @Override
     public ObjectName objectName() {
         return ObjectName.of(ObjectKind.ORGANISATION, id.value());
--- a/src/main/java/org/coltsfootproxy/config/Route.java
+++ b/src/main/java/org/coltsfootproxy/config/Route.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.RouteId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.WireCode;
@@ -22,6 +23,7 @@
  * @param repeatableMethods HTTP methods whose requests may run more than once, used if the policy
  *     is {@link RequestKind#BY_METHOD}
  * @param timeoutMillis maximum duration of a request, in milliseconds
+ * @param allowedRegions regions that requests and their bodies may reach; empty for all
  */
 @WireCode(4)
 public record Route(
@@ -33,7 +35,8 @@
         Set<OrganisationId> organisations,
         Set<String> repeatableMethods,
         long timeoutMillis,
-        RoutePolicy policy)
+        RoutePolicy policy,
+        Set<Region> allowedRegions)
         implements ConfigObject {
     /** Copies the sets in sorted order, so that every replica encodes them identically. */
     public Route {
@@ -41,6 +44,8 @@
         checkNotNull(policy, "policy is missing");
         organisations = sorted(organisations);
         repeatableMethods = sorted(repeatableMethods);
+        // A log of an earlier version has none.
+        allowedRegions = allowedRegions == null ? Set.of() : sorted(allowedRegions);
     }
 
     /** Returns a route for any host name, with the default policy. */
@@ -61,7 +66,8 @@
                 organisations,
                 repeatableMethods,
                 timeoutMillis,
-                RoutePolicy.DEFAULT);
+                RoutePolicy.DEFAULT,
+                Set.of());
     }
 
     private static <T extends Comparable<T>> Set<T> sorted(Collection<T> values) {
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -115,7 +115,8 @@
                         mCalls,
                         mTargets,
                         mQuarantine,
-                        mConfig::view);
+                        mConfig::view,
+                        settings.regions());
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/control/StoreSettings.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreSettings.java
@@ -6,6 +6,7 @@
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
+import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.direct.TargetProtocol;
 import org.coltsfootproxy.job.JobSettings;
 import org.coltsfootproxy.membership.PeerAddresses;
@@ -17,6 +18,7 @@
  * @param incarnation drawn when the data folder was created
  * @param voters wanted number of voters of the job log; 2t + 1 voters tolerate t simultaneous
  *     failures
+ * @param regions the regions of the data centres
  */
 public record StoreSettings(
         HostId self,
@@ -25,7 +27,8 @@
         int voters,
         PeerAddresses addresses,
         TargetProtocol targets,
-        JobSettings jobs) {
+        JobSettings jobs,
+        Regions regions) {
     /** Validates the components. */
     public StoreSettings {
         checkNotNull(self, "host id is missing");
@@ -35,5 +38,6 @@
         checkNotNull(addresses, "addresses");
         checkNotNull(targets, "targets");
         checkNotNull(jobs, "job settings are missing");
+        checkNotNull(regions, "regions");
     }
 }
--- a/src/main/java/org/coltsfootproxy/direct/ColdLimits.java
+++ b/src/main/java/org/coltsfootproxy/direct/ColdLimits.java
@@ -19,16 +19,10 @@
     /** Number of targets whose windows are kept, beyond the listed ones. */
     private static final int MAX_WINDOWS = 10_000;
 
-    /** The strictest limit, which holds for stores that run items before they are configured. */
-    private static final Service.ColdStart UNKNOWN = new Service.ColdStart(0, 0);
-
     private final CallerShares mShares = new CallerShares();
     private final Map<TargetId, SendWindow> mWindows = new LinkedHashMap<>();
     private Map<ServiceId, Optional<Service.ColdStart>> mServices = Map.of();
 
-    /** Limit of any service until a configuration is known. */
-    private Optional<Service.ColdStart> mDefault = Optional.empty();
-
     /** When the first call may be sent to targets of a service. */
     private final Map<ServiceId, Long> mOpensAt = new HashMap<>();
 
@@ -38,7 +32,6 @@
     /** Notes that this host starts; what it sent before the start is not known. */
     void started(long nowNanos) {
         mStartedAt = nowNanos;
-        mDefault = Optional.of(UNKNOWN);
         mShares.started(nowNanos);
     }
 
@@ -55,7 +48,6 @@
         mOpensAt.keySet().retainAll(mServices.keySet());
         mServices.keySet().forEach(service -> mOpensAt.putIfAbsent(service, opensAt));
         mIsConfigured = true;
-        mDefault = Optional.empty();
     }
 
     /** Replaces the hosts that call targets. */
@@ -66,13 +58,12 @@
 
     /** Returns the limit of a service for its cold targets; empty if it names none. */
     Optional<Service.ColdStart> of(ServiceId service) {
-        return mServices.getOrDefault(service, mDefault);
+        return mServices.getOrDefault(service, Optional.empty());
     }
 
     /** Returns the time until the first call may be sent to targets of a service. */
     long closedNanos(ServiceId service, long nowNanos) {
-        return Math.max(
-                0, mOpensAt.getOrDefault(service, mStartedAt + SendWindow.LENGTH_NANOS) - nowNanos);
+        return Math.max(0, mOpensAt.getOrDefault(service, nowNanos) - nowNanos);
     }
 
     /** Returns a number that changes when {@link #quota} may return something else. */
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
@@ -10,10 +11,12 @@
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.config.ConfigSubscriber;
 import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.Organisation;
+import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.config.RequestKind;
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.entry.CallerCheck;
@@ -65,6 +68,7 @@
     private final DirectCallerAnswers mAnswers;
     private final DirectCalls mCalls;
     private final DirectJobs mJobs;
+    private final RegionCheck mRegionCheck;
     private final RandomGenerator mRandom;
     private long mLimiterSyncDeadline = NEVER;
     private boolean mIsLimiterSynced;
@@ -124,6 +128,7 @@
                         mLimiter);
         JobRequestClient client = DirectJobs.createClient(membership.jobHosts(), random);
         mJobs = new DirectJobs(protocols.callers(), client);
+        mRegionCheck = new RegionCheck(settings.regions(), membership);
     }
 
     /**
@@ -252,7 +257,9 @@
                             () ->
                                     ProxyException.of(
                                             ErrorKind.UNAUTHENTICATED, "batch jobs need a key"));
-            mJobs.submit(call, route, owner.id(), now, out);
+            Optional<Set<Region>> allowed = Regions.allowed(route, organisation);
+            mRegionCheck.checkStores(allowed);
+            mJobs.submit(call, route, owner.id(), allowed, now, out);
             return;
         }
         ServiceId service = route.serviceAt(mRandom.nextDouble());
@@ -265,6 +272,7 @@
                         organisation,
                         mProtocols.targets().sharedPromptParts(call.headers()),
                         arrivedAt);
+        request.allowOnly(mSettings.regions().dataCentres(Regions.allowed(route, organisation)));
         mCalls.begin(request, now, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -3,6 +3,8 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.coltsfootproxy.base.ErrorKind;
@@ -12,6 +14,7 @@
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.Ran;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.job.JobRequestClient;
@@ -69,9 +72,18 @@
         mClient.peerLost(host, now);
     }
 
-    /** Submits the job in the body of a call on a batch route. */
+    /**
+     * Submits the job in the body of a call on a batch route.
+     *
+     * @param allowedRegions regions that the items may reach; empty if they are not restricted
+     */
     void submit(
-            Input.HttpCall call, Route route, OrganisationId organisation, long now, Effects out)
+            Input.HttpCall call,
+            Route route,
+            OrganisationId organisation,
+            Optional<Set<Region>> allowedRegions,
+            long now,
+            Effects out)
             throws ProxyException {
         JobSubmission job = mProtocol.readJob(call);
         List<JobItem> items = job.items().stream().map(DirectJobs::item).toList();
@@ -80,7 +92,7 @@
                         JOBS_GROUP,
                         mClient.nextNumber(),
                         organisation,
-                        spec(call, job, route),
+                        spec(call, job, route, allowedRegions),
                         items);
         ask(call, ask, job.id(), 0, now, out);
     }
@@ -90,7 +102,11 @@
         return JobItem.of(item.id(), ItemCall.encode(call));
     }
 
-    private static JobSpec spec(Input.HttpCall call, JobSubmission job, Route route) {
+    private static JobSpec spec(
+            Input.HttpCall call,
+            JobSubmission job,
+            Route route,
+            Optional<Set<Region>> allowedRegions) {
         long due = Math.max(1, route.policy().jobGoalMillis());
         return new JobSpec(
                 job.id(),
@@ -102,7 +118,8 @@
                 due,
                 JobSpec.RELATIVE,
                 job.items().size(),
-                route.policy().maxRuns());
+                route.policy().maxRuns(),
+                allowedRegions.map(r -> r.stream().sorted().toList()).orElse(null));
     }
 
     /** Returns the service for a job: one of the route's split, the same for each resend. */
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
@@ -48,6 +49,7 @@
     private final Set<TargetId> mTried = new HashSet<>();
     private final EventReader mEvents = new EventReader();
     private Optional<SoftwareVersion> mVersion = Optional.empty();
+    private Optional<Set<DataCentre>> mAllowedDataCentres = Optional.empty();
     private DirectState mState = DirectState.CHART.initial();
     private Target mTarget;
     private long mTargetCall;
@@ -289,9 +291,26 @@
         return mVersion;
     }
 
+    /** Sets the only data centres that the request and its body may reach; empty for all. */
+    void allowOnly(Optional<Set<DataCentre>> dataCentres) {
+        mAllowedDataCentres = dataCentres;
+    }
+
+    /** Returns whether the request may reach only some data centres. */
+    boolean isRestricted() {
+        return mAllowedDataCentres.isPresent();
+    }
+
+    /** Returns whether a target is in a region that the request and its body may reach. */
+    boolean isInAllowedRegion(Target target) {
+        return mAllowedDataCentres.isEmpty()
+                || mAllowedDataCentres.get().contains(target.listed().dataCentre());
+    }
+
     /** Returns whether the request may be sent to a target. */
     boolean allows(Target target) {
-        return !mTried.contains(target.listed().id())
+        return isInAllowedRegion(target)
+                && !mTried.contains(target.listed().id())
                 && mVersion.filter(v -> !v.equals(target.listed().version())).isEmpty();
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
@@ -33,6 +34,7 @@
     private EventReader mEvents = new EventReader();
     private Optional<SoftwareVersion> mVersion;
     private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
+    private Optional<Set<DataCentre>> mAllowedDataCentres = Optional.empty();
     private Target mTarget;
     private long mTargetCall;
     private long mSentAt;
@@ -89,9 +91,21 @@
         return mStartedAt;
     }
 
+    /** Sets the only data centres that the item may reach; empty for all. */
+    void allowOnly(Optional<Set<DataCentre>> dataCentres) {
+        mAllowedDataCentres = dataCentres;
+    }
+
+    /** Returns whether a target is in a region that the item may reach. */
+    boolean isInAllowedRegion(Target target) {
+        return mAllowedDataCentres.isEmpty()
+                || mAllowedDataCentres.get().contains(target.listed().dataCentre());
+    }
+
     /** Returns whether the item may be sent to a target. */
     boolean allows(Target target) {
-        return !mTried.contains(target.listed().id())
+        return isInAllowedRegion(target)
+                && !mTried.contains(target.listed().id())
                 && mVersion.filter(v -> !v.equals(target.listed().version())).isEmpty();
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -19,11 +20,14 @@
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.config.ConfigView;
+import org.coltsfootproxy.config.Organisation;
+import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.config.RequestKind;
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.job.ItemPuller;
@@ -89,6 +93,7 @@
     private final Targets mTargets;
     private final CrashQuarantine mQuarantine;
     private final Supplier<ConfigView> mConfig;
+    private final Regions mRegions;
     private final Map<LeaseRef, ItemRun> mRuns = new HashMap<>();
     private final Timers<LeaseRef> mTimers = Timers.create();
     private final Map<ServiceId, StartPacer> mPacers = new HashMap<>();
@@ -112,7 +117,8 @@
             TargetCalls calls,
             Targets targets,
             CrashQuarantine quarantine,
-            Supplier<ConfigView> config) {
+            Supplier<ConfigView> config,
+            Regions regions) {
         mPuller =
                 ItemPuller.create(JOB_GROUP, incarnation, ServiceId.ANY, 1, controls, new Runner());
         mProtocol = checkNotNull(protocol, "protocol");
@@ -120,6 +126,7 @@
         mTargets = checkNotNull(targets, "targets");
         mQuarantine = checkNotNull(quarantine, "quarantine");
         mConfig = checkNotNull(config, "config");
+        mRegions = checkNotNull(regions, "regions");
         mWorkers = controls.size();
         mTrialJitter = new SplittableRandom(incarnation.value()).nextDouble();
     }
@@ -130,6 +137,7 @@
      * @param incarnation incarnation of this host; a restart keeps it if the data folder is kept
      * @param controls hosts to pull items from, at least one
      * @param config returns the configuration in force
+     * @param regions the regions of the data centres
      */
     public static ItemWorker create(
             Incarnation incarnation,
@@ -138,8 +146,10 @@
             TargetCalls calls,
             Targets targets,
             CrashQuarantine quarantine,
-            Supplier<ConfigView> config) {
-        return new ItemWorker(incarnation, controls, protocol, calls, targets, quarantine, config);
+            Supplier<ConfigView> config,
+            Regions regions) {
+        return new ItemWorker(
+                incarnation, controls, protocol, calls, targets, quarantine, config, regions);
     }
 
     /**
@@ -212,8 +222,14 @@
             mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
             return;
         }
+        if (mConfig.get().version() == 0) {
+            // It is not known yet what the item and the targets are limited to.
+            mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
+            return;
+        }
         ServiceId service = run.item().service();
-        if (!mTargets.canResume(service, run.version(), run.lastEvent())) {
+        run.allowOnly(mRegions.dataCentres(allowedRegions(run.item())));
+        if (!mTargets.canResume(service, run.version(), run.lastEvent(), run::isInAllowedRegion)) {
             ItemLog.begunAnew(run, mTargets.listing().number(), out);
             run.beginAnew();
         }
@@ -255,6 +271,17 @@
         ItemLog.sent(run, target.get(), mTargets.listing().number(), out);
     }
 
+    /** Returns the regions that an item may reach by its job and by its organisation now. */
+    private Optional<Set<Region>> allowedRegions(LeasedItem item) {
+        Optional<Set<Region>> ofJob = Optional.ofNullable(item.allowedRegions()).map(Set::copyOf);
+        Set<Region> ofOrganisation =
+                mConfig.get()
+                        .organisation(OrganisationId.of(item.organisation()))
+                        .map(Organisation::allowedRegions)
+                        .orElse(Set.of());
+        return Regions.both(ofJob, Regions.named(ofOrganisation));
+    }
+
     /** Returns whether an item is not quarantined, or may be tried in spite of it. */
     private boolean maySend(ItemRun run, long now) {
         return !isQuarantined(run)
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -12,6 +12,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.message.FleetMessage;
 
@@ -108,7 +109,7 @@
         ServiceId service = request.service();
         long goal = TimeUnit.MILLISECONDS.toNanos(request.route().policy().goalMillis());
         double hold = mMeanHoldNanos.getOrDefault(service, INITIAL_HOLD_FRACTION * goal);
-        double wait = waitNanos(service, hold, heldRequests, nowNanos);
+        double wait = waitNanos(service, request::isInAllowedRegion, hold, heldRequests, nowNanos);
         if (goal == 0 || wait <= MAX_WAIT_FRACTION * goal) {
             return OptionalLong.empty();
         }
@@ -127,8 +128,14 @@
     }
 
     /** Returns the queueing time, in nanoseconds, at the target with the shortest one. */
-    private double waitNanos(ServiceId service, double hold, long heldRequests, long nowNanos) {
+    private double waitNanos(
+            ServiceId service,
+            Predicate<Target> allowed,
+            double hold,
+            long heldRequests,
+            long nowNanos) {
         return mTargets.active(service)
+                .filter(allowed)
                 .filter(target -> !target.isAvoided(nowNanos))
                 .filter(target -> target.rateLimit().allowedCalls(nowNanos) > 0)
                 .mapToDouble(target -> waitNanos(target, hold, nowNanos))
--- a/src/main/java/org/coltsfootproxy/direct/SendCheck.java
+++ b/src/main/java/org/coltsfootproxy/direct/SendCheck.java
@@ -35,6 +35,20 @@
                         0);
     }
 
+    /** Returns why a request may not be sent, if no target in its allowed regions can take it. */
+    Optional<Failure> regionFailure(DirectRequest request) {
+        boolean isServed =
+                !request.isRestricted()
+                        || mTargets.active(request.service()).anyMatch(request::isInAllowedRegion);
+        return isServed
+                ? Optional.empty()
+                : Optional.of(
+                        Failure.notRun(
+                                ErrorKind.REGION_UNAVAILABLE,
+                                "no target of " + request.service() + " in the allowed regions",
+                                0));
+    }
+
     /**
      * Sets the version at which a stream that its caller takes up may go on; returns why it can't
      * go on, if so.
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -259,11 +259,19 @@
      * @param version version that has begun the stream; empty if unknown
      * @param lastEvent last event of the stream; empty if it has none, so that any target can begin
      *     it
+     * @param allowed whether the stream may reach a target
      */
     boolean canResume(
-            ServiceId service, Optional<SoftwareVersion> version, Optional<String> lastEvent) {
+            ServiceId service,
+            Optional<SoftwareVersion> version,
+            Optional<String> lastEvent,
+            Predicate<Target> allowed) {
         List<SoftwareVersion> versions =
-                active(service).map(target -> target.listed().version()).distinct().toList();
+                active(service)
+                        .filter(allowed)
+                        .map(target -> target.listed().version())
+                        .distinct()
+                        .toList();
         return lastEvent.isEmpty()
                 || versions.isEmpty()
                 || version.map(versions::contains).orElse(versions.size() == 1);
--- a/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
+import org.coltsfootproxy.config.Regions;
 
 /**
  * Settings of the entry role.
@@ -22,6 +23,7 @@
  *     agent's answer
  * @param drainDelayNanos time after the start of a planned stop during which new requests are still
  *     served, so that the load balancer can notice the stop
+ * @param regions the regions of the data centres
  */
 public record EntrySettings(
         HostId host,
@@ -31,7 +33,8 @@
         long askIntervalNanos,
         long askTimeoutNanos,
         long deadlineGraceNanos,
-        long drainDelayNanos) {
+        long drainDelayNanos,
+        Regions regions) {
     /** Time that a request may take, for the requests accepted last to end before the limit. */
     private static final long LONGEST_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -42,6 +45,7 @@
     public EntrySettings {
         checkNotNull(host, "host");
         checkNotNull(dataCentre, "dataCentre");
+        checkNotNull(regions, "regions");
         checkArgument(ackTimeoutNanos > 0, "ackTimeoutNanos %s must be positive", ackTimeoutNanos);
         checkArgument(
                 silenceTimeoutNanos > 0,
@@ -62,7 +66,8 @@
                 TimeUnit.MILLISECONDS.toNanos(300),
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.MILLISECONDS.toNanos(250),
-                TimeUnit.SECONDS.toNanos(5));
+                TimeUnit.SECONDS.toNanos(5),
+                Regions.none());
     }
 
     /**
@@ -84,6 +89,21 @@
                 askIntervalNanos,
                 askTimeoutNanos,
                 deadlineGraceNanos,
-                drainDelay);
+                drainDelay,
+                regions);
+    }
+
+    /** Returns these settings with the given regions of the data centres. */
+    public EntrySettings withRegions(Regions dataCentreRegions) {
+        return new EntrySettings(
+                host,
+                dataCentre,
+                ackTimeoutNanos,
+                silenceTimeoutNanos,
+                askIntervalNanos,
+                askTimeoutNanos,
+                deadlineGraceNanos,
+                drainDelayNanos,
+                dataCentreRegions);
     }
 }
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -152,7 +152,8 @@
                 job.spec().timeoutMillis(),
                 job.spec().deadlineEpochMillis() - mStep.epochMillis(),
                 job.items().partialOutput(item),
-                ItemPayload.content(job.items().payload(item)));
+                ItemPayload.content(job.items().payload(item)),
+                job.spec().allowedRegions());
     }
 
     void renew(AgentSession session, JobMessage.Renew renew) {
--- a/src/main/java/org/coltsfootproxy/message/JobSpec.java
+++ b/src/main/java/org/coltsfootproxy/message/JobSpec.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.List;
 import org.coltsfootproxy.base.JobId;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 
 /**
@@ -22,6 +24,7 @@
  * @param items number of items, at least 1
  * @param maxAttempts number of failed attempts after which an item fails for good; 0 for the
  *     fleet's default
+ * @param allowedRegions regions that the items may reach; null if they are not restricted
  */
 public record JobSpec(
         JobId id,
@@ -33,7 +36,8 @@
         long deadlineEpochMillis,
         String deadlineAsGiven,
         int items,
-        int maxAttempts) {
+        int maxAttempts,
+        List<Region> allowedRegions) {
     /**
      * Value of {@code deadlineAsGiven} for a deadline that is relative to the submission. It is the
      * same for all such deadlines, so that a resend with another one counts as the same request.
@@ -50,6 +54,8 @@
         checkArgument(items > 0, "number of items %s is below 1", items);
         checkArgument(timeoutMillis > 0, "timeout %s ms is not above 0", timeoutMillis);
         checkArgument(maxAttempts >= 0, "maxAttempts %s is below 0", maxAttempts);
+        // A log of an earlier version has none.
+        allowedRegions = allowedRegions == null ? null : List.copyOf(allowedRegions);
     }
 
     /** Returns a specification with the fleet's default number of attempts. */
@@ -73,7 +79,8 @@
                 deadlineEpochMillis,
                 deadlineAsGiven,
                 items,
-                0);
+                0,
+                null);
     }
 
     /**
@@ -94,7 +101,8 @@
                 epochMillis + deadlineEpochMillis,
                 deadlineAsGiven,
                 items,
-                maxAttempts);
+                maxAttempts,
+                allowedRegions);
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/message/LeasedItem.java
+++ b/src/main/java/org/coltsfootproxy/message/LeasedItem.java
@@ -1,5 +1,7 @@
 package org.coltsfootproxy.message;
 
+import java.util.List;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 
 /**
@@ -15,6 +17,7 @@
  *     if the deadline has passed
  * @param partialOutput output of earlier runs, {@link PartialOutput#NONE} if there is none
  * @param body request body of the call
+ * @param allowedRegions regions that the item may reach; null if it is not restricted
  */
 public record LeasedItem(
         LeaseRef lease,
@@ -26,4 +29,11 @@
         long timeoutMillis,
         long remainingMillis,
         PartialOutput partialOutput,
-        byte[] body) {}
+        byte[] body,
+        List<Region> allowedRegions) {
+    /** Copies the list. */
+    public LeasedItem {
+        // A host of an earlier version sends none.
+        allowedRegions = allowedRegions == null ? null : List.copyOf(allowedRegions);
+    }
+}
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -13,6 +13,7 @@
 import org.coltsfootproxy.base.Names;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.RouteId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.config.Key;
@@ -129,7 +130,8 @@
                 Set.of(),
                 Set.of(),
                 timeoutMillis,
-                policy(node, split));
+                policy(node, split),
+                allowedRegions(node));
     }
 
     private static RoutePolicy policy(JsonNode node, List<RoutePolicy.Share> split)
@@ -144,6 +146,28 @@
                 millis(node, "run_target_ms"));
     }
 
+    /**
+     * Reads {@code allowed_regions}, a list of regions' names; no list, and an empty one, restrict
+     * nothing.
+     */
+    private static Set<Region> allowedRegions(JsonNode node) throws ProxyException {
+        JsonNode list = node.path("allowed_regions");
+        if (list.isMissingNode() || list.isNull()) {
+            return Set.of();
+        }
+        if (!list.isArray()) {
+            throw invalid("'allowed_regions' must be a list, but is " + list);
+        }
+        Set<Region> regions = new HashSet<>();
+        for (JsonNode name : list) {
+            if (!name.isTextual()) {
+                throw invalid("'allowed_regions' must hold names, but holds " + name);
+            }
+            regions.add(Region.of(name.textValue()));
+        }
+        return regions;
+    }
+
     private static long millis(JsonNode node, String field) throws ProxyException {
         return Math.max(0, (long) Json.number(node, field, ERROR_KIND));
     }
@@ -195,7 +219,12 @@
     private static Organisation organisation(JsonNode node) throws ProxyException {
         double ratePerSecond = Math.max(0, Json.number(node, "rate_per_s", ERROR_KIND));
         double burst = Math.max(1, Json.number(node, "burst", ERROR_KIND));
-        return new Organisation(OrganisationId.of(name(node, "name")), ratePerSecond, burst, 1);
+        return new Organisation(
+                OrganisationId.of(name(node, "name")),
+                ratePerSecond,
+                burst,
+                1,
+                allowedRegions(node));
     }
 
     private static void addKeys(JsonNode node, Organisation organisation, Map<String, Key> keys)
--- a/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.direct.DirectEntryNode;
 import org.coltsfootproxy.entry.EntrySettings;
 import org.coltsfootproxy.membership.PeerAddresses;
@@ -44,6 +45,7 @@
         DirectEntryNode node =
                 DirectEntryNode.create(
                         EntrySettings.of(settings.host(), settings.dataCentre())
+                                .withRegions(Regions.of(settings.regions()))
                                 .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds())),
                         new DirectEntryNode.Protocols(new PlatformCallerProtocol(), protocol),
                         addresses,
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -12,11 +12,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 
 /**
@@ -33,6 +36,7 @@
  * @param hostList file or HTTP URL of the platform's list of hosts, if there is one
  * @param jobGroups number of consensus groups that batch jobs are spread over; must be equal on all
  *     hosts
+ * @param regions regions of the data centres; a data centre may be missing
  * @param stopSeconds longest time that a planned stop waits for work in flight
  * @param entry settings of the entry role, which forwards requests to agents
  * @param directEntry settings of the direct entry role, which calls targets itself
@@ -51,6 +55,7 @@
         Optional<Fleet> fleet,
         Optional<URI> hostList,
         int jobGroups,
+        Map<DataCentre, Region> regions,
         long stopSeconds,
         Optional<EntryRole> entry,
         Optional<DirectEntryRole> directEntry,
@@ -168,9 +173,10 @@
     /** Settings of the direct entry role, which calls the platform's listed targets itself. */
     public record DirectEntryRole(String callerAddress, int maxBodyBytes) {}
 
-    /** Makes a defensive copy of the control hosts. */
+    /** Makes defensive copies. */
     public Settings {
         control = ImmutableList.copyOf(control);
+        regions = Map.copyOf(regions);
     }
 
     /**
@@ -235,6 +241,11 @@
                         in.optionalChild("fleet", Settings::readFleet),
                         in.optionalUri("hostList"),
                         (int) in.number("jobGroups", 1, 1, MAX_JOB_GROUPS),
+                        in.names("regions").entrySet().stream()
+                                .collect(
+                                        Collectors.toMap(
+                                                entry -> DataCentre.of(entry.getKey()),
+                                                entry -> Region.of(entry.getValue()))),
                         in.number("stopSeconds", DEFAULT_STOP_SECONDS, 1, MAX_STOP_SECONDS),
                         in.optionalChild("entry", Settings::readEntry),
                         in.optionalChild("directEntry", Settings::readDirectEntry),
--- a/src/main/java/org/coltsfootproxy/runtime/SettingsReader.java
+++ b/src/main/java/org/coltsfootproxy/runtime/SettingsReader.java
@@ -6,7 +6,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
@@ -128,6 +130,28 @@
         return StreamSupport.stream(value.spliterator(), false).map(JsonNode::asText).toList();
     }
 
+    /**
+     * Reads a mapping of names to texts, which may be missing. A name with an empty text is left
+     * out.
+     */
+    Map<String, String> names(String name) {
+        JsonNode value = get(name);
+        Map<String, String> texts = new LinkedHashMap<>();
+        boolean isValid = value.isMissingNode() || value.isObject();
+        for (Map.Entry<String, JsonNode> field : value.properties()) {
+            JsonNode text = field.getValue();
+            isValid &= Names.isValid(field.getKey()) && (text.isTextual() || text.isNull());
+            if (!text.asText("").isEmpty()) {
+                texts.put(field.getKey(), text.asText());
+            }
+        }
+        if (!isValid) {
+            addError(name, "a mapping of names to texts, such as {north-1: north}");
+            return Map.of();
+        }
+        return texts;
+    }
+
     /** Reads an integer from {@code min} to {@code max}, both inclusive. */
     long number(String name, long defaultValue, long min, long max) {
         JsonNode value = get(name);
--- a/src/main/java/org/coltsfootproxy/runtime/StoreRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/StoreRoleComponents.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.control.StoreNode;
 import org.coltsfootproxy.control.StoreSettings;
 import org.coltsfootproxy.job.EpochClock;
@@ -57,7 +58,8 @@
                                 FleetSettings.voters(fleet),
                                 FleetSettings.addresses(settings),
                                 protocol,
-                                JobSettings.forStores()),
+                                JobSettings.forStores(),
+                                Regions.of(settings.regions())),
                         store.recovered(),
                         FleetSettings.subscriber(settings, fleet, random),
                         FleetSettings.membership(settings, fleet, FleetRole.STORE),
--- a/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
@@ -51,7 +51,8 @@
                         15_000,
                         remainingMillis,
                         PartialOutput.NONE,
-                        new byte[0]);
+                        new byte[0],
+                        null);
         ItemCall.Post call = new ItemCall.Post("/draft", List.of(), new byte[0]);
         return ItemRun.of(item, call, List.of(), 0);
     }
--- a/src/test/java/org/coltsfootproxy/platform/ColdFieldsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/ColdFieldsTest.java
@@ -6,15 +6,18 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.config.Service;
+import org.coltsfootproxy.config.Ticket;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.message.ListedTarget;
 import org.coltsfootproxy.node.Input;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests how the platform's fields about cold targets are read. */
+/** Tests how the platform's fields about cold targets and allowed regions are read. */
 public final class ColdFieldsTest {
     private static Service service(String fields) throws ProxyException {
         String document =
@@ -44,6 +47,41 @@
         assertThrows(ProxyException.class, () -> service(",\"cold_per_s\":\"12\""));
     }
 
+    private static Ticket withRegions(String list) throws ProxyException {
+        String document =
+                "{\"version\":1,\"services\":[{\"name\":\"lm\"}],\"routes\":[{\"name\":\"r\","
+                        + "\"host\":\"h\",\"path_prefix\":\"/\",\"service\":\"lm\","
+                        + "\"timeout_ms\":5000"
+                        + list
+                        + "}],\"tenants\":[{\"name\":\"alpha\""
+                        + list
+                        + "}]}";
+        return PlatformConfig.read(document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Guards against a list of regions being ignored on a route or an organisation. */
+    @Test
+    public void routesAndOrganisationsNameRegions() throws ProxyException {
+        Set<Region> both = Set.of(Region.of("eu"), Region.of("us east"));
+        Ticket ticket = withRegions(",\"allowed_regions\":[\"eu\",\"us east\"]");
+        assertEquals(ticket.routes().get(0).allowedRegions(), both);
+        assertEquals(ticket.organisations().get(0).allowedRegions(), both);
+    }
+
+    @Test
+    public void noListAndAnEmptyOneRestrictNothing() throws ProxyException {
+        assertEquals(withRegions("").routes().get(0).allowedRegions(), Set.of());
+        Ticket empty = withRegions(",\"allowed_regions\":[]");
+        assertEquals(empty.routes().get(0).allowedRegions(), Set.of());
+    }
+
+    /** Guards against a restriction that can't be read being taken for none. */
+    @Test
+    public void anUnreadableListOfRegionsIsRefused() {
+        assertThrows(ProxyException.class, () -> withRegions(",\"allowed_regions\":\"eu\""));
+        assertThrows(ProxyException.class, () -> withRegions(",\"allowed_regions\":[1]"));
+    }
+
     @DataProvider
     Object[][] entries() {
         return new Object[][] {
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -18,8 +18,10 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Ran;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.config.ConfigSubscriber;
 import org.coltsfootproxy.config.ConfigTiming;
+import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.consensus.StoredWrites;
 import org.coltsfootproxy.control.ControlNode;
 import org.coltsfootproxy.control.ControlSettings;
@@ -55,6 +57,16 @@
     static final String BETA_KEY = "key-of-beta";
 
     private static final String LIST_ADDRESS = "10.9.0.1:80";
+
+    /** Of z5, the region is not known. */
+    private static final Regions REGIONS =
+            Regions.of(
+                    Map.of(
+                            DataCentre.of("z1"), Region.of("eu"),
+                            DataCentre.of("z2"), Region.of("us"),
+                            DataCentre.of("z3"), Region.of("eu"),
+                            DataCentre.of("z4"), Region.of("asia")));
+
     private static final PeerAddresses PEER_ADDRESSES = new PeerAddresses(7000);
 
     final Map<String, SimulatedTarget> mTargets = new LinkedHashMap<>();
@@ -64,9 +76,6 @@
     /** Whether reads of the list of targets fail. */
     boolean mIsListUnreadable;
 
-    /** Time by which the list lags behind what it shows of cold targets. */
-    private static final long LIST_LAG_NANOS = 800 * MILLI_NANOS;
-
     /** Seconds after the order to stop at which a process is closed, as on the platform. */
     static final int STOP_SECONDS = 7;
 
@@ -263,7 +272,8 @@
                         3,
                         PEER_ADDRESSES,
                         new PlatformTargetProtocol(),
-                        JobSettings.forStores());
+                        JobSettings.forStores(),
+                        REGIONS);
         StoreNode node =
                 StoreNode.create(
                         settings,
@@ -282,6 +292,7 @@
         DirectEntryNode node =
                 DirectEntryNode.create(
                         EntrySettings.of(host, dataCentre(host))
+                                .withRegions(REGIONS)
                                 .withStopLimit(STOP_SECONDS * SECOND_NANOS),
                         new DirectEntryNode.Protocols(
                                 new PlatformCallerProtocol(), new PlatformTargetProtocol()),
@@ -421,29 +432,10 @@
 
     private String targetList() {
         List<String> entries = new ArrayList<>(mDamagedEntries);
-        mTargets.values().stream().map(this::listEntry).forEach(entries::add);
+        mTargets.values().stream().map(SimulatedTarget::listEntry).forEach(entries::add);
         return "{\"instances\":[" + String.join(",", entries) + "],\"next_token\":null}";
     }
 
-    private String listEntry(SimulatedTarget target) {
-        long shownAt = mFleet.now() - LIST_LAG_NANOS;
-        boolean isStartShown = !target.mTellsCold || shownAt >= target.mColdFrom;
-        long coldMillis =
-                isStartShown ? Math.max(0, (target.mColdUntil - shownAt) / MILLI_NANOS) : 0;
-        return String.format(
-                "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%d,\"state\":\"%s\","
-                        + "\"born\":%d,%s%s\"id\":\"%s\"}",
-                target.mService,
-                target.mAddress,
-                target.mDataCentre,
-                target.mSlots,
-                target.mIsDraining ? "draining" : "ready",
-                isStartShown ? target.mStartedAt : target.mStartedBefore,
-                target.mTellsCold ? "\"cold_left_ms\":" + coldMillis + "," : "",
-                target.mVersion.isEmpty() ? "" : "\"version\":\"" + target.mVersion + "\",",
-                target.mId);
-    }
-
     /** Returns a configuration with a route of each kind and two organisations. */
     static String config(long version, int rate) {
         return config(version, rate, ALPHA_KEY);
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -26,6 +26,9 @@
     private static final long MILLI_NANOS = 1_000_000;
     private static final long LINK_NANOS = MILLI_NANOS;
 
+    /** Time by which the list lags behind what it shows of cold targets. */
+    private static final long LIST_LAG_NANOS = 800 * MILLI_NANOS;
+
     final String mId;
     final String mService;
     final String mAddress;
@@ -157,6 +160,25 @@
         mAddress = address;
     }
 
+    /** Returns the entry of the list of targets. */
+    String listEntry() {
+        long shownAt = mFleet.now() - LIST_LAG_NANOS;
+        boolean isStartShown = !mTellsCold || shownAt >= mColdFrom;
+        long coldMillis = isStartShown ? Math.max(0, (mColdUntil - shownAt) / MILLI_NANOS) : 0;
+        return String.format(
+                "{\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"slots\":%d,\"state\":\"%s\","
+                        + "\"born\":%d,%s%s\"id\":\"%s\"}",
+                mService,
+                mAddress,
+                mDataCentre,
+                mSlots,
+                mIsDraining ? "draining" : "ready",
+                isStartShown ? mStartedAt : mStartedBefore,
+                mTellsCold ? "\"cold_left_ms\":" + coldMillis + "," : "",
+                mVersion.isEmpty() ? "" : "\"version\":\"" + mVersion + "\",",
+                mId);
+    }
+
     int running() {
         return mRunningCount;
     }
--- a/src/test/java/org/coltsfootproxy/runtime/SettingsTest.java
+++ b/src/test/java/org/coltsfootproxy/runtime/SettingsTest.java
@@ -4,8 +4,11 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.util.Map;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -34,6 +37,20 @@
         assertEquals(settings.control().get(0).host().value(), "forth-control-1");
     }
 
+    /** Guards against the table that the platform fills in being refused, which stops the host. */
+    @Test
+    public void theRegionsOfDataCentresAreRead() throws ProxyException {
+        Settings none = Settings.parse("s.yaml", VALID);
+        assertEquals(none.regions(), Map.of());
+        assertEquals(Settings.parse("s.yaml", VALID + "regions: {  }\n").regions(), Map.of());
+        String table = "regions: { \"z1\": \"eu\",\"z2\": \"\",\"z3\": \"us east\" }\n";
+        assertEquals(
+                Settings.parse("s.yaml", VALID + table).regions(),
+                Map.of(
+                        DataCentre.of("z1"), Region.of("eu"),
+                        DataCentre.of("z3"), Region.of("us east")));
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
@@ -45,6 +62,7 @@
             {"\"127.0.0.1:7001\"", "nowhere", "control[0].address is"},
             {"entry:\n", "entry:\n  limits: none\n", "one of leased, ask, fixed"},
             {"host: solway-entry-1\n", "host: [\n", "not valid YAML"},
+            {"entry:\n", "regions: [eu]\nentry:\n", "a mapping of names to texts"},
             {"host: solway-entry-1\n", "host: other\n", "entry.entries must name this host"},
         };
     }
