--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -260,11 +260,19 @@
      *     resume, as the only version now need not be the one that began it
      * @param lastEvent last event of the stream; empty if it has none, so that any target can begin
      *     it
+     * @param allowed whether the stream may reach a target
      */
     boolean canResume(
-            ServiceId service, Optional<SoftwareVersion> version, Optional<String> lastEvent) {
+            ServiceId service,
+            Optional<SoftwareVersion> version,
+            Optional<String> lastEvent,
+            Predicate<Target> allowed) {
         List<SoftwareVersion> versions =
-                active(service).map(target -> target.listed().version()).distinct().toList();
+                active(service)
+                        .filter(allowed)
+                        .map(target -> target.listed().version())
+                        .distinct()
+                        .toList();
         return lastEvent.isEmpty()
                 || versions.isEmpty()
                 || version.filter(versions::contains).isPresent();
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.ErrorKind;
@@ -13,6 +14,7 @@
 import org.coltsfootproxy.base.Names;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.RouteId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.config.Key;
@@ -94,14 +96,14 @@
         int slots = (int) Json.number(node.path("engine"), "slots", ERROR_KIND);
         Service service =
                 Service.of(ServiceId.of(name(node, "name")), false, Math.max(1, slots), List.of());
-        return node.hasNonNull("cold_per_s") ? service.withColdStart(coldStart(node)) : service;
+        return coldStart(node).map(service::withColdStart).orElse(service);
     }
 
     /**
      * Reads how many calls a second a cold target takes, {@code cold_per_s}, and how long a target
-     * is cold after a start, {@code cold_start_s}.
+     * is cold after a start, {@code cold_start_s}. As with other rates, 0 means no limit.
      */
-    private static Service.ColdStart coldStart(JsonNode node) throws ProxyException {
+    private static Optional<Service.ColdStart> coldStart(JsonNode node) throws ProxyException {
         double perSecond = Json.number(node, "cold_per_s", ERROR_KIND);
         double seconds = Json.number(node, "cold_start_s", ERROR_KIND);
         boolean isValid = perSecond >= 0 && seconds >= 0 && Double.isFinite(perSecond + seconds);
@@ -109,7 +111,10 @@
             throw invalid(
                     "'cold_per_s' or 'cold_start_s' of " + name(node, "name") + " is below 0");
         }
-        return new Service.ColdStart((long) Math.ceil(MILLIS_PER_SECOND * seconds), perSecond);
+        long millis = (long) Math.ceil(MILLIS_PER_SECOND * seconds);
+        return perSecond > 0
+                ? Optional.of(new Service.ColdStart(millis, perSecond))
+                : Optional.empty();
     }
 
     private static Route route(JsonNode node) throws ProxyException {
@@ -129,7 +134,8 @@
                 Set.of(),
                 Set.of(),
                 timeoutMillis,
-                policy(node, split));
+                policy(node, split),
+                allowedRegions(node));
     }
 
     private static RoutePolicy policy(JsonNode node, List<RoutePolicy.Share> split)
@@ -144,6 +150,28 @@
                 millis(node, "run_target_ms"));
     }
 
+    /**
+     * Reads {@code allowed_regions}, a list of regions' names; no list, and an empty one, restrict
+     * nothing.
+     */
+    private static Set<Region> allowedRegions(JsonNode node) throws ProxyException {
+        JsonNode list = node.path("allowed_regions");
+        if (list.isMissingNode() || list.isNull()) {
+            return Set.of();
+        }
+        if (!list.isArray()) {
+            throw invalid("'allowed_regions' must be a list, but is " + list);
+        }
+        Set<Region> regions = new HashSet<>();
+        for (JsonNode name : list) {
+            if (!name.isTextual()) {
+                throw invalid("'allowed_regions' must hold names, but holds " + name);
+            }
+            regions.add(Region.of(name.textValue()));
+        }
+        return regions;
+    }
+
     private static long millis(JsonNode node, String field) throws ProxyException {
         return Math.max(0, (long) Json.number(node, field, ERROR_KIND));
     }
@@ -195,7 +223,12 @@
     private static Organisation organisation(JsonNode node) throws ProxyException {
         double ratePerSecond = Math.max(0, Json.number(node, "rate_per_s", ERROR_KIND));
         double burst = Math.max(1, Json.number(node, "burst", ERROR_KIND));
-        return new Organisation(OrganisationId.of(name(node, "name")), ratePerSecond, burst, 1);
+        return new Organisation(
+                OrganisationId.of(name(node, "name")),
+                ratePerSecond,
+                burst,
+                1,
+                allowedRegions(node));
     }
 
     private static void addKeys(JsonNode node, Organisation organisation, Map<String, Key> keys)
