Evacuation of data centres

Cause: operators order that nothing more is sent to the targets of a data centre (POST and DELETE drain/ZONE); control hosts answered 401, as for any unknown page.

Change: an evacuation is an object of the replicated configuration with commands of its own, which documents and tickets neither set nor remove. Targets.active leaves out the targets of evacuated data centres, and all targets while the host's configuration is not confirmed as current. A store that is out of touch gives its waiting items back and pulls none. If all targets of a service are evacuated, its requests get 503 data-centre-evacuated at once. Events 330 and 331, a metric and the operators' status show what is in force. Each order carries the version at which it arrived, so that a late copy cannot undo a later order.

Orders must be given only after all control hosts run this version.

--- a/src/main/java/org/coltsfootproxy/base/ErrorKind.java
+++ b/src/main/java/org/coltsfootproxy/base/ErrorKind.java
@@ -31,6 +31,7 @@
     ANSWER_CUT(502, Ran.YES, 69, "The answer broke off"),
     OVERLOADED(503, Ran.NO, 75, "No capacity is free in time"),
     NO_TARGET(503, Ran.NO, 69, "No target can take the request"),
+    DATA_CENTRE_EVACUATED(503, Ran.NO, 69, "All data centres of the service are evacuated"),
     PROMPT_QUARANTINED(503, Ran.NO, 69, "A part of the prompt has crashed targets"),
     REQUEST_QUARANTINED(503, Ran.NO, 69, "The request has crashed targets"),
     STREAM_VERSION_UNAVAILABLE(
--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -49,6 +49,8 @@
     RELAY_CHANGED(319, Level.INFO, "another host relays this host's reports"),
     TARGET_LEAVING(320, Level.INFO, "a target said that it is leaving"),
     TARGET_LIMITED(321, Level.INFO, "a target named, changed or lifted a limit on its requests"),
+    EVACUATIONS_CHANGED(330, Level.INFO, "the evacuated data centres changed at this host"),
+    EVACUATION_ORDERED(331, Level.INFO, "an operator's order on a data centre was committed"),
     CLOCK_JUMPED(316, Level.WARN, "the host was suspended or its clock was set"),
 
     // 400-499: entry, limits and routing
--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -32,7 +32,9 @@
     QUARANTINED_PARTS(
             Shape.GAUGE,
             "Requests and parts of prompts that are refused because they crash targets"),
-    CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers");
+    CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers"),
+    DATA_CENTRES_EVACUATED(
+            Shape.GAUGE, "Data centres that are evacuated by the configuration in force");
 
     /** Type of a metric, as Prometheus defines it. */
     public enum Shape {
--- a/src/main/java/org/coltsfootproxy/config/ConfigCommand.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigCommand.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.config;
 
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.RecordCodec;
 import org.coltsfootproxy.base.WireCode;
 
@@ -24,4 +25,21 @@
      */
     @WireCode(2)
     record ReplaceAll(Ticket ticket, byte[] document) implements ConfigCommand {}
+
+    /**
+     * Evacuates a data centre, unless an order on it has taken effect after the one that this
+     * command carries was given.
+     *
+     * @param basis version of the configuration at the host that received the order, when it did
+     */
+    @WireCode(3)
+    record Evacuate(DataCentre dataCentre, long basis) implements ConfigCommand {}
+
+    /**
+     * Ends the evacuation of a data centre, under the same condition as {@link Evacuate}.
+     *
+     * @param basis version of the configuration at the host that received the order, when it did
+     */
+    @WireCode(4)
+    record EndEvacuation(DataCentre dataCentre, long basis) implements ConfigCommand {}
 }
--- a/src/main/java/org/coltsfootproxy/config/ConfigState.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigState.java
@@ -8,6 +8,7 @@
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.consensus.StateMachine;
 
@@ -16,7 +17,8 @@
  * last set each, and the verdicts on recent tickets.
  *
  * <p>A ticket is accepted if its number is above that of every object that it changes; all of its
- * changes then apply at once. Removed objects keep their number. Deterministic; not thread-safe.
+ * changes then apply at once. Removed objects keep their number. Evacuations of data centres are
+ * objects too, but only orders of their own change them. Deterministic; not thread-safe.
  */
 public final class ConfigState implements StateMachine {
     /** Number of accepted tickets whose verdicts are cached: nine days at 7,100 changes a day. */
@@ -76,9 +78,40 @@
         if (command instanceof ConfigCommand.ReplaceAll replace) {
             return replaceAll(replace);
         }
+        if (command instanceof ConfigCommand.Evacuate order) {
+            return order(new Evacuation(order.dataCentre()), order.basis());
+        }
+        if (command instanceof ConfigCommand.EndEvacuation order) {
+            return order(new Removed(Evacuation.nameOf(order.dataCentre())), order.basis());
+        }
         return applyTicket(((ConfigCommand.ApplyTicket) command).ticket());
     }
 
+    /**
+     * Carries out an order on an object that no ticket sets.
+     *
+     * <p>An order is proposed again until its outcome is known, and its operator may send it to
+     * several hosts, so a copy may be committed after a later, opposite order. Such a copy has a
+     * basis below the version of the later order and changes nothing.
+     */
+    private Verdict order(ConfigChange change, long basis) {
+        if (isInForce(change)) {
+            return Verdict.accepted(0, mVersion);
+        }
+        ObjectName name = change.objectName();
+        long changedIn =
+                mTable.find(name)
+                        .map(ObjectTable.VersionedChange::version)
+                        .orElse(mTable.minDeltaVersion());
+        if (changedIn > basis) {
+            String detail = name + " was changed in version " + changedIn + ", after the order";
+            return Verdict.refused(Verdict.Outcome.STALE, 0, detail);
+        }
+        mVersion++;
+        put(Stream.of(change), 0);
+        return Verdict.accepted(0, mVersion);
+    }
+
     /**
      * Replaces all objects. A ticket whose number is not above that of the current document changes
      * nothing and counts as accepted.
@@ -110,7 +143,7 @@
         Stream<ConfigChange> removed =
                 mTable.existingObjects().stream()
                         .map(ConfigChange::objectName)
-                        .filter(name -> !kept.contains(name))
+                        .filter(name -> name.kind().isSetByTickets() && !kept.contains(name))
                         .map(Removed::new);
         Stream<ConfigChange> changed = ticket.changes().filter(change -> !isInForce(change));
         return Stream.concat(changed, removed).toList().stream();
@@ -243,6 +276,15 @@
         return mTable.existingObjects().stream().map(ConfigObject.class::cast);
     }
 
+    /**
+     * Returns the data centre of a name, which may be any text, if an order to evacuate it or to
+     * end that has ever taken effect.
+     */
+    public Optional<DataCentre> orderedDataCentre(String name) {
+        return mTable.find(ObjectName.of(ObjectKind.EVACUATION, name))
+                .map(versioned -> DataCentre.of(versioned.name().id()));
+    }
+
     /** Returns the number of the ticket that last set or removed an object, or 0 if none did. */
     public long ticketOf(ObjectName name) {
         return mTable.find(name).map(ObjectTable.VersionedChange::ticket).orElse(0L);
--- a/src/main/java/org/coltsfootproxy/config/ConfigView.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigView.java
@@ -8,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.KeyId;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ServiceId;
@@ -23,6 +26,7 @@
     private final Map<String, Key> mKeysByDigest;
     private final Map<ServiceId, Service> mServices;
     private final List<Route> mRoutes;
+    private final Set<DataCentre> mEvacuated;
 
     private ConfigView(
             long version,
@@ -30,13 +34,15 @@
             Map<KeyId, Key> keys,
             Map<String, Key> keysByDigest,
             Map<ServiceId, Service> services,
-            List<Route> routes) {
+            List<Route> routes,
+            Set<DataCentre> evacuated) {
         mVersion = version;
         mOrganisations = organisations;
         mKeys = keys;
         mKeysByDigest = keysByDigest;
         mServices = services;
         mRoutes = routes;
+        mEvacuated = evacuated;
     }
 
     /** Returns a view of the given objects. */
@@ -53,7 +59,8 @@
                 byId,
                 index(byId.values().stream(), Key::digest),
                 index(services, Service::id),
-                longestPrefixFirst(routes));
+                longestPrefixFirst(routes),
+                Set.of());
     }
 
     /** Returns the empty view of version 0. */
@@ -89,6 +96,7 @@
                                         change,
                                         Service.class);
                         case ROUTE -> routes.set(change.objectName(), change, Route.class);
+                        case EVACUATION -> {} // Applied below.
                         default -> setKey(keys, digests, change);
                     }
                 });
@@ -100,7 +108,24 @@
                 services.result(),
                 routes.isModified()
                         ? longestPrefixFirst(routes.result().values().stream())
-                        : mRoutes);
+                        : mRoutes,
+                evacuatedAfter(changes));
+    }
+
+    private Set<DataCentre> evacuatedAfter(Collection<ConfigChange> changes) {
+        Set<DataCentre> evacuated = new TreeSet<>(mEvacuated);
+        changes.stream()
+                .filter(change -> change.objectName().kind() == ObjectKind.EVACUATION)
+                .forEach(
+                        change -> {
+                            DataCentre dataCentre = DataCentre.of(change.objectName().id());
+                            if (change instanceof Evacuation) {
+                                evacuated.add(dataCentre);
+                            } else {
+                                evacuated.remove(dataCentre);
+                            }
+                        });
+        return evacuated.equals(mEvacuated) ? mEvacuated : Set.copyOf(evacuated);
     }
 
     private static boolean changesRoutes(Collection<ConfigChange> changes) {
@@ -175,6 +200,11 @@
         return mRoutes.stream();
     }
 
+    /** Returns the data centres to whose targets nothing new may be sent. */
+    public Set<DataCentre> evacuated() {
+        return mEvacuated;
+    }
+
     /** Returns the route with the longest prefix that matches the path, for any host name. */
     public Optional<Route> route(String path) {
         return route("", path);
--- a/src/main/java/org/coltsfootproxy/config/ObjectKind.java
+++ b/src/main/java/org/coltsfootproxy/config/ObjectKind.java
@@ -9,7 +9,9 @@
     /** A service, see {@link Service}. */
     SERVICE("service", "services"),
     /** A route, see {@link Route}. */
-    ROUTE("route", "routes");
+    ROUTE("route", "routes"),
+    /** An evacuation of a data centre, see {@link Evacuation}. */
+    EVACUATION("evacuation", "evacuations");
 
     private final String mLabel;
     private final String mPlural;
@@ -19,6 +21,14 @@
         mPlural = plural;
     }
 
+    /**
+     * Returns whether tickets and documents set and remove objects of this kind. Others have
+     * commands of their own and stay as they are when the whole configuration is replaced.
+     */
+    public boolean isSetByTickets() {
+        return this != EVACUATION;
+    }
+
     /** Returns the singular noun used in messages. */
     public String label() {
         return mLabel;
--- a/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
+++ b/src/main/java/org/coltsfootproxy/config/ReferenceCheck.java
@@ -19,7 +19,8 @@
                     ObjectKind.ORGANISATION, 20_000,
                     ObjectKind.KEY, 100_000,
                     ObjectKind.SERVICE, 1_000,
-                    ObjectKind.ROUTE, 10_000);
+                    ObjectKind.ROUTE, 10_000,
+                    ObjectKind.EVACUATION, 1_000);
 
     private final ObjectTable mTable;
     private final Map<ObjectName, ConfigChange> mChanges = new HashMap<>();
--- a/src/main/java/org/coltsfootproxy/config/TicketCheck.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketCheck.java
@@ -52,7 +52,8 @@
     }
 
     /**
-     * Checks that no two objects of a ticket have the same name, digest or path.
+     * Checks that no two objects of a ticket have the same name, digest or path, and that tickets
+     * may remove what it removes.
      *
      * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET} with the name of the invalid
      *     object
@@ -60,6 +61,9 @@
     static void checkNames(Ticket ticket) throws ProxyException {
         String subject = "ticket";
         checkUnique(ticket.changes(), ConfigChange::objectName, subject, "names");
+        for (ObjectName name : ticket.remove()) {
+            require(name.kind().isSetByTickets(), subject, "can't remove " + name);
+        }
         checkUnique(ticket.keys().stream(), Key::digest, subject, "has two keys of digest");
         checkUnique(
                 ticket.routes().stream(),
--- a/src/main/java/org/coltsfootproxy/config/TicketParser.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketParser.java
@@ -129,7 +129,9 @@
     private static List<ObjectName> removals(YamlNode node) throws ProxyException {
         List<ObjectName> names = new ArrayList<>();
         for (ObjectKind kind : ObjectKind.values()) {
-            names.addAll(node.list(kind.plural(), n -> n.id(id -> removal(kind, id))));
+            if (kind.isSetByTickets()) {
+                names.addAll(node.list(kind.plural(), n -> n.id(id -> removal(kind, id))));
+            }
         }
         node.rejectUnknownNames();
         return names;
--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
@@ -34,6 +35,8 @@
     private final FleetDirectory mDirectory;
     private final JobLogBootstrap mBootstrap;
     private final QuarantineStore mQuarantine;
+    private final Targets mTargets;
+    private final KnownDataCentres mDataCentres;
     private List<HostId> mControlHosts;
     private long mStartNanos;
 
@@ -48,10 +51,11 @@
         mConfig = config;
         mState = state;
         mControlHosts = fleetSettings.seeds();
-        Targets targets = Targets.create(settings.dataCentre(), random);
+        mTargets = Targets.create(settings.dataCentre(), random);
+        mDataCentres = new KnownDataCentres(settings.dataCentre());
         TargetListReader reader =
                 TargetListReader.create(fleetSettings.listAddress(), fleetSettings.list(), mCalls);
-        mDirectory = FleetDirectory.create(settings.self(), mControlHosts, targets, reader);
+        mDirectory = FleetDirectory.create(settings.self(), mControlHosts, mTargets, reader);
         mBootstrap =
                 new JobLogBootstrap(fleetSettings.voters(), mDirectory.roster(), state, config);
         mQuarantine = new QuarantineStore(state, config);
@@ -73,6 +77,7 @@
         if (message instanceof FleetMessage.Enrol enrol) {
             // Before the list of targets, without which the host sends no calls.
             mQuarantine.enrolled(from, enrol, nowNanos, out);
+            mDataCentres.enrolled(enrol);
         }
         mDirectory.handle(from, message, nowNanos, out);
         if (message instanceof FleetMessage.Enrol enrol) {
@@ -87,6 +92,7 @@
     void tick(long nowNanos, Effects out) {
         updateControlHosts(nowNanos, out);
         mDirectory.roster().retiring(mState.retiring(), out);
+        mDataCentres.listed(mTargets.listing());
         if (mDirectory.nextTickNanos() <= nowNanos) {
             mDirectory.tick(mConfig.isLeader(nowNanos), nowNanos, out);
             mBootstrap.tick(nowNanos, out);
@@ -160,6 +166,27 @@
                 () -> ProxyException.of(ErrorKind.NOT_FOUND, "no store is named " + name));
     }
 
+    /**
+     * Returns the data centre of a name that a listed target or an enrolled host has.
+     *
+     * @throws ProxyException if there is none
+     */
+    DataCentre dataCentre(String name, long nowNanos) throws ProxyException {
+        mDataCentres.listed(mTargets.listing());
+        Optional<DataCentre> dataCentre = mDataCentres.byName(name);
+        boolean isIncomplete =
+                nowNanos - mStartNanos < ROSTER_INCOMPLETE_NANOS
+                        || mTargets.listing().number() == 0;
+        if (dataCentre.isEmpty() && isIncomplete) {
+            String detail = "this host does not know all targets and hosts yet";
+            throw ProxyException.of(ErrorKind.NO_LEADER, detail);
+        }
+        return dataCentre.orElseThrow(
+                () ->
+                        ProxyException.of(
+                                ErrorKind.NOT_FOUND, "no data centre is named '" + name + "'"));
+    }
+
     long nextTickNanos() {
         return mDirectory.nextTickNanos();
     }
--- a/src/main/java/org/coltsfootproxy/control/OperatorCall.java
+++ b/src/main/java/org/coltsfootproxy/control/OperatorCall.java
@@ -23,6 +23,12 @@
     /** Reads the document that the current configuration was set from. */
     record ReadConfig() implements OperatorCall {}
 
+    /** Orders that nothing more is sent to the targets of a data centre. */
+    record EvacuateDataCentre(String name) implements OperatorCall {}
+
+    /** Withdraws that order. */
+    record EndEvacuation(String name) implements OperatorCall {}
+
     /** Retires a store: its jobs move to other hosts, so that it can be removed. */
     record RetireHost(String hostName) implements OperatorCall {}
 
--- a/src/main/java/org/coltsfootproxy/control/OperatorResponses.java
+++ b/src/main/java/org/coltsfootproxy/control/OperatorResponses.java
@@ -43,6 +43,7 @@
      * @param oldestVersion oldest version in force at any subscriber
      * @param silent control hosts that did not respond; their subscribers are missing
      * @param backlogs waiting batch work of each organisation
+     * @param evacuated data centres to whose targets nothing new is sent
      */
     record Status(
             String host,
@@ -52,7 +53,8 @@
             List<Subscriber> subscribers,
             List<String> silent,
             List<LeaseStatus> leases,
-            List<ConfigMessage.BacklogState> backlogs) {}
+            List<ConfigMessage.BacklogState> backlogs,
+            List<String> evacuated) {}
 
     /**
      * The state of one replicated log.
--- a/src/main/java/org/coltsfootproxy/control/PlatformOperatorApi.java
+++ b/src/main/java/org/coltsfootproxy/control/PlatformOperatorApi.java
@@ -23,6 +23,7 @@
     private final RaftGroup mGroup;
     private final ConfigStateMachine mMachine;
     private final ProposalForwarder mForwarder;
+    private final EvacuationOrders mEvacuations;
     private boolean mIsStopping;
 
     PlatformOperatorApi(
@@ -36,6 +37,7 @@
         mGroup = group;
         mMachine = machine;
         mForwarder = forwarder;
+        mEvacuations = new EvacuationOrders(fleet, machine.config(), forwarder);
     }
 
     /** Refuses further changes, as this host is stopping. */
@@ -73,6 +75,12 @@
             mForwarder.submitCommand(0, bytes, responder, nowNanos, out);
         } else if (request instanceof OperatorCall.RetireHost retire) {
             retire(call, retire.hostName(), nowNanos, out);
+        } else if (request instanceof OperatorCall.EvacuateDataCentre order) {
+            Runnable accepted = () -> send(call, EMPTY_JSON, out);
+            mEvacuations.submit(call, order.name(), true, accepted, nowNanos, out);
+        } else if (request instanceof OperatorCall.EndEvacuation order) {
+            Runnable accepted = () -> send(call, EMPTY_JSON, out);
+            mEvacuations.submit(call, order.name(), false, accepted, nowNanos, out);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/control/StatusCollector.java
+++ b/src/main/java/org/coltsfootproxy/control/StatusCollector.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.config.ConfigPublisher;
 import org.coltsfootproxy.message.ConfigMessage;
@@ -148,7 +149,11 @@
                         subscribers,
                         pending.mAwaitedHosts.stream().map(HostId::value).sorted().toList(),
                         mMachine.leases().leases().map(OperatorResponses.LeaseStatus::of).toList(),
-                        pending.mBacklogStates);
+                        pending.mBacklogStates,
+                        mMachine.config().view().evacuated().stream()
+                                .map(DataCentre::value)
+                                .sorted()
+                                .toList());
         JsonAnswer.send(pending.mCall, OK, status, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -149,6 +149,7 @@
         mGroup.start(raft, self, mRandom, nowNanos);
         mGroup.node().setProbeHosts(List.of());
         mConfig.start(nowNanos, mOut);
+        configureTargets(nowNanos);
         mMembership.start(nowNanos);
         runUntilIdle(nowNanos);
     }
@@ -156,6 +157,7 @@
     @Override
     public void handle(Input input, long nowNanos, Effects out) {
         mOut.begin(out);
+        configureTargets(nowNanos);
         if (input instanceof Input.TargetChunk) {
             // The most frequent input; it makes no other component's work due.
             mCalls.handle(input, nowNanos, mOut);
@@ -181,6 +183,7 @@
         } else if (input instanceof Input.ClockJumped jumped) {
             mOut.log(EventCode.CLOCK_JUMPED, "by " + jumped.nanos() + " ns");
             mConfig.discardConfirmations(nowNanos, mOut);
+            configureTargets(nowNanos);
             mGroup.node().invalidateLease(nowNanos);
         } else if (input instanceof Input.PlannedStop && !mIsStopping) {
             mIsStopping = true;
@@ -193,6 +196,10 @@
         runUntilIdle(nowNanos);
     }
 
+    private void configureTargets(long nowNanos) {
+        mTargets.configure(mConfig.view(), mConfig.isFresh(nowNanos), mOut);
+    }
+
     private void receive(HostId from, Message message, long nowNanos) {
         if (message instanceof RaftMessage raft) {
             mGroup.node().receive(from, raft, nowNanos, mOut);
@@ -202,6 +209,7 @@
             mJobService.handle(from, job, nowNanos, mOut);
         } else if (message instanceof ConfigMessage config) {
             mConfig.handle(from, config, nowNanos, mOut);
+            configureTargets(nowNanos);
         } else if (message instanceof FleetMessage fleet) {
             receiveFleet(from, fleet, nowNanos);
         }
@@ -250,6 +258,7 @@
     public void tick(long nowNanos, Effects out) {
         mOut.begin(out);
         mConfig.tick(nowNanos, mOut);
+        configureTargets(nowNanos);
         if (nowNanos - mNextHandoverNanos >= 0) {
             tryHandover(nowNanos);
         }
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -100,7 +100,9 @@
     void begin(DirectRequest request, long now, Effects out) {
         mRequests.put(request.call().call(), request);
         Optional<Failure> failure =
-                mCheck.quarantineFailure(request).or(() -> mCheck.resumptionFailure(request, now));
+                mCheck.quarantineFailure(request)
+                        .or(() -> mCheck.evacuationFailure(request))
+                        .or(() -> mCheck.resumptionFailure(request, now));
         if (failure.isPresent()) {
             fail(request, failure.get(), now, out);
             return;
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -171,6 +171,7 @@
 
     @Override
     public void handle(Input input, long nowNanos, Effects out) {
+        configureTargets(nowNanos, out);
         if (mTargetCalls.handle(input, nowNanos, out)) {
             return;
         }
@@ -196,6 +197,7 @@
         } else if (input instanceof Input.ClockJumped jumped) {
             out.log(EventCode.CLOCK_JUMPED, "by " + jumped.nanos() + " ns");
             mConfig.discardConfirmations(nowNanos, out);
+            configureTargets(nowNanos, out);
         } else if (input instanceof Input.PlannedStop) {
             mStopping = true;
             mRefuseAt = nowNanos + mSettings.drainDelayNanos();
@@ -203,6 +205,10 @@
         updateReadiness(nowNanos, out);
     }
 
+    private void configureTargets(long now, Effects out) {
+        mTargets.configure(mConfig.view(), mConfig.isFresh(now), out);
+    }
+
     private void httpCall(Input.HttpCall call, long now, Effects out) {
         if (mIsReady || mStopping || !mEarlyCalls.hold(call, now)) {
             answerCall(call, now, now, out);
@@ -240,6 +246,10 @@
             throws ProxyException {
         checkNotRefusing();
         Route route = route(forward, now);
+        if (!mConfig.isFresh(now)) {
+            throw ProxyException.of(
+                    ErrorKind.CONFIG_STALE, "no control host has confirmed the configuration");
+        }
         Optional<Organisation> organisation = Optional.empty();
         if (!route.open()) {
             organisation = Optional.of(organisation(call, now));
@@ -283,6 +293,7 @@
             if (mConfig.handle(from, config, now, out)) {
                 mLimiter.configure(mConfig.view(), now);
             }
+            configureTargets(now, out);
         } else if (message instanceof JobMessage job) {
             mJobs.handle(from, job, now, out);
         } else if (message instanceof FleetMessage.Roster roster) {
@@ -319,6 +330,7 @@
     @Override
     public void tick(long nowNanos, Effects out) {
         mConfig.tick(nowNanos, out);
+        configureTargets(nowNanos, out);
         mEarlyCalls
                 .takeExpired(nowNanos)
                 .forEach(h -> answerCall(h.call(), h.arrivedAt(), nowNanos, out));
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -208,6 +208,11 @@
     }
 
     private void send(ItemRun run, long now, Effects out) {
+        if (!mTargets.isConfirmed()) {
+            // Another store that is in touch with the control hosts can run it.
+            finish(run, ItemReport.givenBack(run.lease()), now, out);
+            return;
+        }
         if (!maySend(run, now)) {
             mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
             return;
@@ -557,7 +562,8 @@
         // One item is pulled even if no slot is free, so that this host can see when its deadline
         // allows no further wait.
         long capacity = Math.max(1, (free + mWorkers - 1) / mWorkers) - waiting;
-        mPuller.setFreeSlots(mIsStopping ? 0 : (int) Math.max(0, capacity), now, out);
+        boolean mayPull = !mIsStopping && mTargets.isConfirmed();
+        mPuller.setFreeSlots(mayPull ? (int) Math.max(0, capacity) : 0, now, out);
     }
 
     /** Returns the time of the next due {@link #tick}. */
--- a/src/main/java/org/coltsfootproxy/direct/SendCheck.java
+++ b/src/main/java/org/coltsfootproxy/direct/SendCheck.java
@@ -8,7 +8,9 @@
 
 /** Decides which requests no target may get, whatever capacity there is. */
 final class SendCheck {
-    /** Retry-after time of a stream that can't go on here now, but perhaps at another entry. */
+    /**
+     * Retry-after time of a request that can't be sent now, but perhaps soon or by another host.
+     */
     private static final long RETRY_AFTER_MILLIS = 250;
 
     private final CrashQuarantine mQuarantine;
@@ -35,6 +37,16 @@
                         0);
     }
 
+    /** Returns why a request may not be sent, if all targets of its service are evacuated. */
+    Optional<Failure> evacuationFailure(DirectRequest request) {
+        if (!mTargets.isEvacuated(request.service())) {
+            return Optional.empty();
+        }
+        String detail = "all targets of " + request.service() + " are in evacuated data centres";
+        return Optional.of(
+                Failure.notRun(ErrorKind.DATA_CENTRE_EVACUATED, detail, RETRY_AFTER_MILLIS));
+    }
+
     /**
      * Sets the version at which a stream that its caller takes up may go on; returns why it can't
      * go on, if so.
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -23,6 +23,7 @@
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
 import org.coltsfootproxy.node.Effects;
@@ -57,6 +58,7 @@
     private FleetMessage.Listing mListing = new FleetMessage.Listing(0, List.of());
     private final Set<Target> mChangedTargets = new LinkedHashSet<>();
     private final LeavingTargets mLeaving = LeavingTargets.create();
+    private final UsableDataCentres mUsable = new UsableDataCentres();
 
     private Targets(DataCentre localDataCentre, RandomGenerator random) {
         mLocalDataCentre = checkNotNull(localDataCentre, "local data centre is missing");
@@ -103,6 +105,28 @@
         return true;
     }
 
+    /**
+     * Applies the configuration of this host. It must be called before each step that may send
+     * something, since a confirmation ends with time.
+     *
+     * @param isConfirmed whether the configuration is confirmed as current now; if not, no target
+     *     gets new work
+     */
+    public void configure(ConfigView view, boolean isConfirmed, Effects out) {
+        mUsable.update(view, isConfirmed, out);
+    }
+
+    /** Returns whether this host may send something at all. */
+    boolean isConfirmed() {
+        return mUsable.isConfirmed();
+    }
+
+    /** Returns whether a service has targets, all of them in evacuated data centres. */
+    boolean isEvacuated(ServiceId service) {
+        List<Target> targets = mByService.getOrDefault(service, List.of());
+        return !targets.isEmpty() && targets.stream().allMatch(mUsable::isEvacuated);
+    }
+
     /** Notes that a call from this host has started. */
     void callStarted(Target target, TrafficClass type, long nowNanos) {
         mChangedTargets.add(target);
@@ -195,9 +219,10 @@
         return mById.values().stream();
     }
 
-    /** Returns the targets of a service that accept new work. */
+    /** Returns the targets of a service that accept new work and may be sent it by this host. */
     Stream<Target> active(ServiceId service) {
         return mByService.getOrDefault(service, List.of()).stream()
+                .filter(mUsable::isUsable)
                 .filter(
                         target ->
                                 !target.listed().leaving() && !mLeaving.contains(target.listed()));
--- a/src/main/java/org/coltsfootproxy/platform/PlatformOperatorProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformOperatorProtocol.java
@@ -11,6 +11,7 @@
 /** Decodes the HTTP calls of the platform's operators to control hosts. */
 public final class PlatformOperatorProtocol implements OperatorProtocol {
     private static final String CONFIG_PATH = "/coltsfootproxy/config";
+    private static final String DRAIN_PATH_PREFIX = "/coltsfootproxy/drain/";
     private static final String RETIRE_PATH_PREFIX = "/coltsfootproxy/retire/";
 
     @Override
@@ -19,9 +20,20 @@
         if (path.startsWith(RETIRE_PATH_PREFIX)) {
             return Optional.of(retirement(call, path.substring(RETIRE_PATH_PREFIX.length())));
         }
+        if (path.startsWith(DRAIN_PATH_PREFIX)) {
+            return Optional.of(evacuation(call, path.substring(DRAIN_PATH_PREFIX.length())));
+        }
         return path.equals(CONFIG_PATH) ? Optional.of(config(call)) : Optional.empty();
     }
 
+    private static OperatorCall evacuation(Input.HttpCall call, String name) throws ProxyException {
+        return switch (call.method()) {
+            case "POST" -> new OperatorCall.EvacuateDataCentre(name);
+            case "DELETE" -> new OperatorCall.EndEvacuation(name);
+            default -> throw notAllowed(call);
+        };
+    }
+
     private static OperatorCall retirement(Input.HttpCall call, String name) throws ProxyException {
         return switch (call.method()) {
             case "GET" -> new OperatorCall.ReadRetirement(name);
