--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -52,6 +52,8 @@
     VERSIONS_RECORDED(
             324, Level.INFO, "the software versions that services have had recently were recorded"),
     TARGET_COLD(325, Level.INFO, "a target is cold, so that it gets few requests for a while"),
+    EVACUATIONS_CHANGED(330, Level.INFO, "the evacuated data centres changed at this host"),
+    EVACUATION_ORDERED(331, Level.INFO, "an operator's order on a data centre was committed"),
     CLOCK_JUMPED(316, Level.WARN, "the host was suspended or its clock was set"),
 
     // 400-499: entry, limits and routing
--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
+import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
@@ -36,6 +37,8 @@
     private final JobLogBootstrap mBootstrap;
     private final QuarantineStore mQuarantine;
     private final VersionRecord mVersionRecord;
+    private final Targets mTargets;
+    private final KnownDataCentres mDataCentres;
     private List<HostId> mControlHosts;
     private long mStartNanos;
 
@@ -50,12 +53,13 @@
         mConfig = config;
         mState = state;
         mControlHosts = fleetSettings.seeds();
-        Targets targets = Targets.create(settings.dataCentre(), random);
+        mTargets = Targets.create(settings.dataCentre(), random);
+        mDataCentres = new KnownDataCentres(settings.dataCentre());
         TargetListReader reader =
                 TargetListReader.create(fleetSettings.listAddress(), fleetSettings.list(), mCalls);
         ListedVersions versions = ListedVersions.create();
         mDirectory =
-                FleetDirectory.create(settings.self(), mControlHosts, targets, reader, versions);
+                FleetDirectory.create(settings.self(), mControlHosts, mTargets, reader, versions);
         mBootstrap =
                 new JobLogBootstrap(fleetSettings.voters(), mDirectory.roster(), state, config);
         mQuarantine = new QuarantineStore(state, config);
@@ -80,6 +84,7 @@
         if (message instanceof FleetMessage.Enrol enrol) {
             // Before the list of targets, without which the host sends no calls.
             mQuarantine.enrolled(from, enrol, nowNanos, out);
+            mDataCentres.enrolled(enrol);
         }
         mDirectory.handle(from, message, nowNanos, out);
         if (message instanceof FleetMessage.Enrol enrol) {
@@ -102,6 +107,7 @@
         mVersionRecord.tick(out);
         updateControlHosts(nowNanos, out);
         mDirectory.roster().retiring(mState.retiring(), out);
+        mDataCentres.listed(mTargets.listing());
         if (mDirectory.nextTickNanos() <= nowNanos) {
             mDirectory.tick(mConfig.isLeader(nowNanos), nowNanos, out);
             mBootstrap.tick(nowNanos, out);
@@ -175,6 +181,27 @@
                 () -> ProxyException.of(ErrorKind.NOT_FOUND, "no store is named " + name));
     }
 
+    /**
+     * Returns the data centre of a name that a listed target or an enrolled host has.
+     *
+     * @throws ProxyException if there is none
+     */
+    DataCentre dataCentre(String name, long nowNanos) throws ProxyException {
+        mDataCentres.listed(mTargets.listing());
+        Optional<DataCentre> dataCentre = mDataCentres.byName(name);
+        boolean isIncomplete =
+                nowNanos - mStartNanos < ROSTER_INCOMPLETE_NANOS
+                        || mTargets.listing().number() == 0;
+        if (dataCentre.isEmpty() && isIncomplete) {
+            String detail = "this host does not know all targets and hosts yet";
+            throw ProxyException.of(ErrorKind.NO_LEADER, detail);
+        }
+        return dataCentre.orElseThrow(
+                () ->
+                        ProxyException.of(
+                                ErrorKind.NOT_FOUND, "no data centre is named '" + name + "'"));
+    }
+
     long nextTickNanos() {
         return mDirectory.nextTickNanos();
     }
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -154,6 +154,7 @@
         mGroup.node().setProbeHosts(List.of());
         mTargets.started(nowNanos);
         mConfig.start(nowNanos, mOut);
+        configureTargets(nowNanos);
         mMembership.start(nowNanos);
         runUntilIdle(nowNanos);
     }
@@ -161,6 +162,7 @@
     @Override
     public void handle(Input input, long nowNanos, Effects out) {
         mOut.begin(out);
+        configureTargets(nowNanos);
         if (input instanceof Input.TargetChunk) {
             // The most frequent input; it makes no other component's work due.
             mCalls.handle(input, nowNanos, mOut);
@@ -186,6 +188,7 @@
         } else if (input instanceof Input.ClockJumped jumped) {
             mOut.log(EventCode.CLOCK_JUMPED, "by " + jumped.nanos() + " ns");
             mConfig.discardConfirmations(nowNanos, mOut);
+            configureTargets(nowNanos);
             mGroup.node().invalidateLease(nowNanos);
         } else if (input instanceof Input.PlannedStop && !mIsStopping) {
             mIsStopping = true;
@@ -198,6 +201,11 @@
         runUntilIdle(nowNanos);
     }
 
+    private void configureTargets(long nowNanos) {
+        boolean isConfirmed = !mSettings.needsConfirmation() || mConfig.isFresh(nowNanos);
+        mTargets.configure(mConfig.view(), isConfirmed, nowNanos, mOut);
+    }
+
     private void receive(HostId from, Message message, long nowNanos) {
         if (message instanceof RaftMessage raft) {
             mGroup.node().receive(from, raft, nowNanos, mOut);
@@ -206,9 +214,8 @@
         } else if (message instanceof JobMessage job) {
             mJobService.handle(from, job, nowNanos, mOut);
         } else if (message instanceof ConfigMessage config) {
-            if (mConfig.handle(from, config, nowNanos, mOut)) {
-                mTargets.configure(mConfig.view(), nowNanos);
-            }
+            mConfig.handle(from, config, nowNanos, mOut);
+            configureTargets(nowNanos);
         } else if (message instanceof FleetMessage fleet) {
             receiveFleet(from, fleet, nowNanos);
         }
@@ -259,6 +266,7 @@
     public void tick(long nowNanos, Effects out) {
         mOut.begin(out);
         mConfig.tick(nowNanos, mOut);
+        configureTargets(nowNanos);
         if (nowNanos - mNextHandoverNanos >= 0) {
             tryHandover(nowNanos);
         }
--- a/src/main/java/org/coltsfootproxy/control/StoreSettings.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreSettings.java
@@ -19,6 +19,8 @@
  * @param voters wanted number of voters of the job log; 2t + 1 voters tolerate t simultaneous
  *     failures
  * @param regions the regions of the data centres
+ * @param needsConfirmation whether nothing is sent to targets while the configuration is not
+ *     confirmed as current, as evacuations of data centres need it
  */
 public record StoreSettings(
         HostId self,
@@ -28,7 +30,8 @@
         PeerAddresses addresses,
         TargetProtocol targets,
         JobSettings jobs,
-        Regions regions) {
+        Regions regions,
+        boolean needsConfirmation) {
     /** Validates the components. */
     public StoreSettings {
         checkNotNull(self, "host id is missing");
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -102,6 +102,7 @@
         Optional<Failure> failure =
                 mCheck.quarantineFailure(request)
                         .or(() -> mCheck.regionFailure(request))
+                        .or(() -> mCheck.evacuationFailure(request))
                         .or(() -> mCheck.resumptionFailure(request, now));
         if (failure.isPresent()) {
             fail(request, failure.get(), now, out);
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -177,6 +177,7 @@
 
     @Override
     public void handle(Input input, long nowNanos, Effects out) {
+        configureTargets(nowNanos, out);
         if (mTargetCalls.handle(input, nowNanos, out)) {
             return;
         }
@@ -202,6 +203,7 @@
         } else if (input instanceof Input.ClockJumped jumped) {
             out.log(EventCode.CLOCK_JUMPED, "by " + jumped.nanos() + " ns");
             mConfig.discardConfirmations(nowNanos, out);
+            configureTargets(nowNanos, out);
         } else if (input instanceof Input.PlannedStop) {
             mStopping = true;
             mRefuseAt = nowNanos + mSettings.drainDelayNanos();
@@ -209,6 +211,11 @@
         updateReadiness(nowNanos, out);
     }
 
+    private void configureTargets(long now, Effects out) {
+        boolean isConfirmed = !mSettings.needsConfirmation() || mConfig.isFresh(now);
+        mTargets.configure(mConfig.view(), isConfirmed, now, out);
+    }
+
     private void httpCall(Input.HttpCall call, long now, Effects out) {
         if (mIsReady || mStopping || !mEarlyCalls.hold(call, now)) {
             answerCall(call, now, now, out);
@@ -246,6 +253,10 @@
             throws ProxyException {
         checkNotRefusing();
         Route route = route(forward, now);
+        if (!mConfig.isFresh(now)) {
+            throw ProxyException.of(
+                    ErrorKind.CONFIG_STALE, "no control host has confirmed the configuration");
+        }
         Optional<Organisation> organisation = Optional.empty();
         if (!route.open()) {
             organisation = Optional.of(organisation(call, now));
@@ -291,8 +302,8 @@
         if (message instanceof ConfigMessage config) {
             if (mConfig.handle(from, config, now, out)) {
                 mLimiter.configure(mConfig.view(), now);
-                mTargets.configure(mConfig.view(), now);
             }
+            configureTargets(now, out);
         } else if (message instanceof JobMessage job) {
             mJobs.handle(from, job, now, out);
         } else if (message instanceof FleetMessage.Roster roster) {
@@ -329,6 +340,7 @@
     @Override
     public void tick(long nowNanos, Effects out) {
         mConfig.tick(nowNanos, out);
+        configureTargets(nowNanos, out);
         mEarlyCalls
                 .takeExpired(nowNanos)
                 .forEach(h -> answerCall(h.call(), h.arrivedAt(), nowNanos, out));
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -60,6 +60,8 @@
     private final Set<Target> mChangedTargets = new LinkedHashSet<>();
     private final LeavingTargets mLeaving = LeavingTargets.create();
     private final ColdLimits mColdLimits = new ColdLimits();
+    private ConfigView mConfig = ConfigView.empty();
+    private final UsableDataCentres mUsable = new UsableDataCentres();
 
     private Targets(DataCentre localDataCentre, RandomGenerator random) {
         mLocalDataCentre = checkNotNull(localDataCentre, "local data centre is missing");
@@ -113,6 +115,32 @@
         return true;
     }
 
+    /**
+     * Applies the configuration of this host. It must be called before each step that may send
+     * something, since a confirmation ends with time.
+     *
+     * @param isConfirmed whether the configuration is confirmed as current now; if not, no target
+     *     gets new work
+     */
+    public void configure(ConfigView view, boolean isConfirmed, long nowNanos, Effects out) {
+        mUsable.update(view, isConfirmed, out);
+        if (view != mConfig) {
+            mConfig = view;
+            mColdLimits.configure(view, nowNanos);
+        }
+    }
+
+    /** Returns whether this host may send something at all. */
+    boolean isConfirmed() {
+        return mUsable.isConfirmed();
+    }
+
+    /** Returns whether a service has targets, all of them in evacuated data centres. */
+    boolean isEvacuated(ServiceId service) {
+        List<Target> targets = mByService.getOrDefault(service, List.of());
+        return !targets.isEmpty() && targets.stream().allMatch(mUsable::isEvacuated);
+    }
+
     /** Notes that a call from this host has started. */
     void callStarted(Target target, TrafficClass type, long nowNanos) {
         mChangedTargets.add(target);
@@ -163,11 +191,6 @@
         mColdLimits.started(nowNanos);
     }
 
-    /** Applies the services' limits for cold targets. */
-    public void configure(ConfigView config, long nowNanos) {
-        mColdLimits.configure(config, nowNanos);
-    }
-
     /** Returns the targets that have said that they are leaving. */
     LeavingTargets leaving() {
         return mLeaving;
@@ -239,9 +262,10 @@
         return mById.values().stream();
     }
 
-    /** Returns the targets of a service that accept new work. */
+    /** Returns the targets of a service that accept new work and may be sent it by this host. */
     Stream<Target> active(ServiceId service) {
         return mByService.getOrDefault(service, List.of()).stream()
+                .filter(mUsable::isUsable)
                 .filter(
                         target ->
                                 !target.listed().leaving() && !mLeaving.contains(target.listed()));
--- a/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
@@ -24,6 +24,8 @@
  * @param drainDelayNanos time after the start of a planned stop during which new requests are still
  *     served, so that the load balancer can notice the stop
  * @param regions the regions of the data centres
+ * @param needsConfirmation whether nothing is sent to targets while the configuration is not
+ *     confirmed as current, as evacuations of data centres need it
  */
 public record EntrySettings(
         HostId host,
@@ -34,7 +36,8 @@
         long askTimeoutNanos,
         long deadlineGraceNanos,
         long drainDelayNanos,
-        Regions regions) {
+        Regions regions,
+        boolean needsConfirmation) {
     /** Time that a request may take, for the requests accepted last to end before the limit. */
     private static final long LONGEST_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -67,7 +70,8 @@
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.SECONDS.toNanos(5),
-                Regions.none());
+                Regions.none(),
+                false);
     }
 
     /**
@@ -90,7 +94,8 @@
                 askTimeoutNanos,
                 deadlineGraceNanos,
                 drainDelay,
-                regions);
+                regions,
+                needsConfirmation);
     }
 
     /** Returns these settings with the given regions of the data centres. */
@@ -104,6 +109,22 @@
                 askTimeoutNanos,
                 deadlineGraceNanos,
                 drainDelayNanos,
-                dataCentreRegions);
+                dataCentreRegions,
+                needsConfirmation);
+    }
+
+    /** Returns these settings with another {@link #needsConfirmation}. */
+    public EntrySettings withConfirmation(boolean isNeeded) {
+        return new EntrySettings(
+                host,
+                dataCentre,
+                ackTimeoutNanos,
+                silenceTimeoutNanos,
+                askIntervalNanos,
+                askTimeoutNanos,
+                deadlineGraceNanos,
+                drainDelayNanos,
+                regions,
+                isNeeded);
     }
 }
--- a/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
@@ -46,6 +46,7 @@
                 DirectEntryNode.create(
                         EntrySettings.of(settings.host(), settings.dataCentre())
                                 .withRegions(Regions.of(settings.regions()))
+                                .withConfirmation(fleet.evacuations())
                                 .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds())),
                         new DirectEntryNode.Protocols(new PlatformCallerProtocol(), protocol),
                         addresses,
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -150,8 +150,14 @@
      *     logs
      * @param losses number of control hosts that may be lost at once together with their disks
      * @param keyMillis time after which no host accepts a revoked key any more
+     * @param evacuations whether operators may evacuate data centres
      */
-    public record Fleet(List<String> seeds, boolean firstStart, int losses, long keyMillis) {
+    public record Fleet(
+            List<String> seeds,
+            boolean firstStart,
+            int losses,
+            long keyMillis,
+            boolean evacuations) {
         /** Makes a defensive copy of the list. */
         public Fleet {
             seeds = ImmutableList.copyOf(seeds);
@@ -346,7 +352,8 @@
                 in.addresses("seeds"),
                 in.flag("firstStart", false),
                 (int) in.number("losses", 1, 0, MAX_LOSSES),
-                in.number("keyMillis", DEFAULT_KEY_MILLIS, MIN_KEY_MILLIS, MAX_KEY_MILLIS));
+                in.number("keyMillis", DEFAULT_KEY_MILLIS, MIN_KEY_MILLIS, MAX_KEY_MILLIS),
+                in.flag("evacuations", false));
     }
 
     private static DirectEntryRole readDirectEntry(SettingsReader in) {
--- a/src/test/java/org/coltsfootproxy/direct/ColdLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ColdLimitTest.java
@@ -45,7 +45,7 @@
         mListing = 0;
         mTargets = Targets.create(HERE, new Random(1));
         mTargets.started(0);
-        mTargets.configure(config(new Service.ColdStart(3_000, 12)), 0);
+        mTargets.configure(config(new Service.ColdStart(3_000, 12)), true, 0, IGNORED);
         var self = new FleetMembership.Self(SELF, "self", FleetRole.ENTRY, HERE);
         mTargets.coldLimits()
                 .hosts(SELF, true, FleetMembership.create(self, List.of(SELF)), 20 * SECOND);
@@ -156,7 +156,7 @@
     /** Guards against a change for services that name no limit. */
     @Test
     public void aServiceWithoutALimitIsAsBefore() {
-        mTargets.configure(config(null), 0);
+        mTargets.configure(config(null), true, 0, IGNORED);
         list(1, 3_000);
         mTargets.coldNamed(target(), 2_000, 0, IGNORED);
         assertEquals(target().rateLimit().allowedCalls(0), Integer.MAX_VALUE);
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -79,6 +79,9 @@
     /** Seconds after the order to stop at which a process is closed, as on the platform. */
     static final int STOP_SECONDS = 7;
 
+    /** Whether hosts send only by a confirmed configuration. */
+    private final boolean mNeedsConfirmation;
+
     private final VirtualFleet mFleet;
     private final Random mRandom;
     private final List<HostId> mSeedHosts;
@@ -121,6 +124,11 @@
     }
 
     PlatformSimulation(long seed, int stores, int entries) {
+        this(seed, stores, entries, false);
+    }
+
+    private PlatformSimulation(long seed, int stores, int entries, boolean needsConfirmation) {
+        mNeedsConfirmation = needsConfirmation;
         mFleet = new VirtualFleet(seed, this::execute);
         mRandom = new Random(seed);
         mSeedHosts = List.of(host(0, 1), host(0, 2), host(0, 3));
@@ -135,7 +143,15 @@
      * <p>It has three control hosts, four stores, two targets that stream and one that does not.
      */
     static PlatformSimulation startServing(long seed, int entries) {
-        PlatformSimulation simulation = new PlatformSimulation(seed, 4, entries);
+        return startServing(new PlatformSimulation(seed, 4, entries));
+    }
+
+    /** Starts a simulation whose operators may evacuate data centres. */
+    static PlatformSimulation startEvacuable(long seed, int entries) {
+        return startServing(new PlatformSimulation(seed, 4, entries, true));
+    }
+
+    private static PlatformSimulation startServing(PlatformSimulation simulation) {
         simulation.target("lm-1", LM_SERVICE, "z1");
         simulation.target("lm-2", LM_SERVICE, "z2");
         simulation.target("app-1", APP_SERVICE, "z1").mIsPlain = true;
@@ -273,7 +289,8 @@
                         PEER_ADDRESSES,
                         new PlatformTargetProtocol(),
                         JobSettings.forStores(),
-                        REGIONS);
+                        REGIONS,
+                        mNeedsConfirmation);
         StoreNode node =
                 StoreNode.create(
                         settings,
@@ -293,6 +310,7 @@
                 DirectEntryNode.create(
                         EntrySettings.of(host, dataCentre(host))
                                 .withRegions(REGIONS)
+                                .withConfirmation(mNeedsConfirmation)
                                 .withStopLimit(STOP_SECONDS * SECOND_NANOS),
                         new DirectEntryNode.Protocols(
                                 new PlatformCallerProtocol(), new PlatformTargetProtocol()),
