--- a/src/test/java/org/coltsfootproxy/config/ReferenceCheckTest.java
+++ b/src/test/java/org/coltsfootproxy/config/ReferenceCheckTest.java
@@ -29,7 +29,8 @@
                 Set.copyOf(Stream.of(organisations).map(OrganisationId::of).toList()),
                 Set.of(),
                 1_000,
-                RoutePolicy.DEFAULT);
+                RoutePolicy.DEFAULT,
+                Set.of());
     }
 
     private static Verdict apply(ConfigState state, long number, ConfigChange... changes) {
--- a/src/test/java/org/coltsfootproxy/config/RestrictionCodecTest.java
+++ b/src/test/java/org/coltsfootproxy/config/RestrictionCodecTest.java
@@ -135,7 +135,7 @@
                         1,
                         SoftwareVersion.UNNAMED,
                         2_500);
-        var listing = new FleetMessage.Listing(1, List.of(target));
+        var listing = new FleetMessage.Listing(1, List.of(target), List.of());
         RecordCodec<Message> codec = RecordCodec.of(Message.class);
         assertEquals(codec.decode(codec.encode(listing)), listing);
     }
--- a/src/test/java/org/coltsfootproxy/direct/ListedVersionsTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ListedVersionsTest.java
@@ -143,9 +143,13 @@
         Targets targets = Targets.create(DataCentre.of("z1"), new Random(1));
         targets.update(listing(1, targets("v2"), earlier()), effect -> {});
         Optional<String> lastEvent = Optional.of("3");
-        assertFalse(targets.canResume(LM, Optional.empty(), lastEvent));
-        assertTrue(targets.canResume(LM, Optional.empty(), Optional.empty()));
-        assertTrue(targets.canResume(LM, Optional.of(SoftwareVersion.of("v2")), lastEvent));
-        assertFalse(targets.canResume(LM, Optional.of(SoftwareVersion.of("v1")), lastEvent));
+        assertFalse(targets.canResume(LM, Optional.empty(), lastEvent, target -> true));
+        assertTrue(targets.canResume(LM, Optional.empty(), Optional.empty(), target -> true));
+        assertTrue(
+                targets.canResume(
+                        LM, Optional.of(SoftwareVersion.of("v2")), lastEvent, target -> true));
+        assertFalse(
+                targets.canResume(
+                        LM, Optional.of(SoftwareVersion.of("v1")), lastEvent, target -> true));
     }
 }
