A call to a target that may be cold is sent when it was decided, or not at all

Cause: a call that waits for a connection is sent when the target answers again. While a data centre is unreachable, calls decided a second apart can arrive together as it returns cold; the count of a window was that of decisions.

Change: such a call fails unsent if it has no connection after 150 ms; its connection is kept. The window is 1.15 s, so that calls sent late count in any one second.

--- a/src/main/java/org/coltsfootproxy/direct/ColdLimit.java
+++ b/src/main/java/org/coltsfootproxy/direct/ColdLimit.java
@@ -131,6 +131,11 @@
                 .orElse(Double.POSITIVE_INFINITY);
     }
 
+    /** Returns the time within which a call must be sent once it is counted; 0 for any time. */
+    long sendWithinNanos() {
+        return limit().isPresent() ? SendWindow.SEND_WITHIN_NANOS : 0;
+    }
+
     /** Notes that this host sends a call. */
     void sent(long nowNanos) {
         if (limit().isPresent()) {
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -220,7 +220,8 @@
                 request.call().path(),
                 mProtocol.headers(headers, targetRequest),
                 request.call().body(),
-                remaining);
+                remaining,
+                target.rateLimit().cold().sendWithinNanos());
     }
 
     /** Handles one target's answer to one request. */
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -260,7 +260,8 @@
                         run.call().path(),
                         mProtocol.headers(run.call().headers(), targetRequest),
                         run.call().body(),
-                        TimeUnit.MILLISECONDS.toNanos(run.item().timeoutMillis()));
+                        TimeUnit.MILLISECONDS.toNanos(run.item().timeoutMillis()),
+                        target.get().rateLimit().cold().sendWithinNanos());
         run.sentTo(target.get(), call, now);
         mTargets.callStarted(target.get(), TrafficClass.BATCH, now);
         target.get().batchStarted(now);
--- a/src/main/java/org/coltsfootproxy/direct/SendWindow.java
+++ b/src/main/java/org/coltsfootproxy/direct/SendWindow.java
@@ -5,11 +5,11 @@
 
 /** The calls that this host has sent to one target within the last second and a bit more. */
 final class SendWindow {
-    /**
-     * A bound holds for any one second. The rest allows for calls that leave the host somewhat
-     * after the decision to send them.
-     */
-    static final long LENGTH_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
+    /** Time within which a call must be sent after it was counted. */
+    static final long SEND_WITHIN_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+    /** A bound holds for any one second, whenever in their time the calls are sent. */
+    static final long LENGTH_NANOS = TimeUnit.SECONDS.toNanos(1) + SEND_WITHIN_NANOS;
 
     private final ArrayDeque<Long> mSentAt = new ArrayDeque<>();
 
--- a/src/main/java/org/coltsfootproxy/net/PendingCall.java
+++ b/src/main/java/org/coltsfootproxy/net/PendingCall.java
@@ -30,6 +30,7 @@
     }
 
     private final Effect.TargetCall mRequest;
+    private final long mCreatedNanos = System.nanoTime();
     private State mState = State.UNSENT;
     private TargetConnection mConnection;
     private ScheduledFuture<?> mTimer;
@@ -53,6 +54,12 @@
         return mRequest.call();
     }
 
+    /** Returns whether the call is no longer to be sent, because a connection took too long. */
+    boolean isLate() {
+        long limit = mRequest.sendWithinNanos();
+        return limit > 0 && System.nanoTime() - mCreatedNanos >= limit;
+    }
+
     State state() {
         return mState;
     }
--- a/src/main/java/org/coltsfootproxy/net/TargetPool.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetPool.java
@@ -65,7 +65,8 @@
 
     /** Sends a call. Thread-safe. */
     void call(Effect.TargetCall call) {
-        runOnEventLoop(() -> start(PendingCall.of(call)));
+        PendingCall pending = PendingCall.of(call);
+        runOnEventLoop(() -> start(pending));
     }
 
     private void runOnEventLoop(Runnable action) {
@@ -89,7 +90,10 @@
                         pending.request().timeoutNanos(),
                         TimeUnit.NANOSECONDS));
         TargetConnection idle = pollIdle();
-        if (idle != null) {
+        if (idle != null && pending.isLate()) {
+            release(idle);
+            fail(pending, ErrorKind.TARGET_FAILED, "the call waited too long for its thread");
+        } else if (idle != null) {
             send(idle, pending);
         } else if (mOpen.size() + mConnecting >= mSettings.maxConnections()) {
             fail(pending, ErrorKind.OVERLOADED, "all connections to the target are in use");
@@ -165,6 +169,9 @@
         mOpen.add(connection);
         if (pending.isEnded()) {
             release(connection);
+        } else if (pending.isLate()) {
+            release(connection);
+            fail(pending, ErrorKind.TARGET_FAILED, "the connection to the target took too long");
         } else if (connection.isUsable()) {
             send(connection, pending);
         } else {
--- a/src/main/java/org/coltsfootproxy/node/Effect.java
+++ b/src/main/java/org/coltsfootproxy/node/Effect.java
@@ -42,6 +42,8 @@
      * @param call number of the call, which the inputs about it repeat
      * @param trafficClass class whose connections are used
      * @param timeoutNanos time limit for the complete answer, in nanoseconds
+     * @param sendWithinNanos time within which the call must be sent, or else it fails unsent; 0 if
+     *     it may be sent at any time before its timeout
      */
     record TargetCall(
             long call,
@@ -50,8 +52,21 @@
             String path,
             List<Header> headers,
             byte[] body,
-            long timeoutNanos)
+            long timeoutNanos,
+            long sendWithinNanos)
             implements Effect {
+        /** Returns a call that may be sent at any time before its timeout. */
+        public TargetCall(
+                long call,
+                TrafficClass trafficClass,
+                String method,
+                String path,
+                List<Header> headers,
+                byte[] body,
+                long timeoutNanos) {
+            this(call, trafficClass, method, path, headers, body, timeoutNanos, 0);
+        }
+
         /** Returns whether the call has a header with the given name, in any case, and value. */
         public boolean hasHeader(String name, String value) {
             return headers.stream()
--- a/src/test/java/org/coltsfootproxy/net/TargetClientTest.java
+++ b/src/test/java/org/coltsfootproxy/net/TargetClientTest.java
@@ -138,6 +138,28 @@
         expectFailed(1, ErrorKind.TARGET_FAILED, Ran.NO);
     }
 
+    /** Guards against calls that wait for connections being sent together, later than decided. */
+    @Test
+    public void aCallThatCannotBeSentInTimeFailsUnsent() throws Exception {
+        Effect.TargetCall late =
+                new Effect.TargetCall(
+                        1,
+                        TrafficClass.ONLINE,
+                        "GET",
+                        "/late",
+                        List.of(),
+                        new byte[0],
+                        1L << 40,
+                        1);
+        mClient.execute(late);
+        expectFailed(1, ErrorKind.TARGET_FAILED, Ran.NO);
+        try (RawHttp target = accept()) {
+            call(2);
+            String request = target.readUntil("\r\n\r\nhi");
+            assertTrue(request.startsWith("POST /x?n=2 HTTP/1.1\r\n"), request);
+        }
+    }
+
     @Test
     public void noMoreConnectionsAreOpenedThanAllowed() throws Exception {
         TargetClientSettings singleConnection =
