Read the ranks of routes and tenants from the configuration

Cause: the configuration document names a priority for routes and tenants, 0 being the most urgent, and nothing read it.

Change: Route and Organisation have a component for it, appended at the end. The tenant's takes precedence, so that of an organisation is null if it names none: 0 would hide the rank of the route. A value that is no integer of at least 0 makes the document invalid.

Conclusion: Route.rankOf gives the rank of a request; nothing uses it yet.

--- a/src/main/java/org/coltsfootproxy/config/Route.java
+++ b/src/main/java/org/coltsfootproxy/config/Route.java
@@ -22,6 +22,7 @@
  * @param repeatableMethods HTTP methods whose requests may run more than once, used if the policy
  *     is {@link RequestKind#BY_METHOD}
  * @param timeoutMillis maximum duration of a request, in milliseconds
+ * @param priority rank of the requests unless their organisation has one; 0 is the most urgent
  */
 @WireCode(4)
 public record Route(
@@ -33,7 +34,8 @@
         Set<OrganisationId> organisations,
         Set<String> repeatableMethods,
         long timeoutMillis,
-        RoutePolicy policy)
+        RoutePolicy policy,
+        int priority)
         implements ConfigObject {
     /** Copies the sets in sorted order, so that every replica encodes them identically. */
     public Route {
@@ -43,6 +45,30 @@
         repeatableMethods = sorted(repeatableMethods);
     }
 
+    /** Creates a route of the most urgent rank. */
+    public Route(
+            RouteId id,
+            String hostName,
+            String pathPrefix,
+            ServiceId service,
+            boolean open,
+            Set<OrganisationId> organisations,
+            Set<String> repeatableMethods,
+            long timeoutMillis,
+            RoutePolicy policy) {
+        this(
+                id,
+                hostName,
+                pathPrefix,
+                service,
+                open,
+                organisations,
+                repeatableMethods,
+                timeoutMillis,
+                policy,
+                0);
+    }
+
     /** Returns a route for any host name, with the default policy. */
     public static Route of(
             RouteId id,
@@ -107,6 +133,11 @@
         };
     }
 
+    /** Returns the rank of an organisation's requests; 0 is the most urgent. */
+    public int rankOf(Organisation organisation) {
+        return organisation.rank().orElse(priority);
+    }
+
     /** Returns whether the route applies to requests for a host name. */
     boolean matchesHost(String name) {
         return hostName.isEmpty() || hostName.equalsIgnoreCase(name);
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.ErrorKind;
@@ -40,7 +41,8 @@
      * in requests per second, {@code engine.slots} the number of requests that a target runs at
      * once, {@code goal_ms} the time goal for the response or its first event, {@code gap_aim_ms}
      * the longest expected pause between events, {@code run_target_ms} the time within which a
-     * batch job is due, and {@code max_attempts} the most targets that may run a request.
+     * batch job is due, and {@code max_attempts} the most targets that may run a request. {@code
+     * priority} is the rank of a route's or a tenant's requests, 0 is the most urgent.
      *
      * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET} if the document is not valid
      */
@@ -109,7 +111,8 @@
                 Set.of(),
                 Set.of(),
                 timeoutMillis,
-                policy(node, split));
+                policy(node, split),
+                rank(node).orElse(0));
     }
 
     private static RoutePolicy policy(JsonNode node, List<RoutePolicy.Share> split)
@@ -124,6 +127,19 @@
                 millis(node, "run_target_ms"));
     }
 
+    /** Returns the {@code priority} of a route or tenant; empty if it names none. */
+    private static OptionalInt rank(JsonNode node) throws ProxyException {
+        JsonNode priority = node.path("priority");
+        if (priority.isMissingNode() || priority.isNull()) {
+            return OptionalInt.empty();
+        }
+        if (!priority.isIntegralNumber() || !priority.canConvertToInt() || priority.asInt() < 0) {
+            throw invalid(
+                    "'priority' of " + name(node, "name") + " must be an integer of at least 0");
+        }
+        return OptionalInt.of(priority.asInt());
+    }
+
     private static long millis(JsonNode node, String field) throws ProxyException {
         return Math.max(0, (long) Json.number(node, field, ERROR_KIND));
     }
@@ -175,7 +191,13 @@
     private static Organisation organisation(JsonNode node) throws ProxyException {
         double ratePerSecond = Math.max(0, Json.number(node, "rate_per_s", ERROR_KIND));
         double burst = Math.max(1, Json.number(node, "burst", ERROR_KIND));
-        return new Organisation(OrganisationId.of(name(node, "name")), ratePerSecond, burst, 1);
+        OptionalInt rank = rank(node);
+        return new Organisation(
+                OrganisationId.of(name(node, "name")),
+                ratePerSecond,
+                burst,
+                1,
+                rank.isPresent() ? rank.getAsInt() : null);
     }
 
     private static void addKeys(JsonNode node, Organisation organisation, Map<String, Key> keys)
