--- a/src/main/java/org/coltsfootproxy/limit/SharedCountLimiter.java
+++ b/src/main/java/org/coltsfootproxy/limit/SharedCountLimiter.java
@@ -64,6 +64,7 @@
     private final Map<HostId, Peer> mPeers = new LinkedHashMap<>();
     private final Set<OrganisationId> mChanged = new LinkedHashSet<>();
     private ConfigView mView = ConfigView.empty();
+    private AdmissionListener mListener = AdmissionListener.NONE;
     private long mReportedAt;
     private long mRepeatedAt;
     private boolean mIsReportRequired;
@@ -102,6 +103,11 @@
         return new SharedCountLimiter(self);
     }
 
+    /** Sets who receives the admissions of this entry and those that others report. */
+    public void setListener(AdmissionListener listener) {
+        mListener = checkNotNull(listener, "listener");
+    }
+
     /** Replaces the set of the fleet's entries, which may include this one. */
     public void entries(Collection<HostId> entries, long nowNanos) {
         fillAll(nowNanos);
@@ -172,6 +178,7 @@
                 LocalBucket bucket = bucket(use.organisation(), nowNanos);
                 fill(use.organisation(), bucket, share, nowNanos);
                 bucket.mLevel -= use.admitted() - before;
+                mListener.admitted(use.organisation(), use.admitted() - before, nowNanos);
             } else if (before < 0) {
                 adoptLevel(use, nowNanos);
             }
@@ -239,6 +246,7 @@
         }
         double rate = rates.get().ratePerSecond();
         if (rate <= 0) {
+            mListener.admitted(organisation, 1, nowNanos);
             return Decision.ADMITTED;
         }
         LocalBucket bucket = bucket(organisation, nowNanos);
@@ -249,6 +257,7 @@
             bucket.mAdmitted++;
             bucket.mAdmittedAt = nowNanos;
             mChanged.add(organisation);
+            mListener.admitted(organisation, 1, nowNanos);
             return Decision.ADMITTED;
         }
         return Decision.refused((long) ((1 - bucket.mLevel) / (rate * share) * SECOND_NANOS));
