Use fair decisions at entries whose targets tell their speed

Cause: the decisions under contention had no caller.

Change: LoadShedder asks ContentionControl for services under the setting directEntry.contention (auto, fair, off). With auto that is a service of which a target has told its speed. Event 412 says why a request was refused and which were admitted before it; the metric contention_decisions counts the verdicts.

DirectCallsTest shows that without the speed figure no request is decided this way.

Ruled out: a new message for received shares or reservations.

Conclusion: works in simulation from a call at an entry to the log line.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -66,6 +66,7 @@
             Level.WARN,
             "a request or a part of prompts was quarantined, because it crashes targets"),
     CALL_HELD(411, Level.INFO, "a request waits until the limit of a target allows it"),
+    CALL_SHED(412, Level.INFO, "a request was refused while targets were contended"),
     SUSPECT_RELEASED(410, Level.INFO, "a request or a part of prompts is no longer quarantined"),
 
     // 500-599: agent and admission
--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -12,6 +12,9 @@
     REQUEST_SECONDS(Shape.HISTOGRAM, "Time from a request's arrival to the end of its answer"),
     FIRST_BYTE_SECONDS(Shape.HISTOGRAM, "Time from a request's arrival to its first answer byte"),
     REFUSALS(Shape.COUNTER, "Requests refused; the class label carries the error kind"),
+    CONTENTION_DECISIONS(
+            Shape.COUNTER,
+            "Requests decided while targets were contended; the class label carries the verdict"),
     RETRIES(Shape.COUNTER, "Requests sent to a further agent"),
     QUEUE_SECONDS(Shape.HISTOGRAM, "Time that a request waited at an agent"),
     QUEUE_LENGTH(Shape.GAUGE, "Requests waiting at an agent"),
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -121,14 +121,9 @@
     }
 
     private void sendUnlessOverloaded(DirectRequest request, long now, Effects out) {
-        OptionalLong retryMillis =
-                mLoadShedder.refusalRetryMillis(request, heldRequests(request), now);
-        if (retryMillis.isPresent()) {
-            String overloadDetail =
-                    "no target of " + request.service() + " has a free slot in time";
-            Failure failure =
-                    Failure.notRun(ErrorKind.OVERLOADED, overloadDetail, retryMillis.getAsLong());
-            fail(request, failure, now, out);
+        Optional<Failure> refusal = mLoadShedder.refusal(request, heldRequests(request), now, out);
+        if (refusal.isPresent()) {
+            fail(request, refusal.get(), now, out);
             return;
         }
         String detail = "no target of " + request.service() + " can take the request";
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
+import org.coltsfootproxy.admission.ReceivedShares;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
@@ -97,8 +98,10 @@
         mRandom = checkNotNull(random, "random");
         mTargets = Targets.create(settings.dataCentre(), random);
         LoadExchange loadExchange = LoadExchange.create(settings.host(), mTargets);
-        mLoadShedder = LoadShedder.create(mTargets);
+        ReceivedShares shares = ReceivedShares.create();
+        mLoadShedder = LoadShedder.create(mTargets, settings.contention(), shares);
         mLimiter = SharedCountLimiter.create(settings.host());
+        mLimiter.setListener(shares);
         mReports =
                 HostReports.ofEntry(
                         settings.host(),
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -12,8 +12,14 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.admission.ContentionControl;
+import org.coltsfootproxy.admission.ContentionMode;
+import org.coltsfootproxy.admission.ReceivedShares;
+import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.entry.Failure;
 import org.coltsfootproxy.message.FleetMessage;
+import org.coltsfootproxy.node.Effects;
 
 /**
  * Decides which online requests are refused at once because no target could start them in time.
@@ -24,6 +30,9 @@
  * spread over the slots, so that they don't retry together. A request that is retried after a
  * refusal is queued and not refused again, whichever entry it reaches; entries report to each other
  * what they refused.
+ *
+ * <p>For a service under the condition of {@link ContentionMode}, {@link ContentionControl} decides
+ * instead: by rank, by what organisations have received, and by reservations for returns.
  */
 final class LoadShedder {
     /**
@@ -45,6 +54,11 @@
     /** Shortest retry-after. */
     private static final long MIN_RETRY_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
+    /**
+     * Shortest time from a reported refusal to a return at the reserved time, with its delivery.
+     */
+    private static final long MIN_KNOWN_RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
     /** How long a refused request is remembered: longer than the longest retry-after. */
     private static final long REFUSED_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(4);
 
@@ -57,12 +71,24 @@
     private final List<Long> mUnreported = new ArrayList<>();
     private int mEntryCount = 1;
 
-    private LoadShedder(Targets targets) {
+    private final ContentionMode mMode;
+    private final ContentionControl mControl;
+    private final ContentionLog mLog;
+
+    private LoadShedder(Targets targets, ContentionMode mode, ReceivedShares shares) {
         mTargets = checkNotNull(targets, "targets");
+        mMode = checkNotNull(mode, "mode");
+        mControl = ContentionControl.create(shares);
+        mLog = new ContentionLog(shares);
     }
 
-    static LoadShedder create(Targets targets) {
-        return new LoadShedder(targets);
+    /**
+     * Returns an instance that has seen no request.
+     *
+     * @param shares what organisations have received over all entries
+     */
+    static LoadShedder create(Targets targets, ContentionMode mode, ReceivedShares shares) {
+        return new LoadShedder(targets, mode, shares);
     }
 
     /** Sets the number of entries of the fleet, this one included. */
@@ -98,13 +124,72 @@
         }
     }
 
+    /**
+     * Returns the failure of a request that is refused; empty if it is not.
+     *
+     * @param heldRequests number of requests for the service that wait here for targets' limits
+     */
+    Optional<Failure> refusal(
+            DirectRequest request, long heldRequests, long nowNanos, Effects out) {
+        boolean tellsSpeed = mTargets.active(request.service()).anyMatch(Target::tellsSpeed);
+        if (mMode.isFair(tellsSpeed)) {
+            return contendedRefusal(request, heldRequests, nowNanos, out);
+        }
+        OptionalLong retryMillis = refusalRetryMillis(request, heldRequests, nowNanos);
+        String detail = "no target of " + request.service() + " has a free slot in time";
+        return retryMillis.isPresent()
+                ? Optional.of(Failure.notRun(ErrorKind.OVERLOADED, detail, retryMillis.getAsLong()))
+                : Optional.empty();
+    }
+
+    /** Decides by rank, by what organisations have received, and by reservations. */
+    private Optional<Failure> contendedRefusal(
+            DirectRequest request, long heldRequests, long nowNanos, Effects out) {
+        ServiceId service = request.service();
+        long goal = TimeUnit.MILLISECONDS.toNanos(request.route().policy().goalMillis());
+        long remaining = request.deadline() - nowNanos;
+        double hold =
+                mMeanHoldNanos.getOrDefault(
+                        service, INITIAL_HOLD_FRACTION * (goal > 0 ? goal : remaining));
+        double wait = waitNanos(service, hold, heldRequests, nowNanos);
+        Long refusedAt = mRefused.remove(request.contentHash());
+        var contender =
+                new ContentionControl.Request(
+                        request.contentHash(),
+                        request.organisation().id(),
+                        request.organisation().weight(),
+                        service,
+                        request.route().rankOf(request.organisation()),
+                        request.route().policy().kind(),
+                        request.call().body().length,
+                        goal,
+                        remaining,
+                        refusedAt != null && nowNanos - refusedAt >= MIN_KNOWN_RETURN_NANOS);
+        var load = new ContentionControl.Load(wait, hold, callsPerNano(service, hold), mEntryCount);
+        ContentionControl.Outcome outcome = mControl.decide(contender, load, nowNanos);
+        mLog.decided(request, contender, load, outcome, nowNanos, out);
+        if (outcome.verdict().isAdmitted()) {
+            return Optional.empty();
+        }
+        if (outcome.isReserved()) {
+            remember(request.contentHash(), nowNanos);
+            mUnreported.add(request.contentHash());
+        }
+        return Optional.of(
+                Failure.notRun(
+                        ErrorKind.OVERLOADED,
+                        "all slots of " + service + " are in use: " + outcome.verdict().reason(),
+                        Math.max(1, TimeUnit.NANOSECONDS.toMillis(outcome.returnNanos()))));
+    }
+
     /**
      * Returns the time in milliseconds after which the caller of a refused request should retry;
      * empty if the request is not refused.
      *
      * @param heldRequests number of requests for the service that wait here for targets' limits
      */
-    OptionalLong refusalRetryMillis(DirectRequest request, long heldRequests, long nowNanos) {
+    private OptionalLong refusalRetryMillis(
+            DirectRequest request, long heldRequests, long nowNanos) {
         ServiceId service = request.service();
         long goal = TimeUnit.MILLISECONDS.toNanos(request.route().policy().goalMillis());
         double hold = mMeanHoldNanos.getOrDefault(service, INITIAL_HOLD_FRACTION * goal);
@@ -159,8 +244,7 @@
 
     /** Reserves the next time at which a slot of this entry's share is expected to become free. */
     private long nextSlotAt(ServiceId service, double hold, double wait, long nowNanos) {
-        double perNano =
-                mTargets.active(service).mapToDouble(target -> callsPerNano(target, hold)).sum();
+        double perNano = callsPerNano(service, hold);
         long spacing = perNano > 0 ? (long) (mEntryCount / perNano) : 0;
         long earliest = nowNanos + MIN_RETRY_AFTER_NANOS + (long) wait;
         long slotAt = Math.max(earliest, mNextSlotAt.getOrDefault(service, earliest) + spacing);
@@ -168,6 +252,10 @@
         return slotAt;
     }
 
+    private double callsPerNano(ServiceId service, double hold) {
+        return mTargets.active(service).mapToDouble(target -> callsPerNano(target, hold)).sum();
+    }
+
     /** Returns the rate at which a target can take calls, by its slots and by its limit. */
     private static double callsPerNano(Target target, double hold) {
         double bySlots = target.slots() / Math.max(1, hold);
--- a/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.admission.ContentionMode;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 
@@ -22,6 +23,7 @@
  *     agent's answer
  * @param drainDelayNanos time after the start of a planned stop during which new requests are still
  *     served, so that the load balancer can notice the stop
+ * @param contention when requests are decided by rank and fair share
  */
 public record EntrySettings(
         HostId host,
@@ -31,7 +33,8 @@
         long askIntervalNanos,
         long askTimeoutNanos,
         long deadlineGraceNanos,
-        long drainDelayNanos) {
+        long drainDelayNanos,
+        ContentionMode contention) {
     /** Time that a request may take, for the requests accepted last to end before the limit. */
     private static final long LONGEST_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -42,6 +45,7 @@
     public EntrySettings {
         checkNotNull(host, "host");
         checkNotNull(dataCentre, "dataCentre");
+        checkNotNull(contention, "contention");
         checkArgument(ackTimeoutNanos > 0, "ackTimeoutNanos %s must be positive", ackTimeoutNanos);
         checkArgument(
                 silenceTimeoutNanos > 0,
@@ -62,7 +66,8 @@
                 TimeUnit.MILLISECONDS.toNanos(300),
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.MILLISECONDS.toNanos(250),
-                TimeUnit.SECONDS.toNanos(5));
+                TimeUnit.SECONDS.toNanos(5),
+                ContentionMode.AUTO);
     }
 
     /**
@@ -84,6 +89,21 @@
                 askIntervalNanos,
                 askTimeoutNanos,
                 deadlineGraceNanos,
-                drainDelay);
+                drainDelay,
+                contention);
+    }
+
+    /** Returns these settings with another mode of deciding under contention. */
+    public EntrySettings withContention(ContentionMode mode) {
+        return new EntrySettings(
+                host,
+                dataCentre,
+                ackTimeoutNanos,
+                silenceTimeoutNanos,
+                askIntervalNanos,
+                askTimeoutNanos,
+                deadlineGraceNanos,
+                drainDelayNanos,
+                mode);
     }
 }
--- a/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
@@ -44,7 +44,8 @@
         DirectEntryNode node =
                 DirectEntryNode.create(
                         EntrySettings.of(settings.host(), settings.dataCentre())
-                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds())),
+                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds()))
+                                .withContention(role.contention()),
                         new DirectEntryNode.Protocols(new PlatformCallerProtocol(), protocol),
                         addresses,
                         FleetSettings.subscriber(settings, fleet, random),
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.coltsfootproxy.admission.ContentionMode;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
@@ -166,7 +167,8 @@
     public record StoreRole(Path dataFolder) {}
 
     /** Settings of the direct entry role, which calls the platform's listed targets itself. */
-    public record DirectEntryRole(String callerAddress, int maxBodyBytes) {}
+    public record DirectEntryRole(
+            String callerAddress, int maxBodyBytes, ContentionMode contention) {}
 
     /** Makes a defensive copy of the control hosts. */
     public Settings {
@@ -341,6 +343,7 @@
     private static DirectEntryRole readDirectEntry(SettingsReader in) {
         return new DirectEntryRole(
                 in.address("callerAddress"),
-                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE));
+                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE),
+                in.choice("contention", ContentionMode.AUTO));
     }
 }
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.platform.PlatformSimulation.Answer;
 import org.testng.annotations.BeforeMethod;
@@ -444,6 +445,34 @@
         retries.forEach(answer -> assertEquals(answer.mStatus, 200, answer.toString()));
     }
 
+    /** Sends more than the targets serve for two seconds and returns the events logged. */
+    private List<EventCode> eventsUnderOverload(String speed) {
+        mSimulation.mTargets.values().forEach(target -> target.mSpeed = speed);
+        Answer first = mSimulation.request(mSimulation.entry(0), "f0", "/ask/1");
+        Answer second = mSimulation.request(mSimulation.entry(0), "f1", "/ask/1");
+        mSimulation.run(SECOND_NANOS);
+        assertComplete(first, "f0");
+        assertComplete(second, "f1");
+        for (int n = 0; n < 200; n++) {
+            mSimulation.request(mSimulation.entry(0), "q" + n, "/swap/1");
+            mSimulation.run(7 * MILLI_NANOS);
+        }
+        return List.copyOf(mSimulation.mLoggedEvents);
+    }
+
+    /** Guards against fair decisions for services whose targets don't tell their speed. */
+    @Test
+    public void requestsAreDecidedByFairShareOnlyWhereTargetsTellTheirSpeed() {
+        List<EventCode> without = eventsUnderOverload("");
+        assertTrue(without.contains(EventCode.CALL_REFUSED));
+        assertFalse(without.contains(EventCode.CALL_SHED));
+
+        startSimulation();
+        List<EventCode> with = eventsUnderOverload(",100");
+        assertTrue(with.contains(EventCode.CALL_REFUSED));
+        assertTrue(with.contains(EventCode.CALL_SHED));
+    }
+
     /** Retries each refused request once, at the other entry, when its Retry-After has passed. */
     private void retryRefused(List<Answer> answers, List<Answer> retries) {
         for (int n = 0; n < answers.size(); n++) {
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -35,6 +35,9 @@
     /** All calls that have reached the target, also those that it refused. */
     final List<Run> mArrivals = new ArrayList<>();
 
+    /** Fourth figure of the load with its comma; empty if the target does not tell its speed. */
+    String mSpeed = "";
+
     int mSlots = 8;
     int mQueueCapacity = 24;
     int mEventCount = 10;
@@ -336,7 +339,9 @@
             headers.add(Header.of("Server-Stamp", mId));
         }
         headers.add(
-                Header.of("Server-Load", mRunningCount + "," + mWaitingRuns.size() + "," + mSlots));
+                Header.of(
+                        "Server-Load",
+                        mRunningCount + "," + mWaitingRuns.size() + "," + mSlots + mSpeed));
         deliver(run.mHost, new Input.TargetHead(run.mCall.call(), status, headers));
     }
 
