--- a/src/test/java/org/coltsfootproxy/limit/SharedCountLimiterTest.java
+++ b/src/test/java/org/coltsfootproxy/limit/SharedCountLimiterTest.java
@@ -256,4 +256,25 @@
             assertEquals(limiter.tryAcquire(ALPHA, n, 0, e -> {}), Decision.ADMITTED);
         }
     }
+
+    /** Guards against shares of organisations that count the admissions of one entry only. */
+    @Test
+    public void theListenerHearsTheAdmissionsOfAllEntriesOnce() {
+        List<Long> heard = new ArrayList<>();
+        Fleet fleet = new Fleet(2);
+        SharedCountLimiter first = fleet.mLimiters.get(0);
+        SharedCountLimiter second = fleet.mLimiters.get(1);
+        second.setListener((organisation, requests, now) -> heard.add(requests));
+        HostId from = fleet.mHosts.get(0);
+        second.handle(from, 1, new FleetMessage.Usage(List.of()), 0);
+        for (int n = 0; n < 3; n++) {
+            first.tryAcquire(ALPHA, n, 0, e -> {});
+        }
+        FleetMessage.Usage usage = first.takeReport(100 * MILLI_NANOS).orElseThrow();
+        second.handle(from, 1, usage, 100 * MILLI_NANOS);
+        second.handle(from, 1, usage, 200 * MILLI_NANOS);
+        second.tryAcquire(ALPHA, 9, 200 * MILLI_NANOS, e -> {});
+
+        assertEquals(heard, List.of(3L, 1L));
+    }
 }
