--- a/src/main/java/org/coltsfootproxy/config/Organisation.java
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.config;
 
 import com.google.common.collect.ImmutableSortedSet;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.Region;
@@ -13,6 +14,7 @@
  * @param burst number of requests that may arrive at once, at least 1
  * @param weight share of capacity relative to other organisations, above 0
  * @param allowedRegions regions that requests and their bodies may reach; empty for all
+ * @param priority rank of its requests, 0 is the most urgent; null if the route's applies
  */
 @WireCode(1)
 public record Organisation(
@@ -20,7 +22,8 @@
         double ratePerSecond,
         double burst,
         double weight,
-        Set<Region> allowedRegions)
+        Set<Region> allowedRegions,
+        Integer priority)
         implements ConfigObject {
     /** Copies the set in sorted order, so that every replica encodes it identically. */
     public Organisation {
@@ -29,9 +32,14 @@
                 allowedRegions == null ? Set.of() : ImmutableSortedSet.copyOf(allowedRegions);
     }
 
-    /** Returns an organisation whose requests may reach all regions. */
+    /** Creates an organisation that may use all regions, with the ranks of the routes. */
     public Organisation(OrganisationId id, double ratePerSecond, double burst, double weight) {
-        this(id, ratePerSecond, burst, weight, Set.of());
+        this(id, ratePerSecond, burst, weight, Set.of(), null);
+    }
+
+    /** Returns the rank of its requests; empty if the route's applies. */
+    public OptionalInt rank() {
+        return priority == null ? OptionalInt.empty() : OptionalInt.of(priority);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/config/Route.java
+++ b/src/main/java/org/coltsfootproxy/config/Route.java
@@ -24,6 +24,7 @@
  *     is {@link RequestKind#BY_METHOD}
  * @param timeoutMillis maximum duration of a request, in milliseconds
  * @param allowedRegions regions that requests and their bodies may reach; empty for all
+ * @param priority rank of the requests unless their organisation has one; 0 is the most urgent
  */
 @WireCode(4)
 public record Route(
@@ -36,7 +37,8 @@
         Set<String> repeatableMethods,
         long timeoutMillis,
         RoutePolicy policy,
-        Set<Region> allowedRegions)
+        Set<Region> allowedRegions,
+        int priority)
         implements ConfigObject {
     /** Copies the sets in sorted order, so that every replica encodes them identically. */
     public Route {
@@ -48,6 +50,31 @@
         allowedRegions = allowedRegions == null ? Set.of() : sorted(allowedRegions);
     }
 
+    /** Creates a route of the most urgent rank that may use all regions. */
+    public Route(
+            RouteId id,
+            String hostName,
+            String pathPrefix,
+            ServiceId service,
+            boolean open,
+            Set<OrganisationId> organisations,
+            Set<String> repeatableMethods,
+            long timeoutMillis,
+            RoutePolicy policy) {
+        this(
+                id,
+                hostName,
+                pathPrefix,
+                service,
+                open,
+                organisations,
+                repeatableMethods,
+                timeoutMillis,
+                policy,
+                Set.of(),
+                0);
+    }
+
     /** Returns a route for any host name, with the default policy. */
     public static Route of(
             RouteId id,
@@ -67,7 +94,8 @@
                 repeatableMethods,
                 timeoutMillis,
                 RoutePolicy.DEFAULT,
-                Set.of());
+                Set.of(),
+                0);
     }
 
     private static <T extends Comparable<T>> Set<T> sorted(Collection<T> values) {
@@ -113,6 +141,11 @@
         };
     }
 
+    /** Returns the rank of an organisation's requests; 0 is the most urgent. */
+    public int rankOf(Organisation organisation) {
+        return organisation.rank().orElse(priority);
+    }
+
     /** Returns whether the route applies to requests for a host name. */
     boolean matchesHost(String name) {
         return hostName.isEmpty() || hostName.equalsIgnoreCase(name);
--- a/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.admission.ContentionMode;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.config.Regions;
@@ -26,6 +27,7 @@
  * @param regions the regions of the data centres
  * @param needsConfirmation whether nothing is sent to targets while the configuration is not
  *     confirmed as current, as evacuations of data centres need it
+ * @param contention when requests are decided by rank and fair share
  */
 public record EntrySettings(
         HostId host,
@@ -37,7 +39,8 @@
         long deadlineGraceNanos,
         long drainDelayNanos,
         Regions regions,
-        boolean needsConfirmation) {
+        boolean needsConfirmation,
+        ContentionMode contention) {
     /** Time that a request may take, for the requests accepted last to end before the limit. */
     private static final long LONGEST_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -49,6 +52,7 @@
         checkNotNull(host, "host");
         checkNotNull(dataCentre, "dataCentre");
         checkNotNull(regions, "regions");
+        checkNotNull(contention, "contention");
         checkArgument(ackTimeoutNanos > 0, "ackTimeoutNanos %s must be positive", ackTimeoutNanos);
         checkArgument(
                 silenceTimeoutNanos > 0,
@@ -71,7 +75,8 @@
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.SECONDS.toNanos(5),
                 Regions.none(),
-                false);
+                false,
+                ContentionMode.AUTO);
     }
 
     /**
@@ -95,7 +100,8 @@
                 deadlineGraceNanos,
                 drainDelay,
                 regions,
-                needsConfirmation);
+                needsConfirmation,
+                contention);
     }
 
     /** Returns these settings with the given regions of the data centres. */
@@ -110,7 +116,8 @@
                 deadlineGraceNanos,
                 drainDelayNanos,
                 dataCentreRegions,
-                needsConfirmation);
+                needsConfirmation,
+                contention);
     }
 
     /** Returns these settings with another {@link #needsConfirmation}. */
@@ -125,6 +132,23 @@
                 deadlineGraceNanos,
                 drainDelayNanos,
                 regions,
-                isNeeded);
+                isNeeded,
+                contention);
+    }
+
+    /** Returns these settings with another mode of deciding under contention. */
+    public EntrySettings withContention(ContentionMode mode) {
+        return new EntrySettings(
+                host,
+                dataCentre,
+                ackTimeoutNanos,
+                silenceTimeoutNanos,
+                askIntervalNanos,
+                askTimeoutNanos,
+                deadlineGraceNanos,
+                drainDelayNanos,
+                regions,
+                needsConfirmation,
+                mode);
     }
 }
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.ErrorKind;
@@ -45,7 +46,8 @@
      * once, {@code goal_ms} the time goal for the response or its first event, {@code gap_aim_ms}
      * the longest expected pause between events, {@code run_target_ms} the time within which a
      * batch job is due, and {@code max_attempts} the most targets that may run a request. A service
-     * with {@code cold_per_s} names how many requests a second its cold targets take.
+     * with {@code cold_per_s} names how many requests a second its cold targets take. {@code
+     * priority} is the rank of a route's or a tenant's requests, 0 is the most urgent.
      *
      * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET} if the document is not valid
      */
@@ -135,7 +137,8 @@
                 Set.of(),
                 timeoutMillis,
                 policy(node, split),
-                allowedRegions(node));
+                allowedRegions(node),
+                rank(node).orElse(0));
     }
 
     private static RoutePolicy policy(JsonNode node, List<RoutePolicy.Share> split)
@@ -172,6 +175,19 @@
         return regions;
     }
 
+    /** Returns the {@code priority} of a route or tenant; empty if it names none. */
+    private static OptionalInt rank(JsonNode node) throws ProxyException {
+        JsonNode priority = node.path("priority");
+        if (priority.isMissingNode() || priority.isNull()) {
+            return OptionalInt.empty();
+        }
+        if (!priority.isIntegralNumber() || !priority.canConvertToInt() || priority.asInt() < 0) {
+            throw invalid(
+                    "'priority' of " + name(node, "name") + " must be an integer of at least 0");
+        }
+        return OptionalInt.of(priority.asInt());
+    }
+
     private static long millis(JsonNode node, String field) throws ProxyException {
         return Math.max(0, (long) Json.number(node, field, ERROR_KIND));
     }
@@ -223,12 +239,14 @@
     private static Organisation organisation(JsonNode node) throws ProxyException {
         double ratePerSecond = Math.max(0, Json.number(node, "rate_per_s", ERROR_KIND));
         double burst = Math.max(1, Json.number(node, "burst", ERROR_KIND));
+        OptionalInt rank = rank(node);
         return new Organisation(
                 OrganisationId.of(name(node, "name")),
                 ratePerSecond,
                 burst,
                 1,
-                allowedRegions(node));
+                allowedRegions(node),
+                rank.isPresent() ? rank.getAsInt() : null);
     }
 
     private static void addKeys(JsonNode node, Organisation organisation, Map<String, Key> keys)
--- a/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
@@ -47,7 +47,8 @@
                         EntrySettings.of(settings.host(), settings.dataCentre())
                                 .withRegions(Regions.of(settings.regions()))
                                 .withConfirmation(fleet.evacuations())
-                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds())),
+                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds()))
+                                .withContention(role.contention()),
                         new DirectEntryNode.Protocols(new PlatformCallerProtocol(), protocol),
                         addresses,
                         FleetSettings.subscriber(settings, fleet, random),
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.coltsfootproxy.admission.ContentionMode;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
@@ -177,7 +178,8 @@
     public record StoreRole(Path dataFolder) {}
 
     /** Settings of the direct entry role, which calls the platform's listed targets itself. */
-    public record DirectEntryRole(String callerAddress, int maxBodyBytes) {}
+    public record DirectEntryRole(
+            String callerAddress, int maxBodyBytes, ContentionMode contention) {}
 
     /** Makes defensive copies. */
     public Settings {
@@ -359,6 +361,7 @@
     private static DirectEntryRole readDirectEntry(SettingsReader in) {
         return new DirectEntryRole(
                 in.address("callerAddress"),
-                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE));
+                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE),
+                in.choice("contention", ContentionMode.AUTO));
     }
 }
--- a/src/test/java/org/coltsfootproxy/config/ReferenceCheckTest.java
+++ b/src/test/java/org/coltsfootproxy/config/ReferenceCheckTest.java
@@ -29,8 +29,7 @@
                 Set.copyOf(Stream.of(organisations).map(OrganisationId::of).toList()),
                 Set.of(),
                 1_000,
-                RoutePolicy.DEFAULT,
-                Set.of());
+                RoutePolicy.DEFAULT);
     }
 
     private static Verdict apply(ConfigState state, long number, ConfigChange... changes) {
--- a/src/test/java/org/coltsfootproxy/config/RestrictionCodecTest.java
+++ b/src/test/java/org/coltsfootproxy/config/RestrictionCodecTest.java
@@ -82,7 +82,8 @@
                 Set.of(),
                 1_000,
                 RoutePolicy.DEFAULT,
-                regions);
+                regions,
+                0);
     }
 
     private static Service service() {
@@ -92,7 +93,7 @@
     /** Guards against restrictions being lost on the way to a host or in the log. */
     @Test
     public void restrictionsSurvive() throws ProxyException {
-        Organisation organisation = new Organisation(ALPHA, 1, 2, 3, REGIONS);
+        Organisation organisation = new Organisation(ALPHA, 1, 2, 3, REGIONS, null);
         assertEquals(copy(organisation), organisation);
         assertEquals(copy(route(REGIONS)), route(REGIONS));
         Service service = service().withColdStart(new Service.ColdStart(3_000, 12));
@@ -167,14 +168,15 @@
                 3_000,
                 PartialOutput.NONE,
                 new byte[0],
-                regions);
+                regions,
+                0);
     }
 
     /** Guards against a restriction of nothing being taken for no restriction. */
     @Test
     public void twoRestrictionsWithoutACommonRegionAllowNothing() {
         Set<Region> asia = Set.of(Region.of("asia"));
-        Organisation organisation = new Organisation(ALPHA, 1, 2, 3, asia);
+        Organisation organisation = new Organisation(ALPHA, 1, 2, 3, asia, null);
         assertEquals(
                 Regions.allowed(route(REGIONS), Optional.of(organisation)), Optional.of(Set.of()));
         assertEquals(
