Requests go by expected work where targets tell their speed

Cause: the choice by calls in flight treats a request of 10 tokens like one of 4,000, and a target that is slow now like any other.

Change: TargetRanking with CallCountRanking (the load as before) and ExpectedWorkRanking (time until the request begins, a part of its own time, and calls of other hosts that are not heard of yet). The setting directEntry.routing is calls, expected-work or auto; auto ranks a service by work once one of its targets tells its speed. TargetWork keeps the work at a target: own calls by their estimates, those of others by their reports. TargetUse has three more numbers at its end: work, claimed memory, speed told just now. Each costs one byte while it is 0, and hosts of an earlier version ignore them; a host that gets none reads 0. Where the configuration names the memory of targets, calls claim at most 0.9 of it, requests wait for memory as for a limit, and what fits in no target is refused at once (503 no-target, not run; items: refused). Batch items are estimated, claim memory and are learned from; online requests preempt them as before. Event 412, metric work_error_seconds, log of both.

Passed with it: CatalogueTest, LayersTest, PlatformWordsTest, DirectCallsTest, LoadExchangeTest, ItemRunTest, TargetLimitTest, FleetConfigTest. WaveTest, FleetJobsTest, StreamVersionTest and the crash tests passed with weight 1 of the own time and without unseen calls (the final weights are not used where no speed is told).

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -66,6 +66,7 @@
             Level.WARN,
             "a request or a part of prompts was quarantined, because it crashes targets"),
     CALL_HELD(411, Level.INFO, "a request waits until the limit of a target allows it"),
+    SPEED_TOLD(412, Level.INFO, "a service's targets have begun to tell their speed"),
     SUSPECT_RELEASED(410, Level.INFO, "a request or a part of prompts is no longer quarantined"),
 
     // 500-599: agent and admission
--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -32,7 +32,11 @@
     QUARANTINED_PARTS(
             Shape.GAUGE,
             "Requests and parts of prompts that are refused because they crash targets"),
-    CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers");
+    CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers"),
+    WORK_ERROR_SECONDS(
+            Shape.HISTOGRAM,
+            "Difference between the expected and the measured time of a call at its target; the"
+                    + " class label tells what the expectation follows from");
 
     /** Type of a metric, as Prometheus defines it. */
     public enum Shape {
--- a/src/main/java/org/coltsfootproxy/config/Service.java
+++ b/src/main/java/org/coltsfootproxy/config/Service.java
@@ -18,6 +18,7 @@
  *     if not, the agent beside each target does
  * @param affinityBytes length of the prefix of the body, in bytes, whose hash assigns requests to
  *     the same targets; 0 for no affinity
+ * @param memoryTokens tokens that the memory of each target holds; 0 if it is not named
  */
 @WireCode(3)
 public record Service(
@@ -26,7 +27,8 @@
         int concurrency,
         List<ServiceTarget> targets,
         boolean targetsFence,
-        int affinityBytes)
+        int affinityBytes,
+        int memoryTokens)
         implements ConfigObject {
     /** Copies the targets and sorts them by id. */
     public Service {
@@ -36,7 +38,13 @@
     /** Returns a service without affinity whose targets don't check fencing numbers. */
     public static Service of(
             ServiceId id, boolean streaming, int concurrency, List<ServiceTarget> targets) {
-        return new Service(id, streaming, concurrency, targets, false, 0);
+        return new Service(id, streaming, concurrency, targets, false, 0, 0);
+    }
+
+    /** Returns this service with targets whose memory holds a number of tokens. */
+    public Service withMemoryTokens(int tokens) {
+        return new Service(
+                id, streaming, concurrency, targets, targetsFence, affinityBytes, tokens);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/config/TicketParser.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketParser.java
@@ -90,7 +90,8 @@
                         node.get("concurrency").intValue(),
                         node.list("targets", TicketParser::target),
                         node.get("targetsFence", YamlNode::flag, false),
-                        node.get("affinityBytes", YamlNode::intValue, 0));
+                        node.get("affinityBytes", YamlNode::intValue, 0),
+                        node.get("memoryTokens", YamlNode::intValue, 0));
         node.rejectUnknownNames();
         return service;
     }
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -201,7 +201,9 @@
         } else if (message instanceof JobMessage job) {
             mJobService.handle(from, job, nowNanos, mOut);
         } else if (message instanceof ConfigMessage config) {
-            mConfig.handle(from, config, nowNanos, mOut);
+            if (mConfig.handle(from, config, nowNanos, mOut)) {
+                mTargets.work().configure(mConfig.view());
+            }
         } else if (message instanceof FleetMessage fleet) {
             receiveFleet(from, fleet, nowNanos);
         }
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -13,11 +13,9 @@
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
-import org.coltsfootproxy.entry.CallerCheck;
 import org.coltsfootproxy.entry.Failure;
 import org.coltsfootproxy.limit.Decision;
 import org.coltsfootproxy.limit.Limiter;
-import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
@@ -63,6 +61,7 @@
     private final CrashQuarantine mQuarantine;
     private final StreamVersions mVersions;
     private final SendCheck mCheck;
+    private final TargetChoice mChoice;
     private final Limiter mLimiter;
     private final Map<Long, DirectRequest> mRequests = new HashMap<>();
     private final Timers<Long> mTimers = Timers.create();
@@ -89,6 +88,7 @@
         mQuarantine = quarantine;
         mVersions = versions;
         mCheck = new SendCheck(quarantine, versions, targets);
+        mChoice = new TargetChoice(targets);
         mLimiter = limiter;
     }
 
@@ -100,7 +100,9 @@
     void begin(DirectRequest request, long now, Effects out) {
         mRequests.put(request.call().call(), request);
         Optional<Failure> failure =
-                mCheck.quarantineFailure(request).or(() -> mCheck.resumptionFailure(request, now));
+                mCheck.quarantineFailure(request)
+                        .or(() -> mCheck.resumptionFailure(request, now))
+                        .or(() -> mChoice.estimate(request, out));
         if (failure.isPresent()) {
             fail(request, failure.get(), now, out);
             return;
@@ -147,7 +149,7 @@
             giveUp(request, quarantined.get(), now, out);
             return;
         }
-        Optional<Target> target = mTargets.chooseForOnline(request.service(), request::allows, now);
+        Optional<Target> target = mChoice.choose(request, now);
         long remaining = request.deadline() - now;
         if (target.isEmpty() && hold(request, now, out)) {
             return;
@@ -163,10 +165,10 @@
         long call = mCalls.nextCall();
         boolean isSuspect = mQuarantine.isSuspect(request.content());
         request.sentTo(target.get(), call, hasFreeSlot, isSuspect, now);
-        mTargets.callStarted(target.get(), TrafficClass.ONLINE, now);
+        mChoice.sent(request, target.get(), call, now);
         mCalls.start(
                 target.get().listed().address(),
-                targetCall(request, target.get(), call, remaining),
+                OnlineTargetCall.of(request, target.get(), call, remaining, mProtocol),
                 new Answer(request),
                 out);
         setTimer(request, now);
@@ -183,7 +185,7 @@
 
     /** Lets a request wait for the limit of a target, if that will allow it soon enough. */
     private boolean hold(DirectRequest request, long now, Effects out) {
-        OptionalLong until = heldUntil(request, now);
+        OptionalLong until = mChoice.heldUntil(request, now);
         until.ifPresent(
                 nanos -> {
                     mTimers.set(request.call().call(), nanos);
@@ -192,38 +194,10 @@
         return until.isPresent();
     }
 
-    /** Returns when the limit of some target allows a request; empty if that is too late. */
-    private OptionalLong heldUntil(DirectRequest request, long now) {
-        OptionalLong wait = mTargets.limitWaitNanos(request.service(), request::allows, now);
-        return wait.isPresent() && now + wait.getAsLong() <= request.latestSend()
-                ? OptionalLong.of(now + wait.getAsLong())
-                : OptionalLong.empty();
-    }
-
-    private Effect.TargetCall targetCall(
-            DirectRequest request, Target target, long call, long remaining) {
-        Optional<OrganisationId> organisation =
-                Optional.of(request.organisation().id()).filter(id -> !request.isOpen());
-        TargetRequest targetRequest =
-                new TargetRequest(
-                        target.listed().id(),
-                        organisation,
-                        TimeUnit.NANOSECONDS.toMillis(remaining),
-                        request.events().lastId());
-        List<Header> headers = CallerCheck.forwardableHeaders(request.call().headers());
-        return new Effect.TargetCall(
-                call,
-                TrafficClass.ONLINE,
-                request.call().method(),
-                request.call().path(),
-                mProtocol.headers(headers, targetRequest),
-                request.call().body(),
-                remaining);
-    }
-
     /** Handles one target's answer to one request. */
     private final class Answer implements TargetCalls.Handler {
         private final DirectRequest mRequest;
+        private boolean mIsSuccess;
 
         Answer(DirectRequest request) {
             mRequest = request;
@@ -234,7 +208,9 @@
             TargetAnswer answer = mProtocol.read(head);
             Target target = mRequest.target().orElseThrow();
             mRequest.noteActivity(now);
-            answer.load().ifPresent(load -> target.updateLoad(load, now));
+            mIsSuccess = answer.isSuccess();
+            mChoice.answerBegun(mRequest, now);
+            answer.load().ifPresent(load -> mTargets.updateLoad(target, load, now));
             if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
                 mTargets.limitNamed(
                         target, answer.requestsPerSecond(), mRequest.sentAt(), now, out);
@@ -296,6 +272,7 @@
             }
             mQuarantine.answerCompleted(mRequest.content(), now, out);
             mLoadShedder.completed(mRequest, now);
+            mChoice.completed(mRequest, mIsSuccess, now, out);
             releaseTarget(mRequest);
             mAnswers.complete(mRequest, now, out);
             remove(mRequest);
@@ -362,8 +339,8 @@
                 && request.hasRunsLeft()
                 && request.deadline() - now >= MIN_REMAINING_NANOS
                 && mCheck.quarantineFailure(request).isEmpty()
-                && (mTargets.chooseForOnline(request.service(), request::allows, now).isPresent()
-                        || heldUntil(request, now).isPresent());
+                && (mChoice.choose(request, now).isPresent()
+                        || mChoice.heldUntil(request, now).isPresent());
     }
 
     private void retryElsewhere(DirectRequest request, String why, long now, Effects out) {
@@ -423,7 +400,7 @@
 
     /** Notes that the request has no call in flight at its target. */
     private void releaseTarget(DirectRequest request) {
-        request.target().ifPresent(target -> mTargets.callEnded(target, TrafficClass.ONLINE));
+        mChoice.released(request);
         request.leftTarget();
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -142,6 +142,11 @@
         return new DirectEntryNode(settings, protocols, addresses, config, membership, random);
     }
 
+    /** Sets what decides which target gets a request; to be called before the start. */
+    public void routeBy(TargetRoutingMode mode) {
+        mTargets.work().mode(mode);
+    }
+
     /** Returns whether the host accepts callers; may be called by any thread. */
     public boolean isReady() {
         return mIsReady;
@@ -263,6 +268,7 @@
                         service,
                         organisation,
                         mProtocols.targets().sharedPromptParts(call.headers()),
+                        mProtocols.targets().declaredSizes(call.headers()),
                         arrivedAt);
         mCalls.begin(request, now, out);
     }
@@ -282,6 +288,7 @@
         if (message instanceof ConfigMessage config) {
             if (mConfig.handle(from, config, now, out)) {
                 mLimiter.configure(mConfig.view(), now);
+                mTargets.work().configure(mConfig.view());
             }
         } else if (message instanceof JobMessage job) {
             mJobs.handle(from, job, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -16,6 +16,9 @@
 import org.coltsfootproxy.entry.OpenCallers;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.quarantine.CallContent;
+import org.coltsfootproxy.work.WorkEstimate;
+import org.coltsfootproxy.work.WorkFeatures;
+import org.coltsfootproxy.work.WorkFeatures.DeclaredSizes;
 
 /** One online request and its progress. */
 final class DirectRequest {
@@ -43,6 +46,7 @@
     private final Optional<CallerCall.Resumption> mResumption;
     private final CallContent mContent;
     private final long mContentHash;
+    private final WorkFeatures mFeatures;
     private final long mArrived;
     private final long mDeadline;
     private final Set<TargetId> mTried = new HashSet<>();
@@ -62,6 +66,7 @@
     private boolean mHasFreeSlot;
     private boolean mIsSlotRechecked;
     private long mSentAt;
+    private WorkEstimate mEstimate = WorkEstimate.UNKNOWN;
 
     private DirectRequest(
             Input.HttpCall call,
@@ -73,6 +78,7 @@
             Optional<CallerCall.Resumption> resumption,
             CallContent content,
             long contentHash,
+            WorkFeatures features,
             long arrived,
             long deadline) {
         mCall = call;
@@ -84,6 +90,7 @@
         mResumption = resumption;
         mContent = content;
         mContentHash = contentHash;
+        mFeatures = features;
         mArrived = arrived;
         mLastActivity = arrived;
         mDeadline = deadline;
@@ -94,6 +101,7 @@
      *
      * @param organisation empty on an open route
      * @param promptParts parts of the prompt that other requests may share, in their order
+     * @param declared sizes that the caller declares
      */
     static DirectRequest of(
             Input.HttpCall call,
@@ -102,6 +110,7 @@
             ServiceId service,
             Optional<Organisation> organisation,
             List<PromptPartId> promptParts,
+            DeclaredSizes declared,
             long nowNanos) {
         long millis = Math.min(forward.callerTimeoutMillis(), route.timeoutMillis());
         Organisation caller = organisation.orElse(OpenCallers.ORGANISATION);
@@ -116,6 +125,12 @@
                 forward.resumption(),
                 CallContent.ofRequest(promptParts, contentHash),
                 contentHash,
+                WorkRouting.features(
+                        route.id().value(),
+                        caller.id().value(),
+                        promptParts,
+                        declared,
+                        call.body().length),
                 nowNanos,
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(millis));
     }
@@ -180,6 +195,21 @@
         return mContentHash;
     }
 
+    /** Returns what is known of the request's cost before it runs. */
+    WorkFeatures features() {
+        return mFeatures;
+    }
+
+    /** Sets the expected cost. */
+    void setEstimate(WorkEstimate estimate) {
+        mEstimate = estimate;
+    }
+
+    /** Returns the expected cost. */
+    WorkEstimate estimate() {
+        return mEstimate;
+    }
+
     long arrived() {
         return mArrived;
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -16,6 +16,9 @@
 import org.coltsfootproxy.message.LeasedItem;
 import org.coltsfootproxy.message.PartialOutput;
 import org.coltsfootproxy.quarantine.CallContent;
+import org.coltsfootproxy.work.WorkEstimate;
+import org.coltsfootproxy.work.WorkFeatures;
+import org.coltsfootproxy.work.WorkFeatures.DeclaredSizes;
 
 /** One batch item that this host runs: its output so far and the target it is at. */
 final class ItemRun {
@@ -28,6 +31,7 @@
     private final LeasedItem mItem;
     private final ItemCall.Post mCall;
     private final CallContent mContent;
+    private final WorkFeatures mFeatures;
     private final long mStartedAt;
     private final Set<TargetId> mTried = new HashSet<>();
     private EventReader mEvents = new EventReader();
@@ -43,11 +47,18 @@
     private boolean mIsKept;
     private int mReportedBytes;
     private long mLastActivity;
-
-    private ItemRun(LeasedItem item, ItemCall.Post call, CallContent content, long nowNanos) {
+    private WorkEstimate mEstimate = WorkEstimate.UNKNOWN;
+
+    private ItemRun(
+            LeasedItem item,
+            ItemCall.Post call,
+            CallContent content,
+            WorkFeatures features,
+            long nowNanos) {
         mItem = item;
         mCall = call;
         mContent = content;
+        mFeatures = features;
         mStartedAt = nowNanos;
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
@@ -62,10 +73,37 @@
      * Returns a run that is at no target yet.
      *
      * @param promptParts parts of the prompt that other calls may share, in their order
+     * @param declared sizes that the call declares
      */
     static ItemRun of(
-            LeasedItem item, ItemCall.Post call, List<PromptPartId> promptParts, long nowNanos) {
-        return new ItemRun(item, call, CallContent.ofItem(promptParts), nowNanos);
+            LeasedItem item,
+            ItemCall.Post call,
+            List<PromptPartId> promptParts,
+            DeclaredSizes declared,
+            long nowNanos) {
+        WorkFeatures features =
+                WorkRouting.features(
+                        "batch:" + item.service().value(),
+                        item.organisation(),
+                        promptParts,
+                        declared,
+                        call.body().length);
+        return new ItemRun(item, call, CallContent.ofItem(promptParts), features, nowNanos);
+    }
+
+    /** Returns what is known of the item's cost before it runs. */
+    WorkFeatures features() {
+        return mFeatures;
+    }
+
+    /** Sets the expected cost. */
+    void setEstimate(WorkEstimate estimate) {
+        mEstimate = estimate;
+    }
+
+    /** Returns the expected cost. */
+    WorkEstimate estimate() {
+        return mEstimate;
     }
 
     LeasedItem item() {
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -11,13 +11,13 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Metric;
-import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.TargetId;
@@ -182,7 +182,12 @@
             try {
                 ItemCall.Post call = ItemCall.decode(item.body());
                 ItemRun run =
-                        ItemRun.of(item, call, mProtocol.sharedPromptParts(call.headers()), now);
+                        ItemRun.of(
+                                item,
+                                call,
+                                mProtocol.sharedPromptParts(call.headers()),
+                                mProtocol.declaredSizes(call.headers()),
+                                now);
                 mRuns.put(item.lease(), run);
                 send(run, now, out);
             } catch (ProxyException e) {
@@ -217,12 +222,24 @@
             ItemLog.begunAnew(run, mTargets.listing().number(), out);
             run.beginAnew();
         }
+        run.setEstimate(mTargets.work().estimate(service, run.features()));
+        if (mTargets.work().exceedsMemory(service, run.estimate())) {
+            String why = mTargets.work().exceedsMemoryDetail(service, run.estimate());
+            finish(
+                    run,
+                    ItemReport.failed(run.lease(), ItemReport.Outcome.REFUSED, why, 0),
+                    now,
+                    out);
+            return;
+        }
+        Predicate<Target> allowed =
+                target -> run.allows(target) && mTargets.work().fits(target, run.estimate());
         Optional<Target> target =
                 pacer(service).mayStart(now)
-                        ? mTargets.chooseForBatch(service, run::allows, mWorkers, now)
+                        ? mTargets.chooseForBatch(service, allowed, mWorkers, now)
                         : Optional.empty();
         if (target.isEmpty() && run.needsSlotNow(mMeanRunNanos, now)) {
-            target = mTargets.chooseForUrgent(service, run::allows, now);
+            target = mTargets.chooseForUrgent(service, allowed, now);
         }
         if (target.isEmpty()) {
             run.forgetTried();
@@ -230,22 +247,16 @@
             return;
         }
         long call = mCalls.nextCall();
-        TargetRequest targetRequest =
-                new TargetRequest(
-                        target.get().listed().id(),
-                        Optional.of(OrganisationId.of(run.item().organisation())),
-                        run.item().timeoutMillis(),
-                        run.lastEvent());
-        Effect.TargetCall request =
-                new Effect.TargetCall(
-                        call,
-                        TrafficClass.BATCH,
-                        run.item().method(),
-                        run.call().path(),
-                        mProtocol.headers(run.call().headers(), targetRequest),
-                        run.call().body(),
-                        TimeUnit.MILLISECONDS.toNanos(run.item().timeoutMillis()));
+        Effect.TargetCall request = ItemTargetCall.of(run, target.get(), call, mProtocol);
         run.sentTo(target.get(), call, now);
+        mTargets.work()
+                .began(
+                        target.get(),
+                        TrafficClass.BATCH,
+                        call,
+                        run.estimate(),
+                        run.lastEvent().isEmpty(),
+                        now);
         mTargets.callStarted(target.get(), TrafficClass.BATCH, now);
         target.get().batchStarted(now);
         pacer(service).started();
@@ -301,7 +312,7 @@
         public void head(Input.TargetHead head, long now, Effects out) {
             TargetAnswer answer = mProtocol.read(head);
             Target target = mRun.target().orElseThrow();
-            answer.load().ifPresent(load -> target.updateLoad(load, now));
+            answer.load().ifPresent(load -> mTargets.updateLoad(target, load, now));
             if (answer.verdict() != TargetAnswer.Verdict.OTHER_TARGET) {
                 mTargets.limitNamed(target, answer.requestsPerSecond(), mRun.sentAt(), now, out);
             }
@@ -340,6 +351,13 @@
                         mRun, "the stream ended within an event or before the first one", now, out);
                 return;
             }
+            mTargets.work()
+                    .completed(
+                            mRun.target().orElseThrow(),
+                            mRun.features(),
+                            mRun.targetCall(),
+                            now,
+                            out);
             releaseTarget(mRun, now);
             mMeanRunNanos += LAST_RUN_WEIGHT * (mRun.activeNanos(now) - mMeanRunNanos);
             finish(mRun, doneReport(mRun, now), now, out);
@@ -416,7 +434,12 @@
         if (run.isKept()) {
             setKept(run, false);
         }
-        run.target().ifPresent(target -> mTargets.callEnded(target, TrafficClass.BATCH));
+        run.target()
+                .ifPresent(
+                        target -> {
+                            target.work().ended(run.targetCall());
+                            mTargets.callEnded(target, TrafficClass.BATCH);
+                        });
         run.leftTarget(now);
     }
 
@@ -523,6 +546,7 @@
     private void setKept(ItemRun run, boolean isKept) {
         run.setKept(isKept);
         mTargets.setKept(run.target().orElseThrow(), isKept);
+        run.target().orElseThrow().work().setPreemptible(run.targetCall(), !isKept);
     }
 
     private void preempt(ItemRun run, long now, Effects out) {
--- a/src/main/java/org/coltsfootproxy/direct/LoadExchange.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadExchange.java
@@ -86,6 +86,7 @@
             mTargets.byId(use.target()).ifPresent(target -> target.reported(use, nowNanos));
             boolean hasCalls = use.online() + use.batch() > 0;
             updateUse(from, use.target(), Optional.of(use).filter(u -> hasCalls));
+            mTargets.workReported(from, use, nowNanos);
             if (hasCalls) {
                 targets.add(use.target());
             } else {
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -58,6 +58,7 @@
     private int mUnreportedStarts;
     private double mNamedPerSecond;
     private long mNamedAt = Long.MIN_VALUE / 2;
+    private final TargetWork mWork = new TargetWork();
 
     Target(ListedTarget listed) {
         mListed = listed;
@@ -71,6 +72,11 @@
         mListed = listed;
     }
 
+    /** Returns the expected work at the target. */
+    TargetWork work() {
+        return mWork;
+    }
+
     /** Notes that a call from this host has started. */
     void callStarted(TrafficClass type, long nowNanos) {
         count(type, 1);
@@ -113,7 +119,15 @@
         int started = mUnreportedStarts;
         mUnreportedStarts = 0;
         return new FleetMessage.TargetUse(
-                mListed.id(), mOnline, mBatch, mKept, started, isLimitRecent ? mNamedPerSecond : 0);
+                mListed.id(),
+                mOnline,
+                mBatch,
+                mKept,
+                started,
+                isLimitRecent ? mNamedPerSecond : 0,
+                mWork.ownMillis(nowNanos),
+                mWork.ownTokens(),
+                mWork.speedPercent(nowNanos));
     }
 
     /** Applies what another host reports of its new calls and of the target's limit. */
@@ -136,6 +150,9 @@
             mBatchElsewhere -= before.batch();
             mKeptElsewhere -= before.kept();
         }
+        if (use.isEmpty()) {
+            mWork.forget(host);
+        }
     }
 
     /** Changes the number of this host's batch items that keep their slots. */
--- a/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
@@ -4,6 +4,7 @@
 import org.coltsfootproxy.base.PromptPartId;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.work.WorkFeatures.DeclaredSizes;
 
 /** The protocol between this system and targets. */
 public interface TargetProtocol {
@@ -16,6 +17,9 @@
      */
     List<PromptPartId> sharedPromptParts(List<Header> callerHeaders);
 
+    /** Returns the sizes that a call declares. */
+    DeclaredSizes declaredSizes(List<Header> callerHeaders);
+
     /** Returns the decoded head of an answer. */
     TargetAnswer read(Input.TargetHead head);
 
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -19,6 +19,7 @@
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
@@ -27,6 +28,7 @@
 import org.coltsfootproxy.message.ListedTarget;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.LogField;
+import org.coltsfootproxy.work.WorkEstimate;
 
 /**
  * Holds the targets that the platform lists and chooses among them.
@@ -38,15 +40,6 @@
  * a few milliseconds.
  */
 public final class Targets {
-    /** Load added for a target in another data centre; equal to an eighth of its slots in use. */
-    private static final double REMOTE_LOAD = 0.125;
-
-    /** Load added if a batch item must be preempted; ranks after any target with a free slot. */
-    private static final double PREEMPTION_LOAD = 2;
-
-    /** Load added if the request must queue; ranks after any target with a preemptible item. */
-    private static final double QUEUEING_LOAD = 4;
-
     /** Fraction of a target's slots that items near their deadline may keep while requests wait. */
     private static final double MAX_KEPT_FRACTION = 0.25;
 
@@ -57,6 +50,7 @@
     private FleetMessage.Listing mListing = new FleetMessage.Listing(0, List.of());
     private final Set<Target> mChangedTargets = new LinkedHashSet<>();
     private final LeavingTargets mLeaving = LeavingTargets.create();
+    private final WorkRouting mWork = new WorkRouting();
 
     private Targets(DataCentre localDataCentre, RandomGenerator random) {
         mLocalDataCentre = checkNotNull(localDataCentre, "local data centre is missing");
@@ -143,6 +137,35 @@
                 .toList();
     }
 
+    /** Returns what is known of the work at targets, and by what they are ranked. */
+    public WorkRouting work() {
+        return mWork;
+    }
+
+    /** Returns whether the targets of a service are ranked by expected work. */
+    boolean ranksByWork(ServiceId service) {
+        return mWork.ranksByWork(service);
+    }
+
+    /** Applies the load that a target reports to this host. */
+    void updateLoad(Target target, TargetLoad load, long nowNanos) {
+        target.updateLoad(load, nowNanos);
+        if (mWork.told(target, load.speed(), nowNanos)) {
+            mChangedTargets.add(target);
+        }
+    }
+
+    /** Applies what another host reports of the work at a target. */
+    void workReported(HostId host, FleetMessage.TargetUse use, long nowNanos) {
+        Target target = mById.get(use.target());
+        if (target != null) {
+            target.work().reported(host, use, nowNanos);
+            if (use.speedPercent() > 0) {
+                mWork.tellsSpeed(target.listed().service());
+            }
+        }
+    }
+
     /** Returns the targets that have said that they are leaving. */
     LeavingTargets leaving() {
         return mLeaving;
@@ -197,10 +220,11 @@
 
     /** Returns the targets of a service that accept new work. */
     Stream<Target> active(ServiceId service) {
-        return mByService.getOrDefault(service, List.of()).stream()
-                .filter(
-                        target ->
-                                !target.listed().leaving() && !mLeaving.contains(target.listed()));
+        return mByService.getOrDefault(service, List.of()).stream().filter(this::isActive);
+    }
+
+    private boolean isActive(Target target) {
+        return !target.listed().leaving() && !mLeaving.contains(target.listed());
     }
 
     /** Returns whether a target of a version accepts new work of a service. */
@@ -240,7 +264,53 @@
         List<Target> healthy = candidates.stream().filter(t -> !t.isAvoided(nowNanos)).toList();
         return healthy.isEmpty()
                 ? candidates.stream().min(Comparator.comparingLong(Target::avoidUntil))
-                : leastLoaded(healthy, target -> onlineLoad(target, nowNanos));
+                : leastLoaded(healthy, target -> CallCountRanking.load(target, nowNanos));
+    }
+
+    /**
+     * Returns the target of a service that is expected to serve an online request soonest, by the
+     * ranking of the service.
+     *
+     * @param allowed whether the request may be sent to a target
+     */
+    Optional<Target> chooseForOnline(
+            ServiceId service, Predicate<Target> allowed, WorkEstimate estimate, long nowNanos) {
+        return ranksByWork(service)
+                ? leastCost(service, allowed, estimate, nowNanos)
+                : chooseForOnline(service, allowed, nowNanos);
+    }
+
+    /** A loop without intermediate lists, since each request of an entry goes over all targets. */
+    private Optional<Target> leastCost(
+            ServiceId service, Predicate<Target> allowed, WorkEstimate estimate, long nowNanos) {
+        TargetRanking ranking = mWork.ranking(service);
+        List<Target> targets = mByService.getOrDefault(service, List.of());
+        Target best = null;
+        double leastCost = Double.MAX_VALUE;
+        Target firstAvoided = null;
+        int first = targets.isEmpty() ? 0 : mRandom.nextInt(targets.size());
+        for (int i = 0; i < targets.size(); i++) {
+            Target target = targets.get((first + i) % targets.size());
+            if (!isActive(target)
+                    || !allowed.test(target)
+                    || target.rateLimit().allowedCalls(nowNanos) <= 0) {
+                continue;
+            }
+            if (target.isAvoided(nowNanos)) {
+                boolean isFirst =
+                        firstAvoided == null || target.avoidUntil() < firstAvoided.avoidUntil();
+                firstAvoided = isFirst ? target : firstAvoided;
+                continue;
+            }
+            boolean isLocal = target.listed().dataCentre().equals(mLocalDataCentre);
+            double cost =
+                    ranking.cost(target, estimate, nowNanos) + (isLocal ? 0 : ranking.remoteCost());
+            if (cost < leastCost) {
+                best = target;
+                leastCost = cost;
+            }
+        }
+        return Optional.ofNullable(best == null ? firstAvoided : best);
     }
 
     /**
@@ -260,19 +330,6 @@
         return target.inFlight(nowNanos) / (double) target.slots() - (isLimited ? 1 : 0);
     }
 
-    private static double onlineLoad(Target target, long nowNanos) {
-        double slots = target.slots();
-        int inFlight = target.inFlight(nowNanos);
-        if (inFlight < slots) {
-            // What is left of a limit is kept for times when other targets have no free slot.
-            return inFlight / slots + target.rateLimit().usedFraction(nowNanos);
-        }
-        int nonPreemptible = inFlight - target.preemptible();
-        return nonPreemptible < slots
-                ? PREEMPTION_LOAD + nonPreemptible / slots
-                : QUEUEING_LOAD + (nonPreemptible - slots) / slots;
-    }
-
     /**
      * Returns the least loaded target of a service with a free slot for a batch item of this host.
      *
@@ -309,7 +366,7 @@
                         .toList();
         return candidates.isEmpty()
                 ? Optional.empty()
-                : leastLoaded(candidates, target -> onlineLoad(target, nowNanos));
+                : leastLoaded(candidates, target -> CallCountRanking.load(target, nowNanos));
     }
 
     /** Returns whether a further batch item may keep its slot at a target. */
@@ -351,7 +408,8 @@
         for (int i = 0; i < targets.size(); i++) {
             Target target = targets.get((first + i) % targets.size());
             boolean isLocal = target.listed().dataCentre().equals(mLocalDataCentre);
-            double load = loadOf.applyAsDouble(target) + (isLocal ? 0 : REMOTE_LOAD);
+            double load =
+                    loadOf.applyAsDouble(target) + (isLocal ? 0 : CallCountRanking.REMOTE_LOAD);
             if (load < leastLoad) {
                 best = target;
                 leastLoad = load;
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -286,12 +286,26 @@
      * @param started number of calls that the host started there since its previous report
      * @param perSecond calls a second from all hosts that the target has named recently as its
      *     limit; 0 if it named none to the host
+     * @param workMillis expected rest of the host's calls there, in milliseconds at a target of
+     *     usual speed, without batch items that may be preempted; 0 from a host of an earlier
+     *     version
+     * @param memoryTokens memory that the host's calls there may need, in tokens
+     * @param speedPercent how long work takes there, in percent of the usual time, as the target
+     *     has told the host just now; 0 if it told none
      */
     record TargetUse(
-            TargetId target, int online, int batch, int kept, int started, double perSecond) {
+            TargetId target,
+            int online,
+            int batch,
+            int kept,
+            int started,
+            double perSecond,
+            int workMillis,
+            int memoryTokens,
+            int speedPercent) {
         /** Returns the calls in flight at a target where none was started recently. */
         public static TargetUse of(TargetId target, int online, int batch, int kept) {
-            return new TargetUse(target, online, batch, kept, 0, 0);
+            return new TargetUse(target, online, batch, kept, 0, 0, 0, 0, 0);
         }
 
         /** Returns the number of batch items that online requests may preempt. */
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -38,9 +38,10 @@
      *
      * <p>In the document, {@code tenants} are organisations, {@code rate_per_s} is their rate limit
      * in requests per second, {@code engine.slots} the number of requests that a target runs at
-     * once, {@code goal_ms} the time goal for the response or its first event, {@code gap_aim_ms}
-     * the longest expected pause between events, {@code run_target_ms} the time within which a
-     * batch job is due, and {@code max_attempts} the most targets that may run a request.
+     * once, {@code engine.kv_capacity_tokens} the tokens that its memory holds, {@code goal_ms} the
+     * time goal for the response or its first event, {@code gap_aim_ms} the longest expected pause
+     * between events, {@code run_target_ms} the time within which a batch job is due, and {@code
+     * max_attempts} the most targets that may run a request.
      *
      * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET} if the document is not valid
      */
@@ -89,7 +90,9 @@
 
     private static Service service(JsonNode node) throws ProxyException {
         int slots = (int) Json.number(node.path("engine"), "slots", ERROR_KIND);
-        return Service.of(ServiceId.of(name(node, "name")), false, Math.max(1, slots), List.of());
+        double memory = Json.number(node.path("engine"), "kv_capacity_tokens", ERROR_KIND);
+        return Service.of(ServiceId.of(name(node, "name")), false, Math.max(1, slots), List.of())
+                .withMemoryTokens((int) Math.max(0, memory));
     }
 
     private static Route route(JsonNode node) throws ProxyException {
--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -41,6 +41,12 @@
      */
     static final String PROMPT_PREFIX = "Prompt-Prefix";
 
+    /** Tokens of the prompt and the most tokens of the output, separated by a comma. */
+    static final String TOKEN_COUNT = "Token-Count";
+
+    /** The caller's estimate of the tokens of the output. */
+    static final String LENGTH_HINT = "Length-Hint";
+
     /**
      * A target's running requests, waiting requests and slots, separated by commas; some targets
      * add how long work takes there now, in percent of the usual time.
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -17,6 +17,7 @@
 import org.coltsfootproxy.direct.TargetRequest;
 import org.coltsfootproxy.message.Header;
 import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.work.WorkFeatures.DeclaredSizes;
 
 /** Translates calls to the platform's targets and the heads of their responses. */
 public final class PlatformTargetProtocol implements TargetProtocol {
@@ -29,6 +30,9 @@
 
     private static final Splitter PART_SPLITTER = Splitter.on(',').trimResults().omitEmptyStrings();
 
+    /** Largest number of tokens that a call can declare; larger ones count as this. */
+    private static final int MAX_TOKENS = 1 << 24;
+
     /** Figures of a load report that every target tells: running, waiting, slots. */
     private static final int LOAD_FIGURES = 3;
 
@@ -73,6 +77,26 @@
                 .toList();
     }
 
+    /** Figures that are not numbers, or below 0, count as not declared. */
+    @Override
+    public DeclaredSizes declaredSizes(List<Header> callerHeaders) {
+        List<String> counts =
+                PlatformHeaders.value(callerHeaders, PlatformHeaders.TOKEN_COUNT)
+                        .map(Splitter.on(',').trimResults()::splitToList)
+                        .orElse(List.of());
+        return new DeclaredSizes(
+                tokens(counts, 0),
+                tokens(counts, 1),
+                PlatformHeaders.value(callerHeaders, PlatformHeaders.LENGTH_HINT)
+                        .map(hint -> tokens(List.of(hint), 0))
+                        .orElse(0));
+    }
+
+    private static int tokens(List<String> figures, int index) {
+        Double number = index < figures.size() ? Doubles.tryParse(figures.get(index)) : null;
+        return number != null && number > 0 ? (int) Math.min(MAX_TOKENS, Math.ceil(number)) : 0;
+    }
+
     @Override
     public TargetAnswer read(Input.TargetHead head) {
         List<Header> headers =
--- a/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
@@ -50,6 +50,7 @@
                         FleetSettings.subscriber(settings, fleet, random),
                         FleetSettings.membership(settings, fleet, FleetRole.ENTRY),
                         random);
+        node.routeBy(role.routing());
         HttpFront front =
                 HttpFront.create(
                         HostProcess.frontSettings(role.callerAddress())
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -18,6 +18,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.direct.TargetRoutingMode;
 
 /**
  * The validated settings of one host.
@@ -165,8 +166,13 @@
     /** Settings of the store role: a host that keeps and runs batch jobs in a fleet with seeds. */
     public record StoreRole(Path dataFolder) {}
 
-    /** Settings of the direct entry role, which calls the platform's listed targets itself. */
-    public record DirectEntryRole(String callerAddress, int maxBodyBytes) {}
+    /**
+     * Settings of the direct entry role, which calls the platform's listed targets itself.
+     *
+     * @param routing what decides which target gets a request
+     */
+    public record DirectEntryRole(
+            String callerAddress, int maxBodyBytes, TargetRoutingMode routing) {}
 
     /** Makes a defensive copy of the control hosts. */
     public Settings {
@@ -341,6 +347,7 @@
     private static DirectEntryRole readDirectEntry(SettingsReader in) {
         return new DirectEntryRole(
                 in.address("callerAddress"),
-                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE));
+                (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE),
+                in.choice("routing", TargetRoutingMode.AUTO));
     }
 }
--- a/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/ItemRunTest.java
@@ -9,6 +9,7 @@
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
 import org.coltsfootproxy.message.PartialOutput;
+import org.coltsfootproxy.work.WorkFeatures.DeclaredSizes;
 import org.testng.annotations.Test;
 
 /** Tests which batch items can be preempted for online requests. */
@@ -53,6 +54,6 @@
                         PartialOutput.NONE,
                         new byte[0]);
         ItemCall.Post call = new ItemCall.Post("/draft", List.of(), new byte[0]);
-        return ItemRun.of(item, call, List.of(), 0);
+        return ItemRun.of(item, call, List.of(), DeclaredSizes.NONE, 0);
     }
 }
--- a/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/LoadExchangeTest.java
@@ -75,7 +75,7 @@
     private static FleetMessage.TargetUse limited(
             FleetMessage.TargetUse use, int started, double perSecond) {
         return new FleetMessage.TargetUse(
-                use.target(), use.online(), use.batch(), use.kept(), started, perSecond);
+                use.target(), use.online(), use.batch(), use.kept(), started, perSecond, 0, 0, 0);
     }
 
     private static FleetMessage.InFlight complete(FleetMessage.TargetUse... uses) {
