--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -72,6 +72,7 @@
             "a request or a part of prompts was quarantined, because it crashes targets"),
     CALL_HELD(411, Level.INFO, "a request waits until the limit of a target allows it"),
     CALL_SHED(412, Level.INFO, "a request was refused while targets were contended"),
+    SPEED_TOLD(413, Level.INFO, "a service's targets have begun to tell their speed"),
     SUSPECT_RELEASED(410, Level.INFO, "a request or a part of prompts is no longer quarantined"),
 
     // 500-599: agent and admission
--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -38,7 +38,11 @@
     COLD_TARGETS(Shape.GAUGE, "Targets that the list of targets shows as cold"),
     CALLERS_CUT(Shape.COUNTER, "Callers cut off because they did not read their answers"),
     DATA_CENTRES_EVACUATED(
-            Shape.GAUGE, "Data centres that are evacuated by the configuration in force");
+            Shape.GAUGE, "Data centres that are evacuated by the configuration in force"),
+    WORK_ERROR_SECONDS(
+            Shape.HISTOGRAM,
+            "Difference between the expected and the measured time of a call at its target; the"
+                    + " class label tells what the expectation follows from");
 
     /** Type of a metric, as Prometheus defines it. */
     public enum Shape {
--- a/src/main/java/org/coltsfootproxy/config/Service.java
+++ b/src/main/java/org/coltsfootproxy/config/Service.java
@@ -21,6 +21,7 @@
  * @param affinityBytes length of the prefix of the body, in bytes, whose hash assigns requests to
  *     the same targets; 0 for no affinity
  * @param coldStart limit for targets that have just started; null if the service names none
+ * @param memoryTokens tokens that the memory of each target holds; 0 if it is not named
  */
 @WireCode(3)
 public record Service(
@@ -30,7 +31,8 @@
         List<ServiceTarget> targets,
         boolean targetsFence,
         int affinityBytes,
-        ColdStart coldStart)
+        ColdStart coldStart,
+        int memoryTokens)
         implements ConfigObject {
     /** Copies the targets and sorts them by id. */
     public Service {
@@ -40,12 +42,33 @@
     /** Returns a service without affinity whose targets don't check fencing numbers. */
     public static Service of(
             ServiceId id, boolean streaming, int concurrency, List<ServiceTarget> targets) {
-        return new Service(id, streaming, concurrency, targets, false, 0, null);
+        return new Service(id, streaming, concurrency, targets, false, 0, null, 0);
     }
 
     /** Returns this service with a limit for its cold targets. */
     public Service withColdStart(ColdStart limit) {
-        return new Service(id, streaming, concurrency, targets, targetsFence, affinityBytes, limit);
+        return new Service(
+                id,
+                streaming,
+                concurrency,
+                targets,
+                targetsFence,
+                affinityBytes,
+                limit,
+                memoryTokens);
+    }
+
+    /** Returns this service with targets whose memory holds a number of tokens. */
+    public Service withMemoryTokens(int tokens) {
+        return new Service(
+                id,
+                streaming,
+                concurrency,
+                targets,
+                targetsFence,
+                affinityBytes,
+                coldStart,
+                tokens);
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/config/TicketParser.java
+++ b/src/main/java/org/coltsfootproxy/config/TicketParser.java
@@ -91,7 +91,8 @@
                         node.list("targets", TicketParser::target),
                         node.get("targetsFence", YamlNode::flag, false),
                         node.get("affinityBytes", YamlNode::intValue, 0),
-                        null);
+                        null,
+                        node.get("memoryTokens", YamlNode::intValue, 0));
         node.rejectUnknownNames();
         return service;
     }
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -150,6 +150,11 @@
         return new DirectEntryNode(settings, protocols, addresses, config, membership, random);
     }
 
+    /** Sets what decides which target gets a request; to be called before the start. */
+    public void routeBy(TargetRoutingMode mode) {
+        mTargets.work().mode(mode);
+    }
+
     /** Returns whether the host accepts callers; may be called by any thread. */
     public boolean isReady() {
         return mIsReady;
@@ -285,6 +290,7 @@
                         service,
                         organisation,
                         mProtocols.targets().sharedPromptParts(call.headers()),
+                        mProtocols.targets().declaredSizes(call.headers()),
                         arrivedAt);
         request.allowOnly(mSettings.regions().dataCentres(Regions.allowed(route, organisation)));
         mCalls.begin(request, now, out);
--- a/src/main/java/org/coltsfootproxy/message/ReportsEncoding.java
+++ b/src/main/java/org/coltsfootproxy/message/ReportsEncoding.java
@@ -71,13 +71,16 @@
     }
 
     private static void writeUse(FleetMessage.TargetUse use, PackWriter out) {
-        out.record(6)
+        out.record(9)
                 .text(use.target().value())
                 .integer(use.online())
                 .integer(use.batch())
                 .integer(use.kept())
                 .integer(use.started())
-                .number(use.perSecond());
+                .number(use.perSecond())
+                .integer(use.workMillis())
+                .integer(use.memoryTokens())
+                .integer(use.speedPercent());
     }
 
     private static FleetMessage.TargetUse readUse(PackReader in) {
@@ -87,7 +90,10 @@
                 in.intValue(),
                 in.intValue(),
                 in.intValue(),
-                in.number());
+                in.number(),
+                in.intValue(),
+                in.intValue(),
+                in.intValue());
     }
 
     private static void writeUsage(FleetMessage.Usage usage, PackWriter out) {
--- a/src/main/java/org/coltsfootproxy/runtime/Settings.java
+++ b/src/main/java/org/coltsfootproxy/runtime/Settings.java
@@ -22,6 +22,7 @@
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.direct.TargetRoutingMode;
 
 /**
  * The validated settings of one host.
@@ -177,9 +178,17 @@
     /** Settings of the store role: a host that keeps and runs batch jobs in a fleet with seeds. */
     public record StoreRole(Path dataFolder) {}
 
-    /** Settings of the direct entry role, which calls the platform's listed targets itself. */
+    /**
+     * Settings of the direct entry role, which calls the platform's listed targets itself.
+     *
+     * @param contention when requests are decided by rank and fair share
+     * @param routing what decides which target gets a request
+     */
     public record DirectEntryRole(
-            String callerAddress, int maxBodyBytes, ContentionMode contention) {}
+            String callerAddress,
+            int maxBodyBytes,
+            ContentionMode contention,
+            TargetRoutingMode routing) {}
 
     /** Makes defensive copies. */
     public Settings {
@@ -362,6 +371,7 @@
         return new DirectEntryRole(
                 in.address("callerAddress"),
                 (int) in.number("maxBodyBytes", 4 * MEBIBYTE, 1, 64 * MEBIBYTE),
-                in.choice("contention", ContentionMode.AUTO));
+                in.choice("contention", ContentionMode.AUTO),
+                in.choice("routing", TargetRoutingMode.AUTO));
     }
 }
--- a/src/test/java/org/coltsfootproxy/base/RecordEncodingTest.java
+++ b/src/test/java/org/coltsfootproxy/base/RecordEncodingTest.java
@@ -91,7 +91,7 @@
             byte[] longer = withBody(bytes, appended(body(bytes)));
             assertEquals(mCodec.decode(longer), mCodec.decode(bytes));
         }
-        var use = new FleetMessage.TargetUse(TargetId.of("a"), 1, 2, 1, 5, 0.5);
+        var use = new FleetMessage.TargetUse(TargetId.of("a"), 1, 2, 1, 5, 0.5, 700, 900, 130);
         var report = report(new FleetMessage.InFlight(List.of(use), true));
         byte[] bytes = mReference.encode(new FleetMessage.Reports(List.of(report), List.of()));
         assertEquals(
--- a/src/test/java/org/coltsfootproxy/config/RestrictionCodecTest.java
+++ b/src/test/java/org/coltsfootproxy/config/RestrictionCodecTest.java
@@ -168,8 +168,7 @@
                 3_000,
                 PartialOutput.NONE,
                 new byte[0],
-                regions,
-                0);
+                regions);
     }
 
     /** Guards against a restriction of nothing being taken for no restriction. */
--- a/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
+++ b/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
@@ -169,7 +169,10 @@
                                         mRandom.nextInt(2),
                                         0,
                                         mRandom.nextInt(2),
-                                        0))
+                                        0,
+                                        mRandom.nextInt(5_000),
+                                        mRandom.nextInt(10_000),
+                                        100))
                 .toList();
     }
 
