Apply reports and find routes without streams over all hosts and routes

Cause: each report that arrived summed the reachable entries twice by streams, and wrapped each target's numbers in optionals; each round of a host's loop asked for the next tick by several streams; each request searched all routes; a control host composed the status of its log on each input to learn the members; a store searched all routes ten times a second.

Change: plain loops in LoadExchange, Target, SharedCountLimiter, HostReports, CrashQuarantine and the nodes' nextTickNanos; ids define equals and hashCode (those of records are chains of method handles, which the first compiler does not inline); ConfigView finds routes by prefix in a map. Intervals, contents and decisions are unchanged.

--- a/src/main/java/org/coltsfootproxy/base/HostId.java
+++ b/src/main/java/org/coltsfootproxy/base/HostId.java
@@ -16,6 +16,17 @@
         return new HostId(value);
     }
 
+    // Those of a record are chains of method handles, several times slower in the first compiler.
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof HostId id && value.equals(id.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(HostId other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/coltsfootproxy/base/OrganisationId.java
+++ b/src/main/java/org/coltsfootproxy/base/OrganisationId.java
@@ -16,6 +16,17 @@
         return new OrganisationId(value);
     }
 
+    // Those of a record are chains of method handles, several times slower in the first compiler.
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof OrganisationId id && value.equals(id.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(OrganisationId other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/coltsfootproxy/base/ServiceId.java
+++ b/src/main/java/org/coltsfootproxy/base/ServiceId.java
@@ -24,6 +24,17 @@
         return new ServiceId(value);
     }
 
+    // Those of a record are chains of method handles, several times slower in the first compiler.
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof ServiceId id && value.equals(id.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(ServiceId other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/coltsfootproxy/base/TargetId.java
+++ b/src/main/java/org/coltsfootproxy/base/TargetId.java
@@ -16,6 +16,17 @@
         return new TargetId(value);
     }
 
+    // Those of a record are chains of method handles, several times slower in the first compiler.
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof TargetId id && value.equals(id.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public int compareTo(TargetId other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/coltsfootproxy/config/ConfigView.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigView.java
@@ -24,19 +24,29 @@
     private final Map<ServiceId, Service> mServices;
     private final List<Route> mRoutes;
 
+    // A request at an entry searched all routes before: 30 us with 1,440 routes.
+    private final Map<String, List<Route>> mRoutesByPrefix;
+    private final int mLongestPrefix;
+
+    /** Found when first asked for, which stores do ten times a second. */
+    private List<ServiceId> mBatchServices;
+
     private ConfigView(
             long version,
             Map<OrganisationId, Organisation> organisations,
             Map<KeyId, Key> keys,
             Map<String, Key> keysByDigest,
             Map<ServiceId, Service> services,
-            List<Route> routes) {
+            List<Route> routes,
+            Map<String, List<Route>> routesByPrefix) {
         mVersion = version;
         mOrganisations = organisations;
         mKeys = keys;
         mKeysByDigest = keysByDigest;
         mServices = services;
         mRoutes = routes;
+        mRoutesByPrefix = routesByPrefix;
+        mLongestPrefix = routes.isEmpty() ? 0 : routes.get(0).pathPrefix().length();
     }
 
     /** Returns a view of the given objects. */
@@ -47,13 +57,15 @@
             Stream<Service> services,
             Stream<Route> routes) {
         Map<KeyId, Key> byId = index(keys, Key::id);
+        List<Route> ordered = longestPrefixFirst(routes);
         return new ConfigView(
                 version,
                 index(organisations, Organisation::id),
                 byId,
                 index(byId.values().stream(), Key::digest),
                 index(services, Service::id),
-                longestPrefixFirst(routes));
+                ordered,
+                byPrefix(ordered));
     }
 
     /** Returns the empty view of version 0. */
@@ -92,15 +104,18 @@
                         default -> setKey(keys, digests, change);
                     }
                 });
+        List<Route> ordered =
+                routes.isModified()
+                        ? longestPrefixFirst(routes.result().values().stream())
+                        : mRoutes;
         return new ConfigView(
                 version,
                 organisations.result(),
                 keys.result(),
                 digests.result(),
                 services.result(),
-                routes.isModified()
-                        ? longestPrefixFirst(routes.result().values().stream())
-                        : mRoutes);
+                ordered,
+                routes.isModified() ? byPrefix(ordered) : mRoutesByPrefix);
     }
 
     private static boolean changesRoutes(Collection<ConfigChange> changes) {
@@ -131,6 +146,10 @@
                 .collect(Collectors.toUnmodifiableList());
     }
 
+    private static Map<String, List<Route>> byPrefix(List<Route> routes) {
+        return routes.stream().collect(Collectors.groupingBy(Route::pathPrefix));
+    }
+
     private static <K, V> Map<K, V> index(Stream<V> values, Function<V, K> key) {
         return values.collect(Collectors.toUnmodifiableMap(key, Function.identity()));
     }
@@ -175,6 +194,19 @@
         return mRoutes.stream();
     }
 
+    /** Returns the services of the routes for batch jobs. */
+    public List<ServiceId> batchServices() {
+        if (mBatchServices == null) {
+            mBatchServices =
+                    mRoutes.stream()
+                            .filter(route -> route.policy().kind() == RequestKind.BATCH)
+                            .flatMap(Route::services)
+                            .distinct()
+                            .toList();
+        }
+        return mBatchServices;
+    }
+
     /** Returns the route with the longest prefix that matches the path, for any host name. */
     public Optional<Route> route(String path) {
         return route("", path);
@@ -182,18 +214,26 @@
 
     /** Returns the route with the longest prefix that matches the host name and the path. */
     public Optional<Route> route(String hostName, String path) {
-        return mRoutes.stream()
-                .filter(route -> route.matchesHost(hostName))
-                .filter(route -> matches(route.pathPrefix(), path))
-                .findFirst();
-    }
-
-    private static boolean matches(String prefix, String path) {
-        return path.startsWith(prefix)
-                && (path.length() == prefix.length()
-                        || prefix.endsWith("/")
-                        || path.charAt(prefix.length()) == '/'
-                        || path.charAt(prefix.length()) == '?');
+        for (int length = Math.min(path.length(), mLongestPrefix); length >= 0; length--) {
+            List<Route> routes =
+                    isSegmentEnd(path, length)
+                            ? mRoutesByPrefix.get(path.substring(0, length))
+                            : null;
+            for (int i = 0; routes != null && i < routes.size(); i++) {
+                if (routes.get(i).matchesHost(hostName)) {
+                    return Optional.of(routes.get(i));
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns whether a prefix of this length consists of whole segments of the path. */
+    private static boolean isSegmentEnd(String path, int length) {
+        return path.length() == length
+                || length > 0 && path.charAt(length - 1) == '/'
+                || path.charAt(length) == '/'
+                || path.charAt(length) == '?';
     }
 
     /** A table that is copied on its first write. */
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -346,6 +346,16 @@
         return mGroup.appliedIndex();
     }
 
+    /** Returns the current term. */
+    public long term() {
+        return mGroup.term();
+    }
+
+    /** Returns the members; the same instance until they change. */
+    public Members members() {
+        return mGroup.members();
+    }
+
     /** Returns the status shown to operators. */
     public RaftStatus status(long nowNanos) {
         return new RaftStatus(
--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import java.util.stream.LongStream;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
@@ -353,18 +352,18 @@
 
     @Override
     public long nextTickNanos() {
-        LongStream groups = mGroups.stream().mapToLong(group -> group.node().nextTickNanos());
-        LongStream jobs = mJobServices.stream().mapToLong(JobService::nextTickNanos);
-        LongStream others =
-                LongStream.of(
-                        mPublisher.nextTickNanos(),
-                        mLeases.nextTickNanos(),
-                        mForwarder.nextTickNanos(),
-                        mStatus.nextTickNanos(),
-                        mGateway.nextTickNanos(),
-                        mFleet.map(FleetCoordinator::nextTickNanos).orElse(NEVER),
-                        mNextHandoverNanos);
-        return LongStream.concat(LongStream.concat(groups, jobs), others).min().orElse(NEVER);
+        long next = Math.min(mNextHandoverNanos, mPublisher.nextTickNanos());
+        for (RaftGroup group : mGroups) {
+            next = Math.min(next, group.node().nextTickNanos());
+        }
+        for (JobService jobs : mJobServices) {
+            next = Math.min(next, jobs.nextTickNanos());
+        }
+        next = Math.min(next, mLeases.nextTickNanos());
+        next = Math.min(next, mForwarder.nextTickNanos());
+        next = Math.min(next, mStatus.nextTickNanos());
+        next = Math.min(next, mGateway.nextTickNanos());
+        return mFleet.isPresent() ? Math.min(next, mFleet.get().nextTickNanos()) : next;
     }
 
     private void stop(long nowNanos) {
--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -8,6 +8,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.consensus.Members;
 import org.coltsfootproxy.direct.FleetDirectory;
 import org.coltsfootproxy.direct.TargetCalls;
 import org.coltsfootproxy.direct.TargetListReader;
@@ -35,6 +36,10 @@
     private final JobLogBootstrap mBootstrap;
     private final QuarantineStore mQuarantine;
     private List<HostId> mControlHosts;
+
+    /** The members of the log from which the control hosts were last read. */
+    private Members mMembers;
+
     private long mStartNanos;
 
     FleetCoordinator(
@@ -85,7 +90,7 @@
     }
 
     void tick(long nowNanos, Effects out) {
-        updateControlHosts(nowNanos, out);
+        updateControlHosts(out);
         mDirectory.roster().retiring(mState.retiring(), out);
         if (mDirectory.nextTickNanos() <= nowNanos) {
             mDirectory.tick(mConfig.isLeader(nowNanos), nowNanos, out);
@@ -95,9 +100,12 @@
     }
 
     /** Follows the control hosts: the members of the log or, until these are known, the seeds. */
-    private void updateControlHosts(long nowNanos, Effects out) {
-        List<HostId> members =
-                mConfig.status(nowNanos).members().all().map(Member::host).sorted().toList();
+    private void updateControlHosts(Effects out) {
+        if (mConfig.members() == mMembers) {
+            return;
+        }
+        mMembers = mConfig.members();
+        List<HostId> members = mMembers.all().map(Member::host).sorted().toList();
         if (members.isEmpty() || members.equals(mControlHosts)) {
             return;
         }
--- a/src/main/java/org/coltsfootproxy/control/RaftGroup.java
+++ b/src/main/java/org/coltsfootproxy/control/RaftGroup.java
@@ -7,6 +7,7 @@
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.config.QuorumRead;
 import org.coltsfootproxy.consensus.MemberChange;
+import org.coltsfootproxy.consensus.Members;
 import org.coltsfootproxy.consensus.Proposer;
 import org.coltsfootproxy.consensus.RaftNode;
 import org.coltsfootproxy.consensus.RaftSettings;
@@ -73,7 +74,7 @@
 
     /** Returns whether a host is a member of the group. */
     boolean isMember(HostId host) {
-        return status(mNowNanos).members().all().anyMatch(m -> m.host().equals(host));
+        return members().all().anyMatch(m -> m.host().equals(host));
     }
 
     @Override
@@ -98,7 +99,12 @@
 
     @Override
     public long term() {
-        return mNode.status(mNowNanos).term();
+        return mNode.term();
+    }
+
+    /** Returns the members; the same instance until they change. */
+    Members members() {
+        return mNode.members();
     }
 
     RaftStatus status(long nowNanos) {
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
@@ -345,17 +344,13 @@
 
     @Override
     public long nextTickNanos() {
-        return LongStream.of(
-                        mConfig.nextTickNanos(),
-                        mMembership.nextTickNanos(),
-                        mGroup.node().nextTickNanos(),
-                        mJobService.nextTickNanos(),
-                        mWorker.nextTickNanos(),
-                        mQuarantine.nextTickNanos(),
-                        mReports.nextTickNanos(),
-                        mNextHandoverNanos)
-                .min()
-                .getAsLong();
+        long next = Math.min(mConfig.nextTickNanos(), mMembership.nextTickNanos());
+        next = Math.min(next, mGroup.node().nextTickNanos());
+        next = Math.min(next, mJobService.nextTickNanos());
+        next = Math.min(next, mWorker.nextTickNanos());
+        next = Math.min(next, mQuarantine.nextTickNanos());
+        next = Math.min(next, mReports.nextTickNanos());
+        return Math.min(next, mNextHandoverNanos);
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import java.util.stream.LongStream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
@@ -161,6 +160,9 @@
     }
 
     private void enrol(long nowNanos, Effects out) {
+        if (nowNanos - mMembership.nextTickNanos() < 0) {
+            return;
+        }
         mMembership.tick(
                 mTargets.listing().number(),
                 null,
@@ -372,18 +374,13 @@
 
     @Override
     public long nextTickNanos() {
-        long next =
-                LongStream.of(
-                                mConfig.nextTickNanos(),
-                                mMembership.nextTickNanos(),
-                                mQuarantine.nextTickNanos(),
-                                mReports.nextTickNanos(),
-                                mVersionSync.nextTickNanos(),
-                                mEarlyCalls.nextTickNanos(),
-                                mCalls.nextTickNanos(),
-                                mJobs.nextTickNanos())
-                        .min()
-                        .getAsLong();
+        long next = Math.min(mConfig.nextTickNanos(), mMembership.nextTickNanos());
+        next = Math.min(next, mQuarantine.nextTickNanos());
+        next = Math.min(next, mReports.nextTickNanos());
+        next = Math.min(next, mVersionSync.nextTickNanos());
+        next = Math.min(next, mEarlyCalls.nextTickNanos());
+        next = Math.min(next, mCalls.nextTickNanos());
+        next = Math.min(next, mJobs.nextTickNanos());
         long nextWithSync = mIsLimiterSynced ? next : Math.min(next, mLimiterSyncDeadline);
         return mStopping && !mRefusing ? Math.min(nextWithSync, mRefuseAt) : nextWithSync;
     }
--- a/src/main/java/org/coltsfootproxy/direct/EarlyCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/EarlyCalls.java
@@ -62,6 +62,9 @@
 
     /** Removes and returns the calls that have been held for the longest time allowed. */
     List<Held> takeExpired(long nowNanos) {
+        if (mHeld.isEmpty()) {
+            return List.of();
+        }
         List<Held> expired =
                 mHeld.stream().filter(h -> nowNanos - h.arrivedAt() >= MAX_HOLD_NANOS).toList();
         mHeld.removeAll(expired);
--- a/src/main/java/org/coltsfootproxy/direct/HostReports.java
+++ b/src/main/java/org/coltsfootproxy/direct/HostReports.java
@@ -5,13 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.limit.SharedCountLimiter;
 import org.coltsfootproxy.membership.FleetMembership;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.node.Effects;
-import org.coltsfootproxy.node.Node;
 import org.coltsfootproxy.quarantine.CrashQuarantine;
 import org.coltsfootproxy.relay.RelayGroups;
 import org.coltsfootproxy.relay.ReportRelay;
@@ -184,16 +182,15 @@
     }
 
     private long nextReportNanos() {
+        // No streams, since this is called several times in each round of the host's loop.
+        long next = Math.min(mLoads.nextReportNanos(), mQuarantine.nextReportNanos());
+        if (mLimiter.isPresent()) {
+            next = Math.min(next, mLimiter.get().nextReportNanos());
+        }
         boolean hasBatch =
-                mShedder.filter(LoadShedder::hasReport).isPresent()
-                        || mVersions.filter(StreamVersions::hasReport).isPresent();
-        return LongStream.of(
-                        mLoads.nextReportNanos(),
-                        mQuarantine.nextReportNanos(),
-                        mLimiter.map(SharedCountLimiter::nextReportNanos).orElse(Node.NEVER),
-                        hasBatch ? mPublishedAt + ReportRelay.BATCH_INTERVAL_NANOS : Node.NEVER)
-                .min()
-                .getAsLong();
+                mShedder.isPresent() && mShedder.get().hasReport()
+                        || mVersions.isPresent() && mVersions.get().hasReport();
+        return hasBatch ? Math.min(next, mPublishedAt + ReportRelay.BATCH_INTERVAL_NANOS) : next;
     }
 
     /** Returns the time of the next due {@link #tick}. */
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -24,8 +24,6 @@
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.config.ConfigView;
-import org.coltsfootproxy.config.RequestKind;
-import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.job.ItemPuller;
 import org.coltsfootproxy.job.ItemRunner;
 import org.coltsfootproxy.message.ItemProgress;
@@ -537,13 +535,7 @@
 
     /** Offers the puller this host's share of the free slots, less the items that wait here. */
     private void offerSlots(long now, Effects out) {
-        List<ServiceId> services =
-                mConfig.get()
-                        .routes()
-                        .filter(route -> route.policy().kind() == RequestKind.BATCH)
-                        .flatMap(Route::services)
-                        .distinct()
-                        .toList();
+        List<ServiceId> services = mConfig.get().batchServices();
         int slots = services.stream().flatMap(mTargets::active).mapToInt(Target::slots).sum();
         long quarantined = mRuns.values().stream().filter(this::waitsInQuarantine).count();
         mPuller.setCapacity((int) (Math.max(1, slots / mWorkers) + quarantined));
--- a/src/main/java/org/coltsfootproxy/direct/LoadExchange.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadExchange.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.FleetMessage;
@@ -44,7 +43,10 @@
     private boolean mHadCalls;
 
     /** The targets at which a host has calls in flight, and when its last report arrived. */
-    private record Report(Set<TargetId> targets, long receivedAt) {}
+    private static final class Report {
+        private final Set<TargetId> mTargets = new HashSet<>();
+        private long mReceivedAt;
+    }
 
     private LoadExchange(HostId self, Targets targets) {
         mSelf = checkNotNull(self, "self");
@@ -70,37 +72,41 @@
         if (!mHosts.contains(from)) {
             return;
         }
-        Report before = mReports.get(from);
-        Set<TargetId> targets = before == null ? new HashSet<>() : before.targets();
-        if (inFlight.isComplete()) {
-            Set<TargetId> reported =
-                    inFlight.uses().stream()
-                            .map(FleetMessage.TargetUse::target)
-                            .collect(Collectors.toSet());
-            targets.stream()
-                    .filter(id -> !reported.contains(id))
-                    .forEach(id -> updateUse(from, id, Optional.empty()));
-            targets.retainAll(reported);
-        }
+        // Plain loops, since this is called for each report of each host.
+        Report report = mReports.computeIfAbsent(from, host -> new Report());
+        report.mReceivedAt = nowNanos;
+        Set<TargetId> omitted = inFlight.isComplete() ? new HashSet<>(report.mTargets) : Set.of();
         for (FleetMessage.TargetUse use : inFlight.uses()) {
-            mTargets.byId(use.target()).ifPresent(target -> target.reported(use, nowNanos));
             boolean hasCalls = use.online() + use.batch() > 0;
-            updateUse(from, use.target(), Optional.of(use).filter(u -> hasCalls));
+            Target target = mTargets.find(use.target());
+            if (target != null) {
+                target.reported(use, nowNanos);
+                target.updateUse(from, hasCalls ? use : null);
+            }
             if (hasCalls) {
-                targets.add(use.target());
+                report.mTargets.add(use.target());
             } else {
-                targets.remove(use.target());
+                report.mTargets.remove(use.target());
             }
+            if (inFlight.isComplete()) {
+                omitted.remove(use.target());
+            }
+        }
+        for (TargetId id : omitted) {
+            removeUse(from, id);
+            report.mTargets.remove(id);
         }
-        mReports.put(from, new Report(targets, nowNanos));
     }
 
-    private void updateUse(HostId host, TargetId id, Optional<FleetMessage.TargetUse> use) {
-        mTargets.byId(id).ifPresent(target -> target.updateUse(host, use));
+    private void removeUse(HostId host, TargetId id) {
+        Target target = mTargets.find(id);
+        if (target != null) {
+            target.updateUse(host, null);
+        }
     }
 
     private void dropReport(HostId host) {
-        mReports.remove(host).targets().forEach(id -> updateUse(host, id, Optional.empty()));
+        mReports.remove(host).mTargets.forEach(id -> removeUse(host, id));
     }
 
     /** Asks the host with the most preemptible batch items at a target, if any, to preempt one. */
@@ -119,7 +125,7 @@
                 mReports.entrySet().stream()
                         .filter(
                                 entry ->
-                                        nowNanos - entry.getValue().receivedAt()
+                                        nowNanos - entry.getValue().mReceivedAt
                                                 >= REPORT_TIMEOUT_NANOS)
                         .map(Map.Entry::getKey)
                         .toList();
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -124,20 +124,24 @@
         mRateLimit.started(use.started(), nowNanos);
     }
 
-    /** Replaces what another host has reported of its calls; empty if it has none. */
-    void updateUse(HostId host, Optional<FleetMessage.TargetUse> use) {
+    /** Replaces what another host has reported of its calls; null if it has none. */
+    void updateUse(HostId host, FleetMessage.TargetUse use) {
         FleetMessage.TargetUse before =
-                use.isPresent() ? mReportedUses.put(host, use.get()) : mReportedUses.remove(host);
-        mOnlineElsewhere += use.map(FleetMessage.TargetUse::online).orElse(0);
-        mBatchElsewhere += use.map(FleetMessage.TargetUse::batch).orElse(0);
-        mKeptElsewhere += use.map(FleetMessage.TargetUse::kept).orElse(0);
+                use != null ? mReportedUses.put(host, use) : mReportedUses.remove(host);
+        if (use != null) {
+            countElsewhere(use, 1);
+        }
         if (before != null) {
-            mOnlineElsewhere -= before.online();
-            mBatchElsewhere -= before.batch();
-            mKeptElsewhere -= before.kept();
+            countElsewhere(before, -1);
         }
     }
 
+    private void countElsewhere(FleetMessage.TargetUse use, int sign) {
+        mOnlineElsewhere += sign * use.online();
+        mBatchElsewhere += sign * use.batch();
+        mKeptElsewhere += sign * use.kept();
+    }
+
     /** Changes the number of this host's batch items that keep their slots. */
     void addKept(int change) {
         mKept += change;
@@ -159,9 +163,8 @@
         if (use != null && use.preemptible() > 0) {
             updateUse(
                     host,
-                    Optional.of(
-                            FleetMessage.TargetUse.of(
-                                    use.target(), use.online(), use.batch() - 1, use.kept())));
+                    FleetMessage.TargetUse.of(
+                            use.target(), use.online(), use.batch() - 1, use.kept()));
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/Targets.java
+++ b/src/main/java/org/coltsfootproxy/direct/Targets.java
@@ -191,6 +191,11 @@
         return Optional.ofNullable(mById.get(id));
     }
 
+    /** Returns the target with an id; null if none is listed. */
+    Target find(TargetId id) {
+        return mById.get(id);
+    }
+
     Stream<Target> all() {
         return mById.values().stream();
     }
--- a/src/main/java/org/coltsfootproxy/limit/SharedCountLimiter.java
+++ b/src/main/java/org/coltsfootproxy/limit/SharedCountLimiter.java
@@ -166,8 +166,8 @@
         peer.mReportedAt = nowNanos;
         double share = knownShare(nowNanos);
         for (FleetMessage.AdmissionCount use : usage.uses()) {
-            long before = peer.mAdmitted.getOrDefault(use.organisation(), wasReachable ? 0L : -1L);
-            peer.mAdmitted.put(use.organisation(), use.admitted());
+            Long last = peer.mAdmitted.put(use.organisation(), use.admitted());
+            long before = last != null ? last : wasReachable ? 0 : -1;
             if (wasReachable && use.admitted() > before) {
                 LocalBucket bucket = bucket(use.organisation(), nowNanos);
                 fill(use.organisation(), bucket, share, nowNanos);
@@ -194,9 +194,16 @@
 
     /** Returns the share of the fleet's entries whose admissions are known here. */
     private double knownShare(long nowNanos) {
-        long reachable =
-                mPeers.values().stream().filter(peer -> isReachable(peer, nowNanos)).count();
-        long ended = mPeers.values().stream().filter(peer -> peer.mHasEnded).count();
+        // A plain loop, since this is called for each report that arrives.
+        int reachable = 0;
+        int ended = 0;
+        for (Peer peer : mPeers.values()) {
+            if (peer.mHasEnded) {
+                ended++;
+            } else if (isReachable(peer, nowNanos)) {
+                reachable++;
+            }
+        }
         return (1.0 + reachable) / (1 + mPeers.size() - ended);
     }
 
@@ -207,13 +214,10 @@
 
     private void fill(
             OrganisationId organisation, LocalBucket bucket, double share, long nowNanos) {
-        Optional<Organisation> rates = mView.organisation(organisation);
-        double added =
-                rates.map(Organisation::ratePerSecond).orElse(0.0)
-                        * share
-                        * (nowNanos - bucket.mFilledAt)
-                        / SECOND_NANOS;
-        double burst = rates.map(Organisation::burst).orElse(0.0);
+        Organisation rates = mView.organisation(organisation).orElse(null);
+        double perSecond = rates == null ? 0 : rates.ratePerSecond();
+        double burst = rates == null ? 0 : rates.burst();
+        double added = perSecond * share * (nowNanos - bucket.mFilledAt) / SECOND_NANOS;
         bucket.mLevel = Math.min(burst, bucket.mLevel + added);
         bucket.mFilledAt = nowNanos;
     }
@@ -223,12 +227,14 @@
      * burst, because other entries may have emptied theirs.
      */
     private LocalBucket bucket(OrganisationId organisation, long nowNanos) {
-        return mBuckets.computeIfAbsent(
-                organisation,
-                id -> {
-                    double burst = mView.organisation(id).map(Organisation::burst).orElse(0.0);
-                    return new LocalBucket(burst * knownShare(nowNanos), nowNanos);
-                });
+        LocalBucket known = mBuckets.get(organisation);
+        if (known != null) {
+            return known;
+        }
+        double burst = mView.organisation(organisation).map(Organisation::burst).orElse(0.0);
+        LocalBucket bucket = new LocalBucket(burst * knownShare(nowNanos), nowNanos);
+        mBuckets.put(organisation, bucket);
+        return bucket;
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
@@ -161,10 +161,11 @@
 
     /** Returns the time of the next due {@link #tick}, or {@link Node#NEVER}. */
     public long nextTickNanos() {
-        return mHosts.values().stream()
-                .mapToLong(host -> host.receivedNanos() + ENROLMENT_TIMEOUT_NANOS)
-                .min()
-                .orElse(Node.NEVER);
+        long next = Node.NEVER;
+        for (var host : mHosts.values()) {
+            next = Math.min(next, host.receivedNanos() + ENROLMENT_TIMEOUT_NANOS);
+        }
+        return next;
     }
 
     private FleetMessage.Roster roster() {
--- a/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/CrashQuarantine.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.SuspectId;
@@ -256,11 +255,10 @@
 
     /** Returns the time of the next due {@link #tick}, or {@link Node#NEVER}. */
     public long nextTickNanos() {
-        long nextEnd =
-                mQuarantined.values().stream()
-                        .mapToLong(QuarantineTerm::end)
-                        .min()
-                        .orElse(Node.NEVER);
+        long nextEnd = Node.NEVER;
+        for (QuarantineTerm term : mQuarantined.values()) {
+            nextEnd = Math.min(nextEnd, term.end());
+        }
         return Math.min(nextEnd, mEvidence.nextReviewNanos());
     }
 
@@ -293,8 +291,7 @@
 
     /** Returns when the next report is due, or {@link Node#NEVER}. */
     public long nextReportNanos() {
-        return LongStream.of(mCrashUpdates.nextNanos(), mSoundUpdates.nextNanos(), mNextRepeat)
-                .min()
-                .getAsLong();
+        long next = Math.min(mCrashUpdates.nextNanos(), mSoundUpdates.nextNanos());
+        return Math.min(next, mNextRepeat);
     }
 }
--- a/src/main/java/org/coltsfootproxy/quarantine/RepeatedUpdates.java
+++ b/src/main/java/org/coltsfootproxy/quarantine/RepeatedUpdates.java
@@ -61,6 +61,10 @@
 
     /** Returns when an update is due, or {@link Node#NEVER}. */
     long nextNanos() {
-        return mUpdates.values().stream().mapToLong(s -> s.mNextAt).min().orElse(Node.NEVER);
+        long next = Node.NEVER;
+        for (var update : mUpdates.values()) {
+            next = Math.min(next, update.mNextAt);
+        }
+        return next;
     }
 }
--- a/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
+++ b/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
@@ -4,24 +4,33 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.RecordCodec;
+import org.coltsfootproxy.base.RouteId;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.TrafficClass;
+import org.coltsfootproxy.config.ConfigView;
+import org.coltsfootproxy.config.Organisation;
+import org.coltsfootproxy.config.Route;
+import org.coltsfootproxy.limit.SharedCountLimiter;
+import org.coltsfootproxy.membership.FleetMembership;
 import org.coltsfootproxy.message.ConfigMessage;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.FleetRole;
 import org.coltsfootproxy.message.ListedTarget;
 import org.coltsfootproxy.message.Message;
 import org.coltsfootproxy.message.RaftMessage;
+import org.coltsfootproxy.quarantine.CrashQuarantine;
 
 /**
  * Measures the frequent messages between hosts (size, encoding and decoding) and the decisions of a
@@ -36,6 +45,7 @@
     private static final int TARGETS = 39;
     private static final int ORGANISATIONS = 81;
     private static final int HOSTS = 30;
+    private static final int ROUTES = 1_440;
     private static final int FIRST_ROUNDS = 100;
     private static final int BATCH = 100;
     private static final ServiceId SERVICE = ServiceId.of("lm");
@@ -72,6 +82,11 @@
         message("heartbeat of a log's leader", append());
         message("answer to a log's leader", answer());
         decisions();
+        exchange();
+        ConfigView view = view();
+        time(
+                "route of a path among " + ROUTES,
+                () -> view.route("any", "/v1/part-" + mRandom.nextInt(ROUTES) + "/calls/7?x=1"));
     }
 
     private void message(String name, Message message) {
@@ -129,6 +144,115 @@
                 });
     }
 
+    /** Measures an entry that is not the relay and receives the reports of all others from it. */
+    private void exchange() {
+        Targets targets = Targets.create(DataCentre.of("centre-1"), new Random(1));
+        targets.update(listing(), effect -> {});
+        HostReports reports =
+                HostReports.ofEntry(
+                        SELF,
+                        1,
+                        targets,
+                        LoadExchange.create(SELF, targets),
+                        CrashQuarantine.create(),
+                        limiter(),
+                        LoadShedder.create(targets),
+                        StreamVersions.create());
+        FleetMembership membership =
+                FleetMembership.create(
+                        new FleetMembership.Self(
+                                SELF, "self", FleetRole.ENTRY, DataCentre.of("centre-1")),
+                        List.of(HostId.of("10.0.9.9")));
+        membership.handle(HostId.of("10.0.9.9"), roster());
+        reports.hostsChanged(membership, 0, effect -> {});
+        HostId relay = host(HOSTS - 1);
+        List<FleetMessage.Reports> messages =
+                IntStream.range(0, 64).mapToObj(n -> reports(12, 3, 3)).toList();
+        long[] now = {0};
+        time(
+                "handle a relay's message of 12 reports",
+                () -> {
+                    now[0] += 20_000_000;
+                    var message = renumbered(messages.get(mRandom.nextInt(messages.size())));
+                    reports.handle(relay, message, now[0], effect -> {});
+                    reports.tick(now[0], effect -> {});
+                    return reports;
+                });
+        time("next tick of the reports", reports::nextTickNanos);
+        time(
+                "tick of the reports, each ms",
+                () -> {
+                    now[0] += 1_000_000;
+                    reports.tick(now[0], effect -> {});
+                    return reports;
+                });
+    }
+
+    /** Returns the same reports as new ones. */
+    private FleetMessage.Reports renumbered(FleetMessage.Reports reports) {
+        List<FleetMessage.HostReport> renumbered = new ArrayList<>();
+        for (FleetMessage.HostReport r : reports.reports()) {
+            renumbered.add(
+                    new FleetMessage.HostReport(
+                            r.origin(),
+                            r.epoch(),
+                            ++mSequence,
+                            r.inFlight(),
+                            r.usage(),
+                            r.refused(),
+                            r.leaving(),
+                            r.crashes(),
+                            r.streams()));
+        }
+        return new FleetMessage.Reports(renumbered, List.of());
+    }
+
+    private static SharedCountLimiter limiter() {
+        SharedCountLimiter limiter = SharedCountLimiter.create(SELF);
+        limiter.entries(IntStream.range(0, HOSTS).mapToObj(ReportMeasurement::host).toList(), 0);
+        limiter.configure(view(), 0);
+        return limiter;
+    }
+
+    private static ConfigView view() {
+        return ConfigView.of(
+                1,
+                IntStream.range(0, ORGANISATIONS)
+                        .mapToObj(
+                                n ->
+                                        new Organisation(
+                                                OrganisationId.of("organisation-" + n), 10, 20, 1)),
+                Stream.empty(),
+                Stream.empty(),
+                IntStream.range(0, ROUTES)
+                        .mapToObj(
+                                n ->
+                                        Route.of(
+                                                RouteId.of("route-" + n),
+                                                "/v1/part-" + n + "/calls",
+                                                SERVICE,
+                                                true,
+                                                Set.of(),
+                                                Set.of(),
+                                                5_000)));
+    }
+
+    private static FleetMessage.Roster roster() {
+        List<HostId> hosts =
+                IntStream.range(0, HOSTS).mapToObj(ReportMeasurement::host).sorted().toList();
+        return new FleetMessage.Roster(
+                1,
+                List.of(HostId.of("10.0.9.9")),
+                hosts.subList(0, 23),
+                hosts.subList(23, HOSTS),
+                0,
+                List.of(),
+                List.of(),
+                hosts.stream()
+                        .map(h -> new FleetMessage.HostPlacement(h, DataCentre.of("centre-1")))
+                        .toList());
+    }
+
     private static Object limitWait(Targets targets) {
         return targets.limitWaitNanos(SERVICE, target -> true, 0);
     }
@@ -141,14 +265,13 @@
         return new FleetMessage.Reports(hostReports(hosts, uses, counts).toList(), List.of());
     }
 
-    private java.util.stream.Stream<FleetMessage.HostReport> hostReports(
-            int hosts, int uses, int counts) {
+    private Stream<FleetMessage.HostReport> hostReports(int hosts, int uses, int counts) {
         return IntStream.range(0, hosts)
                 .mapToObj(
                         host ->
                                 new FleetMessage.HostReport(
                                         host(host),
-                                        mRandom.nextLong(),
+                                        0x1234_5678_9abc_def0L + host,
                                         ++mSequence,
                                         new FleetMessage.InFlight(uses(uses), false),
                                         new FleetMessage.Usage(counts(counts)),
