--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -9,6 +9,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.consensus.Members;
 import org.coltsfootproxy.direct.FleetDirectory;
 import org.coltsfootproxy.direct.ListedVersions;
 import org.coltsfootproxy.direct.TargetCalls;
@@ -40,6 +41,10 @@
     private final Targets mTargets;
     private final KnownDataCentres mDataCentres;
     private List<HostId> mControlHosts;
+
+    /** The members of the log from which the control hosts were last read. */
+    private Members mMembers;
+
     private long mStartNanos;
 
     FleetCoordinator(
@@ -105,7 +110,7 @@
     void tick(long nowNanos, Effects out) {
         updateVersions(nowNanos, out);
         mVersionRecord.tick(out);
-        updateControlHosts(nowNanos, out);
+        updateControlHosts(out);
         mDirectory.roster().retiring(mState.retiring(), out);
         mDataCentres.listed(mTargets.listing());
         if (mDirectory.nextTickNanos() <= nowNanos) {
@@ -116,9 +121,12 @@
     }
 
     /** Follows the control hosts: the members of the log or, until these are known, the seeds. */
-    private void updateControlHosts(long nowNanos, Effects out) {
-        List<HostId> members =
-                mConfig.status(nowNanos).members().all().map(Member::host).sorted().toList();
+    private void updateControlHosts(Effects out) {
+        if (mConfig.members() == mMembers) {
+            return;
+        }
+        mMembers = mConfig.members();
+        List<HostId> members = mMembers.all().map(Member::host).sorted().toList();
         if (members.isEmpty() || members.equals(mControlHosts)) {
             return;
         }
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import java.util.stream.LongStream;
 import org.coltsfootproxy.admission.ReceivedShares;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
@@ -175,6 +174,9 @@
     }
 
     private void enrol(long nowNanos, Effects out) {
+        if (nowNanos - mMembership.nextTickNanos() < 0) {
+            return;
+        }
         mMembership.tick(
                 mTargets.listing().number(),
                 null,
@@ -404,18 +406,13 @@
 
     @Override
     public long nextTickNanos() {
-        long next =
-                LongStream.of(
-                                mConfig.nextTickNanos(),
-                                mMembership.nextTickNanos(),
-                                mQuarantine.nextTickNanos(),
-                                mReports.nextTickNanos(),
-                                mVersionSync.nextTickNanos(),
-                                mEarlyCalls.nextTickNanos(),
-                                mCalls.nextTickNanos(),
-                                mJobs.nextTickNanos())
-                        .min()
-                        .getAsLong();
+        long next = Math.min(mConfig.nextTickNanos(), mMembership.nextTickNanos());
+        next = Math.min(next, mQuarantine.nextTickNanos());
+        next = Math.min(next, mReports.nextTickNanos());
+        next = Math.min(next, mVersionSync.nextTickNanos());
+        next = Math.min(next, mEarlyCalls.nextTickNanos());
+        next = Math.min(next, mCalls.nextTickNanos());
+        next = Math.min(next, mJobs.nextTickNanos());
         long nextWithSync = mIsSynced ? next : Math.min(next, mSyncDeadline);
         return mStopping && !mRefusing ? Math.min(nextWithSync, mRefuseAt) : nextWithSync;
     }
