Keep reservations from displacing organisations below their share

Cause: during a flood, small organisations that were refused as late held reservations, and these caused further refusals of small ones.

Change: reserved returns add to the expected wait of organisations above their share only. A return at its time may wait 0.8 of the goal instead of 0.7, so that it still precedes new requests of its rank.

Ruled out: refusing a flood while the expected wait is zero. No request may be refused while slots are idle.

--- a/src/main/java/org/coltsfootproxy/admission/ContentionControl.java
+++ b/src/main/java/org/coltsfootproxy/admission/ContentionControl.java
@@ -111,7 +111,9 @@
         noteRank(request, nowNanos);
         boolean hasReservation = mReturns.claim(request.hash(), nowNanos) | request.isKnownReturn();
         double ratio = mShares.ratio(request.organisation(), request.weight(), nowNanos);
-        double reserved = load.waitNanos() > 0 ? reservedNanos(load, nowNanos) : 0;
+        // Reservations don't displace organisations below their share: they hold them themselves.
+        boolean isDisplaced = load.waitNanos() > 0 && ratio > 1;
+        double reserved = isDisplaced ? reservedNanos(load, nowNanos) : 0;
         var contender =
                 new ContentionPolicy.Contender(
                         moreUrgentRanks(request, nowNanos),
--- a/src/main/java/org/coltsfootproxy/admission/ContentionPolicy.java
+++ b/src/main/java/org/coltsfootproxy/admission/ContentionPolicy.java
@@ -8,9 +8,14 @@
  * that organisation's requests are refused, so that no estimate of the capacity is needed.
  */
 final class ContentionPolicy {
-    /** Fraction of the goal that a request may wait; the rest is for running it. */
+    /** Fraction of the goal that a new request may wait; the rest is for running it. */
     static final double MAX_WAIT_FRACTION = 0.7;
 
+    /**
+     * Fraction of the goal that a return may wait at its time, so that it precedes new requests.
+     */
+    static final double MAX_RETURN_WAIT_FRACTION = 0.8;
+
     /** Factor of the longest wait for each more urgent rank that is in use. */
     static final double RANK_FACTOR = 0.5;
 
@@ -47,12 +52,21 @@
             boolean isBelowMinimum) {
         /** Returns the longest expected wait of a returning request, in nanoseconds. */
         double maxReturnWaitNanos() {
-            return MAX_WAIT_FRACTION * goalNanos * Math.pow(RANK_FACTOR, moreUrgentRanks);
+            return MAX_RETURN_WAIT_FRACTION * goalNanos * rankFactor();
         }
 
         /** Returns the longest expected wait of a new request, in nanoseconds. */
         double maxWaitNanos() {
-            return maxReturnWaitNanos() * shareFactor();
+            return maxWaitOfRankNanos() * shareFactor();
+        }
+
+        /** Returns the longest expected wait of a new request of the rank, in nanoseconds. */
+        private double maxWaitOfRankNanos() {
+            return MAX_WAIT_FRACTION * goalNanos * rankFactor();
+        }
+
+        private double rankFactor() {
+            return Math.pow(RANK_FACTOR, moreUrgentRanks);
         }
 
         private double shareFactor() {
@@ -81,7 +95,7 @@
         if (wait > MAX_WAIT_FRACTION * contender.goalNanos()) {
             return ContentionVerdict.LATE;
         }
-        if (wait > contender.maxReturnWaitNanos()) {
+        if (wait > contender.maxWaitOfRankNanos()) {
             return ContentionVerdict.LESS_URGENT;
         }
         return wait > contender.maxWaitNanos()
--- a/src/test/java/org/coltsfootproxy/admission/ContentionPolicyTest.java
+++ b/src/test/java/org/coltsfootproxy/admission/ContentionPolicyTest.java
@@ -78,6 +78,17 @@
         assertEquals(ContentionPolicy.decide(back), ContentionVerdict.RESERVED);
     }
 
+    /** Guards against returns that wait behind new requests of organisations below their share. */
+    @Test
+    public void aReturnAtItsReservedTimeMayWaitLongerThanAnyNewRequest() {
+        var back =
+                new ContentionPolicy.Contender(
+                        0, 1, 225 * MILLI, 0, 300 * MILLI, 5_000 * MILLI, 0, true, false);
+
+        assertEquals(ContentionPolicy.decide(back), ContentionVerdict.RESERVED);
+        assertEquals(decide(0, 0, 225, 5_000), ContentionVerdict.LATE);
+    }
+
     /** Guards against shares that count old requests like new ones, or grow without bound. */
     @Test
     public void receivedSharesDecayAndStayBounded() {
