--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -20,13 +19,11 @@
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
-import org.coltsfootproxy.base.Region;
 import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.base.Timers;
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.config.ConfigView;
-import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.config.RequestKind;
 import org.coltsfootproxy.config.Route;
@@ -228,7 +225,7 @@
             return;
         }
         ServiceId service = run.item().service();
-        run.allowOnly(mRegions.dataCentres(allowedRegions(run.item())));
+        run.allowOnly(mRegions.dataCentres(Regions.allowed(run.item(), mConfig.get())));
         if (!mTargets.canResume(service, run.version(), run.lastEvent(), run::isInAllowedRegion)) {
             ItemLog.begunAnew(run, mTargets.listing().number(), out);
             run.beginAnew();
@@ -272,17 +269,6 @@
         ItemLog.sent(run, target.get(), mTargets.listing().number(), out);
     }
 
-    /** Returns the regions that an item may reach by its job and by its organisation now. */
-    private Optional<Set<Region>> allowedRegions(LeasedItem item) {
-        Optional<Set<Region>> ofJob = Optional.ofNullable(item.allowedRegions()).map(Set::copyOf);
-        Set<Region> ofOrganisation =
-                mConfig.get()
-                        .organisation(OrganisationId.of(item.organisation()))
-                        .map(Organisation::allowedRegions)
-                        .orElse(Set.of());
-        return Regions.both(ofJob, Regions.named(ofOrganisation));
-    }
-
     /** Returns whether an item is not quarantined, or may be tried in spite of it. */
     private boolean maySend(ItemRun run, long now) {
         return !isQuarantined(run)
