Operators' pages show restrictions only where there are some

Cause: ControlNodeTest failed in the full run: the page of the configuration showed "allowedRegions":[] for each organisation. Change: empty regions and a missing limit for cold targets are left out. Conclusion: ControlNodeTest, RestrictionCodecTest, ConfigStateTest and ColdFieldsTest hold.

--- a/src/main/java/org/coltsfootproxy/config/Organisation.java
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.config;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.google.common.collect.ImmutableSortedSet;
 import java.util.Set;
 import org.coltsfootproxy.base.OrganisationId;
@@ -20,7 +21,7 @@
         double ratePerSecond,
         double burst,
         double weight,
-        Set<Region> allowedRegions)
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) Set<Region> allowedRegions)
         implements ConfigObject {
     /** Copies the set in sorted order, so that every replica encodes it identically. */
     public Organisation {
--- a/src/main/java/org/coltsfootproxy/config/Route.java
+++ b/src/main/java/org/coltsfootproxy/config/Route.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.google.common.collect.ImmutableSortedSet;
 import java.util.Collection;
 import java.util.Set;
@@ -36,7 +37,7 @@
         Set<String> repeatableMethods,
         long timeoutMillis,
         RoutePolicy policy,
-        Set<Region> allowedRegions)
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) Set<Region> allowedRegions)
         implements ConfigObject {
     /** Copies the sets in sorted order, so that every replica encodes them identically. */
     public Route {
--- a/src/main/java/org/coltsfootproxy/config/Service.java
+++ b/src/main/java/org/coltsfootproxy/config/Service.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.Comparator;
 import java.util.List;
 import org.coltsfootproxy.base.DataCentre;
@@ -30,7 +31,7 @@
         List<ServiceTarget> targets,
         boolean targetsFence,
         int affinityBytes,
-        ColdStart coldStart)
+        @JsonInclude(JsonInclude.Include.NON_NULL) ColdStart coldStart)
         implements ConfigObject {
     /** Copies the targets and sorts them by id. */
     public Service {
