--- a/src/main/java/org/coltsfootproxy/config/Organisation.java
+++ b/src/main/java/org/coltsfootproxy/config/Organisation.java
@@ -1,5 +1,6 @@
 package org.coltsfootproxy.config;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.google.common.collect.ImmutableSortedSet;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -22,8 +23,8 @@
         double ratePerSecond,
         double burst,
         double weight,
-        Set<Region> allowedRegions,
-        Integer priority)
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) Set<Region> allowedRegions,
+        @JsonInclude(JsonInclude.Include.NON_NULL) Integer priority)
         implements ConfigObject {
     /** Copies the set in sorted order, so that every replica encodes it identically. */
     public Organisation {
--- a/src/main/java/org/coltsfootproxy/config/Service.java
+++ b/src/main/java/org/coltsfootproxy/config/Service.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.Comparator;
 import java.util.List;
 import org.coltsfootproxy.base.DataCentre;
@@ -31,8 +32,8 @@
         List<ServiceTarget> targets,
         boolean targetsFence,
         int affinityBytes,
-        ColdStart coldStart,
-        int memoryTokens)
+        @JsonInclude(JsonInclude.Include.NON_NULL) ColdStart coldStart,
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT) int memoryTokens)
         implements ConfigObject {
     /** Copies the targets and sorts them by id. */
     public Service {
