A fleet of exactly five stores can retire one

Cause: with two losses to tolerate the job log needs five voters, and a fleet that runs five stores refused every retirement with 409.

Change: each control host has a blank replica of the job log. If a store retires and fewer than five others are left, a control host stands in as a voter (JobLogStandIn); the next store that comes takes its place. A retiring voter that responds now leaves after its successor votes, not before, so that two losses can be borne in between.

Ruled out: a larger share (8 of 9 machines instead of 5), three or four voters while a store retires (a job lost, or no quorum, with two lost disks), keeping the retiring store as a voter (docs/design/retirement.md). No machine is added anywhere.

Tests: RetirementTest (69 cases: each store, two lost disks at 60 moments, the stand-in and a store lost, loss of all power, a new store) passes, as do the raft tests, FleetJobsTest, FleetConfigTest, ControlHostsTest and ControlNodeTest.

Conclusion: works in virtual time; the cost at a control host that stands in and the start of a real control host on an older data folder are not measured. Fleets for fewer than two losses refuse as before.

--- a/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
+++ b/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
@@ -62,6 +62,7 @@
         }
         return requested(replication, nowNanos)
                 .or(() -> learnerRemoval())
+                .or(() -> surplusVoterRemoval(replication, nowNanos))
                 .or(() -> promotion(replication, nowNanos))
                 .or(() -> replacement(replication, nowNanos));
     }
@@ -119,6 +120,14 @@
                                         .isPresent());
     }
 
+    private boolean isResponding(Member member, Replication replication, long nowNanos) {
+        long limit = mGroup.settings().electionTimeoutNanos();
+        return replication
+                .progress(member)
+                .filter(progress -> nowNanos - progress.answeredNanos() < limit)
+                .isPresent();
+    }
+
     /** Removes a learner whose host is to be removed. */
     private Optional<NextChange> learnerRemoval() {
         Members members = mGroup.members();
@@ -129,6 +138,18 @@
                 .map(changed -> new NextChange(changed, Optional.empty()));
     }
 
+    /** Removes a voter whose successor votes already. */
+    private Optional<NextChange> surplusVoterRemoval(Replication replication, long nowNanos) {
+        Members members = mGroup.members();
+        int wanted = mGroup.settings().wantedVoters();
+        return Optional.of(members)
+                .filter(m -> wanted > 0 && m.voters().size() > wanted)
+                .flatMap(m -> mJoinRequests.replaceableVoter(replication, nowNanos))
+                .map(members::without)
+                .filter(changed -> hasRespondingQuorum(changed, replication, nowNanos))
+                .map(changed -> new NextChange(changed, Optional.empty()));
+    }
+
     /** Returns the next step towards the promotion of a learner that has caught up. */
     private Optional<NextChange> promotion(Replication replication, long nowNanos) {
         Members members = mGroup.members();
@@ -145,6 +166,20 @@
             Member learner, Replication replication, long nowNanos) {
         Members members = mGroup.members();
         if (mJoinRequests.isSurplus(learner)) {
+            Optional<Members> withSuccessor =
+                    mJoinRequests
+                            .replaceableVoter(replication, nowNanos)
+                            .filter(voter -> mJoinRequests.isRetiring(voter.host()))
+                            .filter(voter -> isResponding(voter, replication, nowNanos))
+                            .filter(
+                                    v ->
+                                            members.voters().size()
+                                                    == mGroup.settings().wantedVoters())
+                            .map(voter -> members.withVoter(learner));
+            if (withSuccessor.isPresent()) {
+                // With one voter fewer for a moment, two losses at that moment could not be borne.
+                return withSuccessor;
+            }
             return mJoinRequests.replaceableVoter(replication, nowNanos).map(members::without);
         }
         return Optional.of(
--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -109,7 +109,8 @@
                         config,
                         mMachine,
                         mForwarder,
-                        new MemberChangeHandler(mForwarder, settings.groups()),
+                        new MemberChangeHandler(
+                                mForwarder, fleetSettings.isPresent() ? 1 : settings.groups()),
                         mStatus,
                         mGateway);
         mFleet =
@@ -119,6 +120,7 @@
                                         settings,
                                         fleet,
                                         config,
+                                        mGroups.stream().skip(1).findFirst(),
                                         mMachine.fleet(),
                                         new Random(random.nextLong())));
         mPlatformApi =
@@ -200,13 +202,26 @@
                 .forEach(h -> mOut.add(new Effect.PeerAddress(h.host(), h.address())));
         RaftSettings raft = raftSettings(hosts);
         Member self = Member.of(mSettings.self(), mSettings.incarnation());
-        mGroups.forEach(group -> group.start(raft, self, mRandom, nowNanos));
+        mGroups.forEach(
+                group ->
+                        group.start(
+                                group.number() > 0 && mFleetSettings.isPresent()
+                                        ? standInSettings(mFleetSettings.get())
+                                        : raft,
+                                self,
+                                mRandom,
+                                nowNanos));
         mPublisher.start(nowNanos);
         mLeases.start(nowNanos);
         mFleet.ifPresent(fleet -> fleet.start(nowNanos, mOut));
         runUntilIdle(nowNanos);
     }
 
+    private RaftSettings standInSettings(SeedFleetSettings fleetSettings) {
+        return RaftSettings.of(List.of(mSettings.self()))
+                .withFleetSettings(false, fleetSettings.voters());
+    }
+
     private RaftSettings raftSettings(List<HostId> hosts) {
         RaftSettings fixedHosts = RaftSettings.of(hosts).withAutoReplace(mSettings.autoReplace());
         return mFleetSettings
--- a/src/main/java/org/coltsfootproxy/control/ControlSettings.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlSettings.java
@@ -17,8 +17,8 @@
  * @param incarnation drawn when the data folder was created
  * @param hosts all control hosts, including this one; in a fleet with seeds, the seeds
  * @param operatorKeyDigest SHA-256 of the operators' key in hexadecimal
- * @param jobGroups number of replicated logs on the control hosts that hold batch jobs, 0 if stores
- *     hold them; must never change
+ * @param jobGroups number of replicated logs on the control hosts that hold batch jobs; 1 in a
+ *     fleet with seeds, for {@link JobLogStandIn}; must never change otherwise
  * @param autoReplace whether a host that returns with an empty disk automatically replaces its
  *     earlier incarnation as a member
  */
--- a/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
+++ b/src/main/java/org/coltsfootproxy/control/FleetCoordinator.java
@@ -18,6 +18,7 @@
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
+import org.coltsfootproxy.node.Node;
 
 /**
  * Coordinates a fleet that discovers its hosts through seeds: keeps the roster of hosts and the
@@ -37,6 +38,7 @@
     private final QuarantineStore mQuarantine;
     private final Targets mTargets;
     private final KnownDataCentres mDataCentres;
+    private final Optional<JobLogStandIn> mStandIn;
     private List<HostId> mControlHosts;
     private long mStartNanos;
 
@@ -44,6 +46,7 @@
             ControlSettings settings,
             SeedFleetSettings fleetSettings,
             RaftGroup config,
+            Optional<RaftGroup> jobLog,
             FleetState state,
             RandomGenerator random) {
         mSettings = settings;
@@ -59,6 +62,15 @@
         mBootstrap =
                 new JobLogBootstrap(fleetSettings.voters(), mDirectory.roster(), state, config);
         mQuarantine = new QuarantineStore(state, config);
+        mStandIn =
+                jobLog.map(
+                        group ->
+                                new JobLogStandIn(
+                                        settings.self(),
+                                        fleetSettings.voters(),
+                                        group,
+                                        state,
+                                        mDirectory.roster()));
     }
 
     void start(long nowNanos, Effects out) {
@@ -66,6 +78,7 @@
         sendPeerAddresses(out);
         mDirectory.start(nowNanos);
         mBootstrap.start(nowNanos);
+        mStandIn.ifPresent(standIn -> standIn.start(nowNanos + ROSTER_INCOMPLETE_NANOS));
     }
 
     /** Handles the input of a call to a target; returns false for any other input. */
@@ -93,6 +106,7 @@
         updateControlHosts(nowNanos, out);
         mDirectory.roster().retiring(mState.retiring(), out);
         mDataCentres.listed(mTargets.listing());
+        mStandIn.ifPresent(standIn -> standIn.tick(mControlHosts, nowNanos, out));
         if (mDirectory.nextTickNanos() <= nowNanos) {
             mDirectory.tick(mConfig.isLeader(nowNanos), nowNanos, out);
             mBootstrap.tick(nowNanos, out);
@@ -135,9 +149,10 @@
                         .filter(store -> !store.equals(host))
                         .filter(store -> !mState.retiring().contains(store))
                         .count();
-        if (remaining < mFleetSettings.voters()) {
+        int needed = JobLogStandIn.minRemainingStores(mFleetSettings.voters());
+        if (remaining < needed) {
             String detail = remaining + " hosts would remain to store jobs, fewer than ";
-            throw ProxyException.of(ErrorKind.CONFLICT, detail + mFleetSettings.voters());
+            throw ProxyException.of(ErrorKind.CONFLICT, detail + needed);
         }
         return Optional.of(new FleetCommand.Retire(host));
     }
@@ -188,6 +203,7 @@
     }
 
     long nextTickNanos() {
-        return mDirectory.nextTickNanos();
+        long standIn = mStandIn.map(JobLogStandIn::nextTickNanos).orElse(Node.NEVER);
+        return Math.min(mDirectory.nextTickNanos(), standIn);
     }
 }
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -243,7 +244,7 @@
                 .forEach(h -> mOut.add(new Effect.PeerAddress(h, mSettings.addresses().of(h))));
         boolean isRetiring = roster.retiring().contains(mSettings.self());
         mGroup.node().setProbeHosts(isRetiring ? List.of() : roster.jobMembers());
-        mGroup.node().setRetiringHosts(new HashSet<>(roster.retiring()));
+        mGroup.node().setRetiringHosts(hostsToReplace(roster));
         mReports.hostsChanged(mMembership, nowNanos, mOut);
         mWorker.controls(mMembership.jobHosts(), Math.max(1, roster.stores().size()));
         if (isRetiring && !mIsStopping) {
@@ -254,6 +255,19 @@
         }
     }
 
+    /** Returns the retiring hosts and, if enough stores can vote, control hosts that stand in. */
+    private Set<HostId> hostsToReplace(FleetMessage.Roster roster) {
+        Set<HostId> hosts = new HashSet<>(roster.retiring());
+        Set<HostId> stores = new HashSet<>(roster.jobMembers());
+        stores.addAll(roster.stores());
+        stores.removeAll(roster.controls());
+        stores.removeAll(roster.retiring());
+        if (stores.size() >= mSettings.voters()) {
+            roster.jobMembers().stream().filter(roster.controls()::contains).forEach(hosts::add);
+        }
+        return hosts;
+    }
+
     @Override
     public void tick(long nowNanos, Effects out) {
         mOut.begin(out);
--- a/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetRoster.java
@@ -87,6 +87,15 @@
         }
     }
 
+    /** Adopts the members of the job log from this host, which leads it. */
+    public void ledBy(long term, List<HostId> members, Effects out) {
+        if (term >= mJobTerm && !(term == mJobTerm && members.equals(mJobMembers))) {
+            mJobTerm = term;
+            mJobMembers = List.copyOf(members);
+            update(out);
+        }
+    }
+
     /**
      * Adopts the members of the job log from the leader of the latest term.
      *
--- a/src/main/java/org/coltsfootproxy/runtime/ControlRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/ControlRoleComponents.java
@@ -99,9 +99,9 @@
                         .orElseGet(() -> Role.controlHosts(settings)),
                 settings.fleet().map(FleetSettings::timing).orElse(ConfigTiming.DEFAULT),
                 role.operatorKeyDigest(),
-                settings.fleet().isPresent() ? 0 : settings.jobGroups(),
+                settings.fleet().isPresent() ? 1 : settings.jobGroups(),
                 role.replaceEmpty(),
-                JobSettings.defaults());
+                settings.fleet().isPresent() ? JobSettings.forStores() : JobSettings.defaults());
     }
 
     @Override
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -62,6 +62,10 @@
     /** Seconds after the order to stop at which a process is closed, as on the platform. */
     static final int STOP_SECONDS = 7;
 
+    /** Members of the job log, as a control host logged them last. */
+    String mJobMembers = "[]";
+
+    private final int mVoters;
     private final VirtualFleet mFleet;
     private final Random mRandom;
     private final List<HostId> mSeedHosts;
@@ -103,10 +107,11 @@
         }
     }
 
-    PlatformSimulation(long seed, int stores, int entries) {
+    PlatformSimulation(long seed, int stores, int entries, int losses) {
+        mVoters = 2 * losses + 1;
         mFleet = new VirtualFleet(seed, this::execute);
         mRandom = new Random(seed);
-        mSeedHosts = List.of(host(0, 1), host(0, 2), host(0, 3));
+        mSeedHosts = IntStream.rangeClosed(1, mVoters).mapToObj(n -> host(0, n)).toList();
         mSeedHosts.forEach(this::startControl);
         IntStream.rangeClosed(1, stores).forEach(n -> startStore(host(1, n)));
         IntStream.rangeClosed(1, entries).forEach(n -> startEntry(host(2, n)));
@@ -118,7 +123,17 @@
      * <p>It has three control hosts, four stores, two targets that stream and one that does not.
      */
     static PlatformSimulation startServing(long seed, int entries) {
-        PlatformSimulation simulation = new PlatformSimulation(seed, 4, entries);
+        return startServing(seed, 4, entries, 1);
+    }
+
+    /**
+     * Starts a simulation that is ready to serve.
+     *
+     * @param losses number of hosts of a role that may be lost at once; it has 2 losses + 1 control
+     *     hosts
+     */
+    static PlatformSimulation startServing(long seed, int stores, int entries, int losses) {
+        PlatformSimulation simulation = new PlatformSimulation(seed, stores, entries, losses);
         simulation.target("lm-1", LM_SERVICE, "z1");
         simulation.target("lm-2", LM_SERVICE, "z2");
         simulation.target("app-1", APP_SERVICE, "z1").mIsPlain = true;
@@ -220,14 +235,14 @@
                         PEER_ADDRESSES.controlHosts(mSeedHosts),
                         ConfigTiming.DEFAULT,
                         "0".repeat(64),
-                        0,
+                        1,
                         true,
-                        JobSettings.defaults());
+                        JobSettings.forStores());
         var fleetSettings =
                 new SeedFleetSettings(
                         mSeedHosts,
                         mFleet.now() < SECOND_NANOS,
-                        3,
+                        mVoters,
                         PEER_ADDRESSES,
                         LIST_ADDRESS,
                         new PlatformOperatorProtocol(),
@@ -236,7 +251,9 @@
         ControlNode node =
                 ControlNode.create(
                         settings,
-                        List.of(StoredWrites.recovered(0, stored(host))),
+                        List.of(
+                                StoredWrites.recovered(0, stored(host)),
+                                StoredWrites.recovered(StoreNode.JOBS_GROUP, stored(host))),
                         EpochClock.of(0, 1_000_000),
                         new Random(mRandom.nextLong()),
                         Optional.of(fleetSettings));
@@ -252,7 +269,7 @@
                         host,
                         dataCentre(host),
                         incarnation(host),
-                        3,
+                        mVoters,
                         PEER_ADDRESSES,
                         new PlatformTargetProtocol(),
                         JobSettings.forStores());
@@ -379,6 +396,12 @@
             mLoggedEvents.add(log.code());
         } else if (effect instanceof Effect.LogFields log) {
             mLoggedEvents.add(log.code());
+            if (log.code() == EventCode.ROSTER_CHANGED && mControlHosts.contains(host)) {
+                log.fields().stream()
+                        .filter(field -> field.name().equals("jobMembers"))
+                        .filter(field -> !field.value().equals("[]"))
+                        .forEach(field -> mJobMembers = field.value());
+            }
         }
     }
 
