--- a/src/test/java/org/coltsfootproxy/platform/ColdTargetTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/ColdTargetTest.java
@@ -40,7 +40,7 @@
     private void start(long seed) {
         mRandom = new Random(seed);
         mAnswers.clear();
-        mSimulation = new PlatformSimulation(seed, STORES, ENTRIES);
+        mSimulation = PlatformSimulation.create(seed, STORES, ENTRIES);
         IntStream.rangeClosed(1, TARGETS)
                 .mapToObj(n -> mSimulation.target("lm-" + n, "lm", "z" + (1 + n % 4)))
                 .forEach(
@@ -57,7 +57,7 @@
 
     private static String coldConfig(long version) {
         String plain = "{\"name\":\"lm\",\"engine\":{\"slots\":8}}";
-        String config = PlatformSimulation.config(version, 1_000);
+        String config = SimulatedConfig.config(version, 1_000);
         assertTrue(config.contains(plain));
         return config.replace(
                 plain,
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -240,8 +240,7 @@
 
     @Test
     public void aRateLimitHoldsAcrossAllEntries() {
-        mSimulation.callAsOperator(
-                "PUT", "/coltsfootproxy/config", PlatformSimulation.config(2, 20));
+        mSimulation.callAsOperator("PUT", "/coltsfootproxy/config", SimulatedConfig.config(2, 20));
         mSimulation.run(3 * SECOND_NANOS);
         List<Answer> answers = new ArrayList<>();
         for (int n = 0; n < 500; n++) {
@@ -261,8 +260,7 @@
 
     @Test
     public void afterARestartOfAllEntriesTheWholeBurstIsAvailableAtAnyEntry() {
-        mSimulation.callAsOperator(
-                "PUT", "/coltsfootproxy/config", PlatformSimulation.config(2, 20));
+        mSimulation.callAsOperator("PUT", "/coltsfootproxy/config", SimulatedConfig.config(2, 20));
         mSimulation.run(3 * SECOND_NANOS);
         List.of(0, 1).forEach(n -> mSimulation.fleet().crash(mSimulation.entry(n)));
         mSimulation.run(SECOND_NANOS);
@@ -345,9 +343,7 @@
         }
         Answer put =
                 mSimulation.callAsOperator(
-                        "PUT",
-                        "/coltsfootproxy/config",
-                        PlatformSimulation.config(2, 1_000, "other"));
+                        "PUT", "/coltsfootproxy/config", SimulatedConfig.config(2, 1_000, "other"));
         mSimulation.run(SECOND_NANOS);
         assertEquals(put.mStatus, 200, put.toString());
         mSimulation.run(4 * SECOND_NANOS);
--- a/src/test/java/org/coltsfootproxy/platform/EvacuationTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/EvacuationTest.java
@@ -377,7 +377,7 @@
         long acknowledged = 0;
         for (int version = 2; version < 40; version++) {
             HostId control = mSimulation.control(version % 3);
-            String document = PlatformSimulation.config(version, 1_000 + version);
+            String document = SimulatedConfig.config(version, 1_000 + version);
             Answer put =
                     mSimulation.callAsOperator(control, "PUT", "/coltsfootproxy/config", document);
             if (version == 5) {
@@ -391,7 +391,7 @@
                         mSimulation.control(0), "GET", "/coltsfootproxy/config", "");
         mSimulation.run(SECOND_NANOS);
 
-        assertEquals(read.body(), PlatformSimulation.config(39, 1_039));
+        assertEquals(read.body(), SimulatedConfig.config(39, 1_039));
         assertNoArrivals("z1", acknowledged);
     }
 
--- a/src/test/java/org/coltsfootproxy/platform/FleetConfigTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetConfigTest.java
@@ -42,7 +42,7 @@
 
     @Test
     public void theNewestDocumentIsReturnedVerbatimByEveryControlHost() {
-        String document = PlatformSimulation.config(5, 30) + "  \n";
+        String document = SimulatedConfig.config(5, 30) + "  \n";
         assertEquals(put(1, document).mStatus, 200);
 
         for (int n = 0; n < 3; n++) {
@@ -52,10 +52,10 @@
 
     @Test
     public void aDocumentWithoutAHigherVersionIsAcknowledgedAndChangesNothing() {
-        String newest = PlatformSimulation.config(5, 30);
+        String newest = SimulatedConfig.config(5, 30);
         put(0, newest);
-        Answer older = put(1, PlatformSimulation.config(4, 99));
-        Answer same = put(2, PlatformSimulation.config(5, 99));
+        Answer older = put(1, SimulatedConfig.config(4, 99));
+        Answer same = put(2, SimulatedConfig.config(5, 99));
 
         assertEquals(older.mStatus, 200);
         assertEquals(same.mStatus, 200);
@@ -64,7 +64,7 @@
 
     @DataProvider
     Object[][] invalid() {
-        String valid = PlatformSimulation.config(9, 30);
+        String valid = SimulatedConfig.config(9, 30);
         return new Object[][] {
             {"cut off", valid.substring(0, valid.length() / 2)},
             {"unknown service", valid.replaceFirst("\"service\":\"lm\"", "\"service\":\"none\"")},
@@ -96,11 +96,11 @@
 
     @Test
     public void aDocumentRemovesEverythingThatItOmits() {
-        String fullDocument = PlatformSimulation.config(5, 30);
+        String fullDocument = SimulatedConfig.config(5, 30);
         String withoutSwapRoute =
                 fullDocument.replace(
                         ","
-                                + PlatformSimulation.route(
+                                + SimulatedConfig.route(
                                         "swap",
                                         "streaming",
                                         PlatformSimulation.LM_SERVICE,
@@ -119,7 +119,7 @@
     public void aDocumentSurvivesTheLossOfAnyOneControlHostWithItsDisk() {
         for (int n = 0; n < 3; n++) {
             mSimulation = PlatformSimulation.startServing(40 + n, 1);
-            String document = PlatformSimulation.config(5, 30);
+            String document = SimulatedConfig.config(5, 30);
             assertEquals(put(n, document).mStatus, 200);
             HostId lost = mSimulation.control(n);
             mSimulation.fleet().crash(lost);
@@ -135,7 +135,7 @@
 
     @Test
     public void aControlHostAtANewAddressReplacesALostOne() {
-        String document = PlatformSimulation.config(5, 30);
+        String document = SimulatedConfig.config(5, 30);
         put(0, document);
         mSimulation.fleet().crash(mSimulation.control(2));
         HostId next = PlatformSimulation.host(0, 9);
@@ -146,7 +146,7 @@
         mSimulation.run(6 * SECOND_NANOS);
 
         assertEquals(readConfig(3), document);
-        assertEquals(put(1, PlatformSimulation.config(6, 31)).mStatus, 200);
+        assertEquals(put(1, SimulatedConfig.config(6, 31)).mStatus, 200);
     }
 
     @Test
--- a/src/test/java/org/coltsfootproxy/platform/PlatformPriorityTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformPriorityTest.java
@@ -15,7 +15,7 @@
     private static Ticket read(String routePriority, String tenantPriority) throws ProxyException {
         String document =
                 "{\"version\":1,\"services\":[{\"name\":\"lm\"}],\"routes\":["
-                        + PlatformSimulation.route("a", "streaming", "lm", routePriority)
+                        + SimulatedConfig.route("a", "streaming", "lm", routePriority)
                         + "],\"tenants\":[{\"name\":\"alpha\""
                         + tenantPriority
                         + "}]}";
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -82,6 +82,10 @@
     /** Whether hosts send only by a confirmed configuration. */
     private final boolean mNeedsConfirmation;
 
+    /** Members of the job log, as a control host logged them last. */
+    String mJobMembers = "[]";
+
+    private final int mVoters;
     private final VirtualFleet mFleet;
     private final Random mRandom;
     private final List<HostId> mSeedHosts;
@@ -123,15 +127,13 @@
         }
     }
 
-    PlatformSimulation(long seed, int stores, int entries) {
-        this(seed, stores, entries, false);
-    }
-
-    private PlatformSimulation(long seed, int stores, int entries, boolean needsConfirmation) {
+    private PlatformSimulation(
+            long seed, int stores, int entries, int losses, boolean needsConfirmation) {
+        mVoters = 2 * losses + 1;
         mNeedsConfirmation = needsConfirmation;
         mFleet = new VirtualFleet(seed, this::execute);
         mRandom = new Random(seed);
-        mSeedHosts = List.of(host(0, 1), host(0, 2), host(0, 3));
+        mSeedHosts = IntStream.rangeClosed(1, mVoters).mapToObj(n -> host(0, n)).toList();
         mSeedHosts.forEach(this::startControl);
         IntStream.rangeClosed(1, stores).forEach(n -> startStore(host(1, n)));
         IntStream.rangeClosed(1, entries).forEach(n -> startEntry(host(2, n)));
@@ -143,12 +145,27 @@
      * <p>It has three control hosts, four stores, two targets that stream and one that does not.
      */
     static PlatformSimulation startServing(long seed, int entries) {
-        return startServing(new PlatformSimulation(seed, 4, entries));
+        return startServing(seed, 4, entries, 1);
     }
 
     /** Starts a simulation whose operators may evacuate data centres. */
     static PlatformSimulation startEvacuable(long seed, int entries) {
-        return startServing(new PlatformSimulation(seed, 4, entries, true));
+        return startServing(new PlatformSimulation(seed, 4, entries, 1, true));
+    }
+
+    /**
+     * Starts a simulation that is ready to serve.
+     *
+     * @param losses number of hosts of a role that may be lost at once; it has 2 losses + 1 control
+     *     hosts
+     */
+    static PlatformSimulation startServing(long seed, int stores, int entries, int losses) {
+        return startServing(new PlatformSimulation(seed, stores, entries, losses, false));
+    }
+
+    /** Returns a simulation with three control hosts, without targets and configuration. */
+    static PlatformSimulation create(long seed, int stores, int entries) {
+        return new PlatformSimulation(seed, stores, entries, 1, false);
     }
 
     private static PlatformSimulation startServing(PlatformSimulation simulation) {
@@ -157,7 +174,8 @@
         simulation.target("app-1", APP_SERVICE, "z1").mIsPlain = true;
         simulation.run(8 * SECOND_NANOS);
         Answer answer =
-                simulation.callAsOperator("PUT", "/coltsfootproxy/config", config(1, 1_000));
+                simulation.callAsOperator(
+                        "PUT", "/coltsfootproxy/config", SimulatedConfig.config(1, 1_000));
         simulation.run(2 * SECOND_NANOS);
         if (answer.mStatus != 200) {
             throw new AssertionError("the first configuration was not accepted: " + answer);
@@ -253,14 +271,14 @@
                         PEER_ADDRESSES.controlHosts(mSeedHosts),
                         ConfigTiming.DEFAULT,
                         "0".repeat(64),
-                        0,
+                        1,
                         true,
-                        JobSettings.defaults());
+                        JobSettings.forStores());
         var fleetSettings =
                 new SeedFleetSettings(
                         mSeedHosts,
                         mFleet.now() < SECOND_NANOS,
-                        3,
+                        mVoters,
                         PEER_ADDRESSES,
                         LIST_ADDRESS,
                         new PlatformOperatorProtocol(),
@@ -269,7 +287,9 @@
         ControlNode node =
                 ControlNode.create(
                         settings,
-                        List.of(StoredWrites.recovered(0, stored(host))),
+                        List.of(
+                                StoredWrites.recovered(0, stored(host)),
+                                StoredWrites.recovered(StoreNode.JOBS_GROUP, stored(host))),
                         EpochClock.of(0, 1_000_000),
                         new Random(mRandom.nextLong()),
                         Optional.of(fleetSettings));
@@ -285,7 +305,7 @@
                         host,
                         dataCentre(host),
                         incarnation(host),
-                        3,
+                        mVoters,
                         PEER_ADDRESSES,
                         new PlatformTargetProtocol(),
                         JobSettings.forStores(),
@@ -418,6 +438,12 @@
             mLoggedEvents.add(log.code());
         } else if (effect instanceof Effect.LogFields log) {
             mLoggedEvents.add(log.code());
+            if (log.code() == EventCode.ROSTER_CHANGED && mControlHosts.contains(host)) {
+                log.fields().stream()
+                        .filter(field -> field.name().equals("jobMembers"))
+                        .filter(field -> !field.value().equals("[]"))
+                        .forEach(field -> mJobMembers = field.value());
+            }
         }
     }
 
@@ -456,55 +482,6 @@
         return "{\"instances\":[" + String.join(",", entries) + "],\"next_token\":null}";
     }
 
-    /** Returns a configuration with a route of each kind and two organisations. */
-    static String config(long version, int rate) {
-        return config(version, rate, ALPHA_KEY);
-    }
-
-    static String config(long version, int rate, String key) {
-        return "{\"version\":"
-                + version
-                + ",\"routes\":["
-                + String.join(
-                        ",",
-                        route(
-                                "ask",
-                                "streaming",
-                                LM_SERVICE,
-                                "\"resumable\":true,\"max_attempts\":2"),
-                        route("swap", "streaming", LM_SERVICE, "\"max_attempts\":1"),
-                        route("card", "idempotent", APP_SERVICE, "\"max_attempts\":2"),
-                        route("pay", "non_idempotent", APP_SERVICE, "\"max_attempts\":1"),
-                        route(
-                                "free",
-                                "idempotent",
-                                APP_SERVICE,
-                                "\"no_auth\":true,\"max_attempts\":2"),
-                        route(
-                                "jobs",
-                                "batch",
-                                LM_SERVICE,
-                                "\"max_attempts\":3,\"run_target_ms\":18000"))
-                + "],\"services\":[{\"name\":\"lm\",\"engine\":{\"slots\":8}},{\"name\":\"app\"}],"
-                + "\"tenants\":[{\"name\":\"alpha\",\"api_keys\":[\""
-                + key
-                + "\"],\"rate_per_s\":"
-                + rate
-                + ",\"burst\":"
-                + rate
-                + "},{\"name\":\"beta\",\"api_keys\":[\""
-                + BETA_KEY
-                + "\"]}]}";
-    }
-
-    static String route(String name, String kind, String service, String extraFields) {
-        return String.format(
-                "{\"name\":\"r-%s\",\"host\":\"svc.example\",\"path_prefix\":\"/%s/\","
-                        + "\"kind\":\"%s\",\"timeout_ms\":5000,\"goal_ms\":300,\"gap_aim_ms\":400,"
-                        + "\"service\":\"%s\",%s}",
-                name, name, kind, service, extraFields);
-    }
-
     Answer callAsOperator(String method, String path, String body) {
         return callAsOperator(mControlHosts.get(0), method, path, body);
     }
--- a/src/test/java/org/coltsfootproxy/platform/RegionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/RegionTest.java
@@ -38,7 +38,7 @@
 
     private void configure(long version, String ofRoutes, String ofAlpha) {
         String config =
-                PlatformSimulation.config(version, 1_000)
+                SimulatedConfig.config(version, 1_000)
                         .replace("\"timeout_ms\"", regions(ofRoutes) + "\"timeout_ms\"")
                         .replace("\"name\":\"alpha\"", regions(ofAlpha) + "\"name\":\"alpha\"");
         Answer answer = mSimulation.callAsOperator("PUT", "/coltsfootproxy/config", config);
