The expected time of a request in the log, a test of the routing setting

Event 402 has expectedMillis, 0 where nothing is estimated. SettingsTest reads directEntry.routing. The whole suite was not run.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
@@ -5,6 +5,7 @@
 import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.LogField;
+import org.coltsfootproxy.work.WorkEstimate;
 
 /** The log lines of decisions on online requests between their arrival and their end. */
 final class DirectCallLog {
@@ -27,12 +28,19 @@
                         request.resumption().map(CallerCall.Resumption::firstRequest).orElse("")),
                 LogField.of("online", target.online()),
                 LogField.of("batch", target.batch()),
+                LogField.of("expectedMillis", expectedMillis(request)),
                 LogField.of("listing", listing),
                 LogField.of("send", request.sends()),
                 LogField.of("after", lastEvent(request)),
                 LogField.of("leftMillis", TimeUnit.NANOSECONDS.toMillis(remainingNanos)));
     }
 
+    /** Returns the expected time in a slot of a target of usual speed; 0 if it is not estimated. */
+    private static long expectedMillis(DirectRequest request) {
+        boolean isEstimated = request.estimate() != WorkEstimate.UNKNOWN;
+        return isEstimated ? Math.round(request.estimate().meanMillis()) : 0;
+    }
+
     /** Logs that a request waits for the limit of a target. */
     static void held(DirectRequest request, long waitNanos, Effects out) {
         out.log(
--- a/src/test/java/org/coltsfootproxy/runtime/SettingsTest.java
+++ b/src/test/java/org/coltsfootproxy/runtime/SettingsTest.java
@@ -6,6 +6,7 @@
 
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.direct.TargetRoutingMode;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -66,4 +67,24 @@
 
         assertTrue(error.getMessage().lines().count() > 5, error.getMessage());
     }
+
+    private static String directEntry(String routing) {
+        return VALID.substring(0, VALID.indexOf("control:"))
+                        .replace("host: solway-entry-1", "host: 127.0.0.1")
+                + "fleet: {seeds: [\"127.0.0.1:7001\"], firstStart: true}\n"
+                + "directEntry:\n  callerAddress: 127.0.0.1:8101\n"
+                + routing;
+    }
+
+    /** Guards against a way of routing that is not the default or not the one that is set. */
+    @Test
+    public void theRoutingOfADirectEntryIsAutomaticUnlessItIsSet() throws ProxyException {
+        Settings unset = Settings.parse("s.yaml", directEntry(""));
+        Settings calls = Settings.parse("s.yaml", directEntry("  routing: calls\n"));
+        Settings work = Settings.parse("s.yaml", directEntry("  routing: expected-work\n"));
+
+        assertEquals(unset.directEntry().orElseThrow().routing(), TargetRoutingMode.AUTO);
+        assertEquals(calls.directEntry().orElseThrow().routing(), TargetRoutingMode.CALLS);
+        assertEquals(work.directEntry().orElseThrow().routing(), TargetRoutingMode.EXPECTED_WORK);
+    }
 }
