--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -78,6 +78,9 @@
     /** Limit that answers name, in requests a second; 0 for none. */
     double mRequestsPerSecond;
 
+    /** Fourth figure of the load, how long work takes in percent of the usual; 0 for none. */
+    int mSpeedPercent;
+
     /** When the target started, in the list of targets. */
     long mStartedAt = 1;
 
@@ -335,8 +338,11 @@
         if (!mIsUnsigned) {
             headers.add(Header.of("Server-Stamp", mId));
         }
+        String speed = mSpeedPercent > 0 ? "," + mSpeedPercent : "";
         headers.add(
-                Header.of("Server-Load", mRunningCount + "," + mWaitingRuns.size() + "," + mSlots));
+                Header.of(
+                        "Server-Load",
+                        mRunningCount + "," + mWaitingRuns.size() + "," + mSlots + speed));
         deliver(run.mHost, new Input.TargetHead(run.mCall.call(), status, headers));
     }
 
