EarlierDeploymentsTest goes through the choice that entries use

Cause: the test called the choice by calls itself, not the one that picks the ranking, so a switch to work where no speed is told would have passed.

Change: it calls the choice with an estimate, in the mode auto without told speeds and in the mode calls with told speeds.

--- a/src/test/java/org/coltsfootproxy/direct/EarlierDeploymentsTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EarlierDeploymentsTest.java
@@ -19,6 +19,7 @@
 import org.coltsfootproxy.base.TrafficClass;
 import org.coltsfootproxy.message.FleetMessage;
 import org.coltsfootproxy.message.ListedTarget;
+import org.coltsfootproxy.work.WorkEstimate;
 import org.testng.annotations.Test;
 
 /** Compares choices of targets with those recorded on a version without routing by work. */
@@ -61,7 +62,7 @@
                 switch (kind) {
                     case 0 -> targets.chooseForBatch(LM, ANY, 3, mNow);
                     case 1 -> targets.chooseForUrgent(LM, ANY, mNow);
-                    default -> targets.chooseForOnline(LM, ANY, mNow);
+                    default -> targets.chooseForOnline(LM, ANY, WorkEstimate.UNKNOWN, mNow);
                 };
         mChoices.append(target.map(t -> t.listed().id().value()).orElse("none")).append(' ');
         target.ifPresent(t -> start(targets, t, kind));
@@ -94,7 +95,8 @@
         Target target = targets.byId(TargetId.of("t" + mRandom.nextInt(12))).orElseThrow();
         switch (mRandom.nextInt(12)) {
             case 0 -> report(exchange, HostId.of("10.0.1." + (1 + mRandom.nextInt(4))));
-            case 1 -> target.updateLoad(load(mRandom.nextInt(9), mRandom.nextInt(3)), mNow);
+            case 1 ->
+                    targets.updateLoad(target, load(mRandom.nextInt(9), mRandom.nextInt(3)), mNow);
             case 2 -> target.refused(mNow);
             case 3 -> target.callFailed(mNow);
             case 4 ->
@@ -142,4 +144,14 @@
     public void whereNoTargetTellsItsSpeedTheChoicesAreAsBefore() {
         assertEquals(choices(targets()), RECORDED);
     }
+
+    /** Guards against a setting that does not bring back the choices by calls. */
+    @Test
+    public void withTheSettingCallsTheChoicesAreAsBeforeAlsoWhereSpeedsAreTold() {
+        Targets targets = targets();
+        targets.work().mode(TargetRoutingMode.CALLS);
+        targets.work().tellsSpeed(LM);
+
+        assertEquals(choices(targets), RECORDED);
+    }
 }
