Faults found in the review of the merged parts

- Two control hosts that stand in for stores could hand leadership of the job log to each other every 200 ms; it goes to a store that stays now.
- A silent voter of the configuration log could be removed without a successor where more voters than wanted exist; that applies only while a host retires now.
- An entry whose wait for other hosts ended before it had configuration and targets had a tick due all the time.
- Open routes were refused without a confirmed configuration also where no data centre can be evacuated.
- Contention and routing by work apply under the same condition (ranksByWork).
- No mean of remaining work is computed for targets with four free slots or more.

Found by reading, by two reviewers who had not written the parts. The first is not covered by a test yet.

--- a/src/main/java/org/coltsfootproxy/consensus/JoinRequests.java
+++ b/src/main/java/org/coltsfootproxy/consensus/JoinRequests.java
@@ -39,6 +39,11 @@
         mRetiring = Set.copyOf(hosts);
     }
 
+    /** Returns whether any host is to be removed. */
+    boolean hasRetiring() {
+        return !mRetiring.isEmpty();
+    }
+
     boolean isRetiring(HostId host) {
         return mRetiring.contains(host);
     }
--- a/src/main/java/org/coltsfootproxy/consensus/Leadership.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Leadership.java
@@ -4,8 +4,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Member;
 import org.coltsfootproxy.message.LogEntry;
 import org.coltsfootproxy.message.RaftMessage;
@@ -83,7 +85,7 @@
         }
         mReadBarriers.answered(mReplication.quorumAnsweredNanos(step.nowNanos()), step);
         if (isRemoved()) {
-            mostAdvancedVoter().ifPresent(target -> sendTimeoutNow(target, step));
+            mostAdvancedVoter(Set.of()).ifPresent(target -> sendTimeoutNow(target, step));
             return true;
         }
         startReadRound(step);
@@ -139,7 +141,7 @@
     }
 
     /** Handles a replica's request for the current commit index. */
-    void receive(RaftMessage.ReadRequest request, org.coltsfootproxy.base.HostId from, Step step) {
+    void receive(RaftMessage.ReadRequest request, HostId from, Step step) {
         if (mReplication.isTermCommitted()) {
             mReadBarriers.startRound(from, request.number(), step);
             mReplication.heartbeat(step);
@@ -148,15 +150,20 @@
         }
     }
 
-    /** Starts a transfer to the most advanced voter; returns whether there is one. */
-    boolean startHandover(Step step) {
+    /**
+     * Starts a transfer to the most advanced voter; returns whether there is one.
+     *
+     * @param avoided hosts to which leadership is not transferred
+     */
+    boolean startHandover(Set<HostId> avoided, Step step) {
         long deadline = step.nowNanos() + mGroup.settings().electionTimeoutNanos();
-        mHandover = mostAdvancedVoter().map(target -> new Handover(target, deadline));
+        mHandover = mostAdvancedVoter(avoided).map(target -> new Handover(target, deadline));
         return mHandover.isPresent();
     }
 
-    private Optional<Member> mostAdvancedVoter() {
+    private Optional<Member> mostAdvancedVoter(Set<HostId> avoided) {
         return mGroup.members().voters().stream()
+                .filter(member -> !avoided.contains(member.host()))
                 .filter(member -> mReplication.progress(member).isPresent())
                 .max(Comparator.comparingLong(this::matchIndex));
     }
--- a/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
+++ b/src/main/java/org/coltsfootproxy/consensus/MemberChanges.java
@@ -143,6 +143,7 @@
         Members members = mGroup.members();
         int wanted = mGroup.settings().wantedVoters();
         return Optional.of(members)
+                .filter(m -> mJoinRequests.hasRetiring())
                 .filter(m -> wanted > 0 && m.voters().size() > wanted)
                 .flatMap(m -> mJoinRequests.replaceableVoter(replication, nowNanos))
                 .map(members::without)
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -282,8 +282,13 @@
      * @return whether this host leads and another voter exists
      */
     public boolean transferLeadership(long nowNanos, Effects out) {
+        return transferLeadership(Set.of(), nowNanos, out);
+    }
+
+    /** Like {@link #transferLeadership(long, Effects)}, but to none of the avoided hosts. */
+    public boolean transferLeadership(Set<HostId> avoided, long nowNanos, Effects out) {
         Step step = beginStep(nowNanos, out);
-        boolean started = isLeading() && mLeadership.orElseThrow().startHandover(step);
+        boolean started = isLeading() && mLeadership.orElseThrow().startHandover(avoided, step);
         completeStep(step);
         return started;
     }
--- a/src/main/java/org/coltsfootproxy/control/JobLogStandIn.java
+++ b/src/main/java/org/coltsfootproxy/control/JobLogStandIn.java
@@ -66,7 +66,11 @@
             Stream<HostId> members = mGroup.status(nowNanos).members().all().map(Member::host);
             List<HostId> selfFirst = Stream.concat(Stream.of(mSelf), members).distinct().toList();
             mRoster.ledBy(mGroup.term(), selfFirst, out);
-            mGroup.node().transferLeadership(nowNanos, out);
+            // Two stand-ins would hand it to each other, and a retiring store would soon hand it
+            // on.
+            Set<HostId> avoided = new HashSet<>(controls);
+            avoided.addAll(mState.retiring());
+            mGroup.node().transferLeadership(avoided, nowNanos, out);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -222,8 +222,12 @@
     }
 
     private void configureTargets(long now, Effects out) {
-        boolean isConfirmed = !mSettings.needsConfirmation() || mConfig.isFresh(now);
-        mTargets.configure(mConfig.view(), isConfirmed, now, out);
+        mTargets.configure(mConfig.view(), isConfirmed(now), now, out);
+    }
+
+    /** Returns whether the configuration is confirmed as current, or need not be. */
+    private boolean isConfirmed(long now) {
+        return !mSettings.needsConfirmation() || mConfig.isFresh(now);
     }
 
     private void httpCall(Input.HttpCall call, long now, Effects out) {
@@ -263,7 +267,7 @@
             throws ProxyException {
         checkNotRefusing();
         Route route = route(forward, now);
-        if (!mConfig.isFresh(now)) {
+        if (!isConfirmed(now)) {
             throw ProxyException.of(
                     ErrorKind.CONFIG_STALE, "no control host has confirmed the configuration");
         }
@@ -371,6 +375,8 @@
         boolean isFresh = mConfig.isFresh(now);
         long listing = mTargets.listing().number();
         boolean hasConfigAndTargets = isFresh && mConfig.view().version() > 0 && listing > 0;
+        // The wait ends at its deadline whatever else is missing; else a tick would stay due.
+        mIsSynced |= mSyncDeadline != NEVER && now - mSyncDeadline >= 0;
         boolean isReady = !mStopping && hasConfigAndTargets && isSynced(now);
         if (isReady != mIsReady) {
             mIsReady = isReady;
--- a/src/main/java/org/coltsfootproxy/direct/ExpectedWorkRanking.java
+++ b/src/main/java/org/coltsfootproxy/direct/ExpectedWorkRanking.java
@@ -71,7 +71,7 @@
         for (int unseen = free; unseen < UNSEEN_SHARES.length; unseen++) {
             queued += UNSEEN_SHARES[unseen] * (unseen - free + 1);
         }
-        return queued * slotMillis(target, nowNanos);
+        return queued == 0 ? 0 : queued * slotMillis(target, nowNanos);
     }
 
     /** Returns the expected time until one of the calls in the slots of a target ends. */
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -132,8 +132,7 @@
      */
     Optional<Failure> refusal(
             DirectRequest request, long heldRequests, long nowNanos, Effects out) {
-        boolean tellsSpeed = mTargets.active(request.service()).anyMatch(Target::tellsSpeed);
-        if (mMode.isFair(tellsSpeed)) {
+        if (mMode.isFair(mTargets.ranksByWork(request.service()))) {
             return contendedRefusal(request, heldRequests, nowNanos, out);
         }
         OptionalLong retryMillis = refusalRetryMillis(request, heldRequests, nowNanos);
--- a/src/main/java/org/coltsfootproxy/direct/Target.java
+++ b/src/main/java/org/coltsfootproxy/direct/Target.java
@@ -50,7 +50,6 @@
     private int mKeptElsewhere;
     private int mReportedElsewhere;
     private long mLoadReportedAt = Long.MIN_VALUE / 2;
-    private boolean mTellsSpeed;
     private int mRecentBatchStarts;
     private long mBatchStartsSince = Long.MIN_VALUE / 2;
     private int mFailures;
@@ -193,12 +192,6 @@
     void updateLoad(TargetLoad load, long nowNanos) {
         mReportedElsewhere = Math.max(0, load.running() + load.waiting() - mOnline - mBatch);
         mLoadReportedAt = nowNanos;
-        mTellsSpeed |= load.speed().isPresent();
-    }
-
-    /** Returns whether the target has told its speed to this host. */
-    boolean tellsSpeed() {
-        return mTellsSpeed;
     }
 
     /** Returns the limit on calls to the target from all hosts. */
