--- a/src/test/java/org/coltsfootproxy/platform/RetirementTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/RetirementTest.java
@@ -129,6 +129,36 @@
         assertAllDone("j1");
     }
 
+    @DataProvider
+    public Object[][] seeds() {
+        return IntStream.range(0, 6).mapToObj(n -> new Object[] {80 + n}).toArray(Object[][]::new);
+    }
+
+    /** Guards against stand-ins that hand leadership of the job log to each other without end. */
+    @Test(dataProvider = "seeds")
+    public void twoStandInsDoNotPassLeadershipToEachOther(int seed) {
+        start(seed);
+        retirement("POST", mSimulation.store(0));
+        mSimulation.run(8 * SECOND_NANOS);
+        mSimulation.fleet().crash(mSimulation.store(0));
+        mSimulation.fleet().crash(mSimulation.store(1));
+        mSimulation.run(10 * SECOND_NANOS);
+        assertEquals(standIns().size(), 2, "" + jobMembers());
+        HostId leader = jobMembers().get(0);
+        mSimulation.fleet().crash(leader);
+        mSimulation.run(2 * SECOND_NANOS);
+
+        int changes = 0;
+        HostId before = jobMembers().get(0);
+        for (int n = 0; n < 80; n++) {
+            mSimulation.run(SECOND_NANOS / 20);
+            HostId now = jobMembers().get(0);
+            changes += now.equals(before) ? 0 : 1;
+            before = now;
+        }
+        assertTrue(changes <= 2, changes + " changes of the leader in 4 s");
+    }
+
     private List<HostId> standIns() {
         return jobMembers().stream().filter(host -> host.value().startsWith("10.0.0.")).toList();
     }
