--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -279,13 +279,9 @@
      * the most advanced voter, that voter is asked to take over. If this takes longer than an
      * election timeout, the transfer is abandoned and this host remains leader.
      *
+     * @param avoided hosts to which leadership is not transferred
      * @return whether this host leads and another voter exists
      */
-    public boolean transferLeadership(long nowNanos, Effects out) {
-        return transferLeadership(Set.of(), nowNanos, out);
-    }
-
-    /** Like {@link #transferLeadership(long, Effects)}, but to none of the avoided hosts. */
     public boolean transferLeadership(Set<HostId> avoided, long nowNanos, Effects out) {
         Step step = beginStep(nowNanos, out);
         boolean started = isLeading() && mLeadership.orElseThrow().startHandover(avoided, step);
@@ -363,20 +359,9 @@
 
     /** Returns the status shown to operators. */
     public RaftStatus status(long nowNanos) {
-        return new RaftStatus(
-                mGroup.number(),
-                mGroup.self(),
-                mGroup.state(),
-                mGroup.term(),
-                mGroup.leader(),
-                isLeader(nowNanos),
-                mGroup.commitIndex(),
-                mGroup.appliedIndex(),
-                mGroup.log().lastIndex(),
-                mGroup.writes().syncedIndex(),
-                mGroup.writes().isDiskFull(),
-                mGroup.members(),
-                mLeadership.map(leading -> leading.lags(nowNanos)).orElse(List.of()));
+        List<RaftStatus.Lag> lags =
+                mLeadership.map(leading -> leading.lags(nowNanos)).orElse(List.of());
+        return RaftStatus.of(mGroup, isLeader(nowNanos), lags);
     }
 
     private Step beginStep(long nowNanos, Effects out) {
--- a/src/main/java/org/coltsfootproxy/consensus/RaftStatus.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftStatus.java
@@ -33,6 +33,24 @@
         lags = List.copyOf(lags);
     }
 
+    /** Returns the status of a member of {@code group}. */
+    static RaftStatus of(Group group, boolean leaseValid, List<Lag> lags) {
+        return new RaftStatus(
+                group.number(),
+                group.self(),
+                group.state(),
+                group.term(),
+                group.leader(),
+                leaseValid,
+                group.commitIndex(),
+                group.appliedIndex(),
+                group.log().lastIndex(),
+                group.writes().syncedIndex(),
+                group.writes().isDiskFull(),
+                group.members(),
+                lags);
+    }
+
     /**
      * Replication lag of a member.
      *
--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.EventCode;
@@ -393,7 +394,7 @@
     private void tryHandover(long nowNanos) {
         boolean isLeading = false;
         for (RaftGroup group : mGroups) {
-            isLeading |= group.node().transferLeadership(nowNanos, mOut);
+            isLeading |= group.node().transferLeadership(Set.of(), nowNanos, mOut);
         }
         boolean mayRetry = isLeading && nowNanos - mHandoverDeadlineNanos < 0;
         mNextHandoverNanos = mayRetry ? nowNanos + HANDOVER_RETRY_NANOS : NEVER;
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -363,7 +363,7 @@
     }
 
     private void tryHandover(long nowNanos) {
-        boolean isLeading = mGroup.node().transferLeadership(nowNanos, mOut);
+        boolean isLeading = mGroup.node().transferLeadership(Set.of(), nowNanos, mOut);
         boolean mayRetry = (isLeading || !mIsStopping) && nowNanos - mHandoverDeadlineNanos < 0;
         mNextHandoverNanos = mayRetry ? nowNanos + HANDOVER_RETRY_NANOS : NEVER;
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -27,7 +26,6 @@
 import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.job.ItemPuller;
 import org.coltsfootproxy.job.ItemRunner;
-import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.JobMessage;
 import org.coltsfootproxy.message.LeaseRef;
@@ -61,17 +59,6 @@
     /** Interval between checks for free slots; reports of other hosts arrive about that often. */
     private static final long SLOT_CHECK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-    /**
-     * Interval between progress messages. It is a fifth of a typical run of some seconds, so a lost
-     * host costs a tenth of a run on average.
-     */
-    private static final long PROGRESS_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-    /**
-     * Output bytes after which no further item is added to a message; the rest goes with the next.
-     */
-    private static final int MAX_PROGRESS_BYTES = 256 << 10;
-
     /** Weight of the last run in the moving average of run times. */
     private static final double LAST_RUN_WEIGHT = 0.1;
 
@@ -92,6 +79,7 @@
     private final Map<LeaseRef, ItemRun> mRuns = new HashMap<>();
     private final Timers<LeaseRef> mTimers = Timers.create();
     private final FreeBatchSlots mFreeSlots;
+    private final ItemProgressSender mProgress;
 
     /** Fraction by which this host waits longer than the others for trials of quarantined items. */
     private final double mTrialJitter;
@@ -102,7 +90,6 @@
     private int mWorkers;
     private boolean mIsStopping;
     private long mNextSlotCheck;
-    private long mNextProgress;
     private double mMeanRunNanos = INITIAL_RUN_NANOS;
 
     private ItemWorker(
@@ -123,6 +110,7 @@
         mConfig = checkNotNull(config, "config");
         mRegions = checkNotNull(regions, "regions");
         mFreeSlots = new FreeBatchSlots(targets);
+        mProgress = new ItemProgressSender(mPuller);
         mWorkers = controls.size();
         mTrialJitter = new SplittableRandom(incarnation.value()).nextDouble();
     }
@@ -480,7 +468,7 @@
         if (now - mNextSlotCheck >= 0) {
             mNextSlotCheck = now + SLOT_CHECK_INTERVAL_NANOS;
             updateKept(now);
-            sendProgress(now, out);
+            mProgress.send(mRuns.values(), now, out);
             offerSlots(now, out);
         }
     }
@@ -512,24 +500,6 @@
                 .ifPresent(run -> preempt(run, now, out));
     }
 
-    private void sendProgress(long now, Effects out) {
-        if (now - mNextProgress < 0) {
-            return;
-        }
-        mNextProgress = now + PROGRESS_INTERVAL_NANOS;
-        List<ItemProgress> items = new ArrayList<>();
-        int bytes = 0;
-        for (ItemRun run : mRuns.values()) {
-            Optional<ItemProgress> progress =
-                    bytes < MAX_PROGRESS_BYTES ? run.takeProgress() : Optional.empty();
-            progress.ifPresent(items::add);
-            bytes += progress.map(p -> p.piece().bytes().length).orElse(0);
-        }
-        if (!items.isEmpty()) {
-            mPuller.progress(items, out);
-        }
-    }
-
     /** Updates which items keep their slots; the other hosts learn it with the next load report. */
     private void updateKept(long now) {
         mRuns.values().stream()
--- a/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -217,7 +217,9 @@
 
     /** Makes a leader transfer its leadership. */
     void transferLeadership(TestHost host) {
-        host.node().transferLeadership(host.clock(mTimeNanos), effect -> execute(host, effect));
+        host.node()
+                .transferLeadership(
+                        Set.of(), host.clock(mTimeNanos), effect -> execute(host, effect));
         tickLater(host, mTimeNanos);
     }
 
