--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -102,7 +102,7 @@
         mTargets = Targets.create(settings.dataCentre(), random);
         LoadExchange loadExchange = LoadExchange.create(settings.host(), mTargets);
         ReceivedShares shares = ReceivedShares.create();
-        mLoadShedder = LoadShedder.create(mTargets, settings.contention(), shares);
+        mLoadShedder = LoadShedder.create(mTargets, settings.direct().contention(), shares);
         mLimiter = SharedCountLimiter.create(settings.host());
         mLimiter.setListener(shares);
         mReports =
@@ -130,7 +130,7 @@
                         mLimiter);
         JobRequestClient client = DirectJobs.createClient(membership.jobHosts(), random);
         mJobs = new DirectJobs(protocols.callers(), client);
-        mRegionCheck = new RegionCheck(settings.regions(), membership);
+        mRegionCheck = new RegionCheck(settings.direct().regions(), membership);
     }
 
     /**
@@ -227,7 +227,7 @@
 
     /** Returns whether the configuration is confirmed as current, or need not be. */
     private boolean isConfirmed(long now) {
-        return !mSettings.needsConfirmation() || mConfig.isFresh(now);
+        return !mSettings.direct().needsConfirmation() || mConfig.isFresh(now);
     }
 
     private void httpCall(Input.HttpCall call, long now, Effects out) {
@@ -298,7 +298,8 @@
                         mProtocols.targets().sharedPromptParts(call.headers()),
                         mProtocols.targets().declaredSizes(call.headers()),
                         arrivedAt);
-        request.allowOnly(mSettings.regions().dataCentres(Regions.allowed(route, organisation)));
+        request.allowOnly(
+                mSettings.direct().regions().dataCentres(Regions.allowed(route, organisation)));
         mCalls.begin(request, now, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
@@ -24,10 +24,7 @@
  *     agent's answer
  * @param drainDelayNanos time after the start of a planned stop during which new requests are still
  *     served, so that the load balancer can notice the stop
- * @param regions the regions of the data centres
- * @param needsConfirmation whether nothing is sent to targets while the configuration is not
- *     confirmed as current, as evacuations of data centres need it
- * @param contention when requests are decided by rank and fair share
+ * @param direct settings that only entries use which call targets themselves
  */
 public record EntrySettings(
         HostId host,
@@ -38,9 +35,7 @@
         long askTimeoutNanos,
         long deadlineGraceNanos,
         long drainDelayNanos,
-        Regions regions,
-        boolean needsConfirmation,
-        ContentionMode contention) {
+        Direct direct) {
     /** Time that a request may take, for the requests accepted last to end before the limit. */
     private static final long LONGEST_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -51,8 +46,7 @@
     public EntrySettings {
         checkNotNull(host, "host");
         checkNotNull(dataCentre, "dataCentre");
-        checkNotNull(regions, "regions");
-        checkNotNull(contention, "contention");
+        checkNotNull(direct, "direct");
         checkArgument(ackTimeoutNanos > 0, "ackTimeoutNanos %s must be positive", ackTimeoutNanos);
         checkArgument(
                 silenceTimeoutNanos > 0,
@@ -74,9 +68,7 @@
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.SECONDS.toNanos(5),
-                Regions.none(),
-                false,
-                ContentionMode.AUTO);
+                new Direct(Regions.none(), false, ContentionMode.AUTO));
     }
 
     /**
@@ -99,13 +91,11 @@
                 askTimeoutNanos,
                 deadlineGraceNanos,
                 drainDelay,
-                regions,
-                needsConfirmation,
-                contention);
+                direct);
     }
 
-    /** Returns these settings with the given regions of the data centres. */
-    public EntrySettings withRegions(Regions dataCentreRegions) {
+    /** Returns these settings for an entry that calls targets itself. */
+    public EntrySettings withDirect(Direct settings) {
         return new EntrySettings(
                 host,
                 dataCentre,
@@ -115,40 +105,22 @@
                 askTimeoutNanos,
                 deadlineGraceNanos,
                 drainDelayNanos,
-                dataCentreRegions,
-                needsConfirmation,
-                contention);
+                settings);
     }
 
-    /** Returns these settings with another {@link #needsConfirmation}. */
-    public EntrySettings withConfirmation(boolean isNeeded) {
-        return new EntrySettings(
-                host,
-                dataCentre,
-                ackTimeoutNanos,
-                silenceTimeoutNanos,
-                askIntervalNanos,
-                askTimeoutNanos,
-                deadlineGraceNanos,
-                drainDelayNanos,
-                regions,
-                isNeeded,
-                contention);
-    }
-
-    /** Returns these settings with another mode of deciding under contention. */
-    public EntrySettings withContention(ContentionMode mode) {
-        return new EntrySettings(
-                host,
-                dataCentre,
-                ackTimeoutNanos,
-                silenceTimeoutNanos,
-                askIntervalNanos,
-                askTimeoutNanos,
-                deadlineGraceNanos,
-                drainDelayNanos,
-                regions,
-                needsConfirmation,
-                mode);
+    /**
+     * Settings that only entries use which call targets themselves.
+     *
+     * @param regions the regions of the data centres
+     * @param needsConfirmation whether nothing is sent to targets while the configuration is not
+     *     confirmed as current, as evacuations of data centres need it
+     * @param contention when requests are decided by rank and fair share
+     */
+    public record Direct(Regions regions, boolean needsConfirmation, ContentionMode contention) {
+        /** Checks that no component is null. */
+        public Direct {
+            checkNotNull(regions, "regions");
+            checkNotNull(contention, "contention");
+        }
     }
 }
--- a/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DirectEntryRoleComponents.java
@@ -45,10 +45,12 @@
         DirectEntryNode node =
                 DirectEntryNode.create(
                         EntrySettings.of(settings.host(), settings.dataCentre())
-                                .withRegions(Regions.of(settings.regions()))
-                                .withConfirmation(fleet.evacuations())
-                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds()))
-                                .withContention(role.contention()),
+                                .withDirect(
+                                        new EntrySettings.Direct(
+                                                Regions.of(settings.regions()),
+                                                fleet.evacuations(),
+                                                role.contention()))
+                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds())),
                         new DirectEntryNode.Protocols(new PlatformCallerProtocol(), protocol),
                         addresses,
                         FleetSettings.subscriber(settings, fleet, random),
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.coltsfootproxy.admission.ContentionMode;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
@@ -329,8 +330,9 @@
         DirectEntryNode node =
                 DirectEntryNode.create(
                         EntrySettings.of(host, dataCentre(host))
-                                .withRegions(REGIONS)
-                                .withConfirmation(mNeedsConfirmation)
+                                .withDirect(
+                                        new EntrySettings.Direct(
+                                                REGIONS, mNeedsConfirmation, ContentionMode.AUTO))
                                 .withStopLimit(STOP_SECONDS * SECOND_NANOS),
                         new DirectEntryNode.Protocols(
                                 new PlatformCallerProtocol(), new PlatformTargetProtocol()),
