--- a/src/main/java/org/coltsfootproxy/direct/package-info.java
+++ b/src/main/java/org/coltsfootproxy/direct/package-info.java
@@ -7,7 +7,9 @@
  * force and chooses a {@link Target} for each call. {@link LoadExchange} keeps track of the calls
  * of other hosts, {@link LeavingTargets} of targets that are leaving, and {@link LoadShedder}
  * refuses online requests that no target could start in time; {@link HostReports} exchanges what
- * they know between hosts. {@link StartPacer} keeps batch items out of peaks of online load. {@link
+ * they know between hosts. {@link FreeBatchSlots} keeps batch items out of peaks of online load.
+ * {@link WorkRouting} ranks targets by expected work, {@link ColdLimits} bounds what targets that
+ * may be cold get, and {@link UsableDataCentres} leaves out those in evacuated data centres. {@link
  * FleetDirectory} runs on control hosts: it enrols the other hosts, and reads the target list and
  * distributes it.
  *
