Bounds of three load tests put back to what was asked

The flood test first asked that small organisations keep nine tenths of their requests in time; it failed and was replaced by a weaker one, which stays beside it now. Slack of 0.01 in the crest test and of 0.02 in the refusals of a flood came from no stated target.

--- a/src/test/java/org/coltsfootproxy/admission/ContentionLoadTest.java
+++ b/src/test/java/org/coltsfootproxy/admission/ContentionLoadTest.java
@@ -138,8 +138,15 @@
         report("crest wave, first come", before);
         report("crest wave, fair", fair);
 
-        checkRules(fair);
-        assertTrue(fair.inTime(IN_CREST) >= before.inTime(IN_CREST) - 0.01);
+        assertTrue(
+                fair.inTime(IN_CREST) >= before.inTime(IN_CREST),
+                fair.inTime(IN_CREST) + " in time, " + before.inTime(IN_CREST) + " before");
+    }
+
+    /** Guards against a crest in which a group gets less than its minimum share. */
+    @Test
+    public void aCrestWaveKeepsTheMinimumShares() {
+        checkRules(play(Rule.FAIR, new Pattern()));
     }
 
     /** Returns the calls of small organisations while another one floods, if it does. */
@@ -180,10 +187,22 @@
         Reporter.log("small with flood, fair " + figures(fair, small), true);
 
         assertTrue(
-                fair.refused(small) <= calm.refused(small) + 0.02,
+                fair.refused(small) <= calm.refused(small),
                 "refused " + fair.refused(small) + ", without flood " + calm.refused(small));
     }
 
+    /** Guards against a flood that makes the requests of small organisations late. */
+    @Test
+    public void aFloodCostsSmallOrganisationsAtMostATenthOfTheirRequestsInTime() {
+        Predicate<Call> small = smallInFloodTime();
+        ContentionSimulation calm = play(Rule.FAIR, new Pattern());
+        ContentionSimulation fair = playFlood(Rule.FAIR);
+
+        assertTrue(
+                fair.inTime(small) >= calm.inTime(small) - 0.1,
+                "in time " + fair.inTime(small) + ", without flood " + calm.inTime(small));
+    }
+
     /** Guards against small organisations that wait behind a few large ones. */
     @Test
     public void threeLargeOrganisationsDoNotCrowdOutSixtyEightSmallOnes() {
