Entries kept for lagging members are bounded in bytes

What decides a failure: whether the disk threads of a quorum end.

The metrics log_bytes and snapshot_bytes tell what a member holds.

--- a/src/main/java/org/coltsfootproxy/base/Metric.java
+++ b/src/main/java/org/coltsfootproxy/base/Metric.java
@@ -26,6 +26,12 @@
     JOBS_AT_RISK(Shape.GAUGE, "Jobs whose estimate is past their deadline"),
     CONFIG_VERSION(Shape.GAUGE, "Version of the configuration in force"),
     COMMIT_SECONDS(Shape.HISTOGRAM, "Time from a proposal to its commit"),
+    LOG_BYTES(
+            Shape.GAUGE,
+            "Bytes of log entries in memory after the latest snapshot; the class label names the"
+                    + " group"),
+    SNAPSHOT_BYTES(
+            Shape.GAUGE, "Bytes of state in the latest snapshot; the class label names the group"),
     RING_FULL(Shape.COUNTER, "Inputs refused because a ring was full"),
     FRAMES_MALFORMED(Shape.COUNTER, "Frames that closed their connection"),
     PEERS_REFUSED(Shape.COUNTER, "Peer connections refused at the handshake"),
--- a/src/main/java/org/coltsfootproxy/consensus/Applier.java
+++ b/src/main/java/org/coltsfootproxy/consensus/Applier.java
@@ -87,12 +87,16 @@
                         LogWrite.of(snapshot),
                         mGroup.writes().syncedTerm(),
                         step,
-                        later -> finishSnapshot(snapshot.index()));
+                        later -> finishSnapshot(snapshot.index(), later));
     }
 
-    private void finishSnapshot(long index) {
+    private void finishSnapshot(long index, Step step) {
         mSnapshotInProgress = false;
-        mGroup.log().compactTo(index - mGroup.settings().retainedEntries());
+        RaftSettings settings = mGroup.settings();
+        mGroup.log().compact(index, settings.retainedEntries(), settings.retainedBytes());
+        String group = "group-" + mGroup.number();
+        step.out().measure(Metric.LOG_BYTES, "", group, mGroup.log().bytes());
+        step.out().measure(Metric.SNAPSHOT_BYTES, "", group, mSnapshotBytes);
     }
 
     /** Abandons a snapshot whose write failed; another is taken later. */
--- a/src/main/java/org/coltsfootproxy/consensus/RaftLog.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftLog.java
@@ -14,6 +14,7 @@
     private final List<LogEntry> mEntries = new ArrayList<>();
     private long mBaseIndex;
     private long mBaseTerm;
+    private long mBytes;
 
     /** Returns the index before the first entry in memory. */
     long baseIndex() {
@@ -44,6 +45,11 @@
         return mEntries.get((int) (index - mBaseIndex - 1));
     }
 
+    /** Returns the size in bytes of the entries in memory. */
+    long bytes() {
+        return mBytes;
+    }
+
     /** Appends an entry. */
     void append(LogEntry entry) {
         checkArgument(
@@ -51,26 +57,45 @@
                 "log entry %s does not follow the last entry",
                 entry.index());
         mEntries.add(entry);
+        mBytes += entry.bytes();
     }
 
     /** Removes the entries from {@code index} on. */
     void truncateFrom(long index) {
-        mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()).clear();
+        remove(mEntries.subList((int) (index - mBaseIndex - 1), mEntries.size()));
     }
 
-    /** Drops the entries up to and including {@code index}. */
-    void compactTo(long index) {
-        if (index > mBaseIndex) {
-            long term = term(index);
-            mEntries.subList(0, (int) (index - mBaseIndex)).clear();
-            mBaseIndex = index;
+    /**
+     * Drops the entries up to and including {@code index}, except for the last ones that exceed
+     * neither {@code maxEntries} nor {@code maxBytes}.
+     */
+    void compact(long index, int maxEntries, long maxBytes) {
+        long base = index;
+        long bytes = 0;
+        while (base > mBaseIndex && index - base < maxEntries) {
+            bytes += entry(base).bytes();
+            if (bytes > maxBytes) {
+                break;
+            }
+            base--;
+        }
+        if (base > mBaseIndex) {
+            long term = term(base);
+            remove(mEntries.subList(0, (int) (base - mBaseIndex)));
+            mBaseIndex = base;
             mBaseTerm = term;
         }
     }
 
+    private void remove(List<LogEntry> entries) {
+        mBytes -= entries.stream().mapToLong(LogEntry::bytes).sum();
+        entries.clear();
+    }
+
     /** Drops all entries and continues after {@code index}. */
     void reset(long index, long term) {
         mEntries.clear();
+        mBytes = 0;
         mBaseIndex = index;
         mBaseTerm = term;
     }
--- a/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftNode.java
@@ -347,6 +347,11 @@
         return mGroup.appliedIndex();
     }
 
+    /** Returns the size in bytes of the log entries in memory. */
+    long logBytes() {
+        return mGroup.log().bytes();
+    }
+
     /** Returns the current term. */
     public long term() {
         return mGroup.term();
--- a/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
+++ b/src/main/java/org/coltsfootproxy/consensus/RaftSettings.java
@@ -20,7 +20,9 @@
  * @param maxCommandBytes size limit of a command
  * @param snapshotPieceBytes maximum bytes of snapshot state in a message
  * @param snapshotLogBytes minimum bytes of log since the last snapshot before another is taken
- * @param retainedEntries entries before a snapshot that are kept in memory for lagging members
+ * @param retainedEntries maximum number of entries before a snapshot that are kept in memory for
+ *     lagging members
+ * @param retainedBytes maximum bytes of these entries
  * @param autoReplace whether a host that returns with an empty disk replaces its previous
  *     incarnation without an operator
  * @param mayBootstrap whether the group may be bootstrapped; false once the fleet has run before
@@ -39,6 +41,7 @@
         int snapshotPieceBytes,
         int snapshotLogBytes,
         int retainedEntries,
+        int retainedBytes,
         boolean autoReplace,
         boolean mayBootstrap,
         int wantedVoters) {
@@ -82,6 +85,7 @@
         checkArgument(
                 snapshotLogBytes > 0, "snapshot log size %s is not positive", snapshotLogBytes);
         checkArgument(retainedEntries >= 0, "retained entries %s is negative", retainedEntries);
+        checkArgument(retainedBytes >= 0, "retained bytes %s is negative", retainedBytes);
         checkArgument(wantedVoters >= 0, "wanted voters %s is negative", wantedVoters);
     }
 
@@ -99,6 +103,7 @@
                 64 * KIB,
                 4 * KIB * KIB,
                 1000,
+                8 * KIB * KIB,
                 true,
                 true,
                 0);
@@ -118,6 +123,7 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
+                retainedBytes,
                 allowed,
                 mayBootstrap,
                 wantedVoters);
@@ -140,6 +146,7 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
+                retainedBytes,
                 autoReplace,
                 bootstrapAllowed,
                 voters);
@@ -159,13 +166,15 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
+                retainedBytes,
                 autoReplace,
                 mayBootstrap,
                 wantedVoters);
     }
 
     /** Returns these settings with other snapshot limits. */
-    public RaftSettings withSnapshots(int logBytes, int pieceBytes, int retained) {
+    public RaftSettings withSnapshots(
+            int logBytes, int pieceBytes, int keptEntries, int keptBytes) {
         return new RaftSettings(
                 hosts,
                 heartbeatNanos,
@@ -177,7 +186,8 @@
                 maxCommandBytes,
                 pieceBytes,
                 logBytes,
-                retained,
+                keptEntries,
+                keptBytes,
                 autoReplace,
                 mayBootstrap,
                 wantedVoters);
@@ -197,6 +207,7 @@
                 snapshotPieceBytes,
                 snapshotLogBytes,
                 retainedEntries,
+                retainedBytes,
                 autoReplace,
                 mayBootstrap,
                 wantedVoters);
--- a/src/test/java/org/coltsfootproxy/consensus/RaftFaultMatrixTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftFaultMatrixTest.java
@@ -113,7 +113,7 @@
     public void theGroupSurvives(FaultPoint point, Fault fault, int times) {
         RaftSettings settings =
                 RaftSettings.of(TestCluster.hostNames(SIZE))
-                        .withSnapshots(1200, 120, 3)
+                        .withSnapshots(1200, 120, 3, 1 << 20)
                         .withBounds(400, 3, 4000);
         TestCluster cluster = new TestCluster(point.ordinal() * 31L + 7, SIZE, settings);
         int[] occurrences = {0};
--- a/src/test/java/org/coltsfootproxy/consensus/RaftFuzzTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/RaftFuzzTest.java
@@ -21,7 +21,7 @@
     private static RaftSettings settings(int size, double drift) {
         return RaftSettings.of(TestCluster.hostNames(size))
                 .withMaxClockDrift(drift)
-                .withSnapshots(1500, 90, 5)
+                .withSnapshots(1500, 90, 5, 1 << 20)
                 .withBounds(400, 3, 4000);
     }
 
--- a/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
+++ b/src/test/java/org/coltsfootproxy/consensus/TestCluster.java
@@ -251,6 +251,11 @@
         propose(host, "command-" + mCommands++);
     }
 
+    /** Proposes a new command of at least {@code bytes} bytes. */
+    void propose(TestHost host, int bytes) {
+        propose(host, "command-" + mCommands++ + "-" + "x".repeat(bytes));
+    }
+
     private void propose(TestHost host, String command) {
         int crashCount = host.crashCount();
         host.node()
