One odd entry no longer stops the list of targets

It could happen: no process ended, but no host would have learnt of targets that join, leave or are replaced, as long as the entry stood in the list.

Cause: the JSON parser refuses a whole page for one value that is nested over 1,000 deep, has over 1,000 digits or holds bytes that are no text. Numbers beyond 32 or 64 bits were cut to their lower bits, and ports of 0 and addresses of no single machine were taken.

A list that is longer than 1,000 pages, or whose token is no text, fails the read instead of ending the list early. An exception of the parser ends the read, so that the next one can begin.

--- a/src/main/java/org/coltsfootproxy/direct/TargetListReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetListReader.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -27,7 +28,7 @@
     /** Time limit for one page; the list is on the same network. */
     private static final long PAGE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
-    /** Maximum number of pages; further pages are not read. */
+    /** Maximum number of pages; a longer list is not used. */
     private static final int MAX_PAGES = 1_000;
 
     /** Size above which a page is not read any further. */
@@ -131,19 +132,32 @@
     }
 
     private void handlePage(byte[] body, Effects out) {
+        Optional<TargetListProtocol.Page> page = parsePage(body, out);
+        if (page.isEmpty()) {
+            return;
+        }
+        mTargets.addAll(page.get().targets());
+        mDamaged += page.get().damaged();
+        mPages++;
+        if (page.get().nextPath().isEmpty()) {
+            finish(out);
+        } else if (mPages < MAX_PAGES) {
+            readPage(page.get().nextPath().get(), out);
+        } else {
+            fail("the list has more than " + MAX_PAGES + " pages", out);
+        }
+    }
+
+    private Optional<TargetListProtocol.Page> parsePage(byte[] body, Effects out) {
         try {
-            TargetListProtocol.Page page = mProtocol.read(body);
-            mTargets.addAll(page.targets());
-            mDamaged += page.damaged();
-            mPages++;
-            if (page.nextPath().isPresent() && mPages < MAX_PAGES) {
-                readPage(page.nextPath().get(), out);
-            } else {
-                finish(out);
-            }
+            return Optional.of(mProtocol.read(body));
         } catch (ProxyException e) {
             fail(e.getMessage(), out);
+        } catch (RuntimeException | StackOverflowError e) {
+            // Without an end of this read, no other read would ever begin.
+            fail(e.toString(), out);
         }
+        return Optional.empty();
     }
 
     private void finish(Effects out) {
--- a/src/main/java/org/coltsfootproxy/platform/Json.java
+++ b/src/main/java/org/coltsfootproxy/platform/Json.java
@@ -36,6 +36,11 @@
         throw ProxyException.of(kind, "not a JSON object");
     }
 
+    /** Parses a document whose root may be any value. */
+    static JsonNode value(byte[] document) throws IOException {
+        return READER.readTree(document);
+    }
+
     static Stream<JsonNode> elements(JsonNode array) {
         return StreamSupport.stream(array.spliterator(), false);
     }
