A stream goes on at the only listed version only if the list is current

Cause: an entry that doesn't know a stream takes the only version in its list for the one that began it. An entry that was cut off or suspended while a new version joined has neither the list nor the reports of streams.

Change: such a request is held until a control host confirms the list, by an answer to a question that was asked after the request arrived; a newer list comes first on the same connection. The question and its answer are components appended to two existing messages, so hosts of earlier versions read them as before.

--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -21,6 +21,7 @@
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.entry.CallerCheck;
 import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.entry.Failure;
 import org.coltsfootproxy.job.JobRequestClient;
 import org.coltsfootproxy.limit.SharedCountLimiter;
 import org.coltsfootproxy.membership.FleetMembership;
@@ -63,6 +64,7 @@
     private final LoadShedder mLoadShedder;
     private final StreamVersions mVersions = StreamVersions.create();
     private final StreamVersionSync mVersionSync;
+    private final HeldResumptions mResumptions = new HeldResumptions();
     private final EarlyCalls mEarlyCalls = new EarlyCalls();
     private final SharedCountLimiter mLimiter;
     private final DirectCallerAnswers mAnswers;
@@ -195,6 +197,7 @@
             httpCall(call, nowNanos, out);
         } else if (input instanceof Input.HttpDisconnected disconnected) {
             mEarlyCalls.callerDisconnected(disconnected.call());
+            mResumptions.callerDisconnected(disconnected.call());
             mCalls.callerDisconnected(disconnected.call(), nowNanos, out);
             mJobs.callerDisconnected(disconnected.call(), out);
         } else if (input instanceof Input.FromPeer peer) {
@@ -300,7 +303,27 @@
                         arrivedAt);
         request.allowOnly(
                 mSettings.direct().regions().dataCentres(Regions.allowed(route, organisation)));
-        mCalls.begin(request, now, out);
+        if (mVersions.followsFromList(request, now)) {
+            mResumptions.hold(request, now);
+            askForConfirmation(now, out);
+        } else {
+            mCalls.begin(request, now, out);
+        }
+    }
+
+    private void askForConfirmation(long now, Effects out) {
+        mResumptions.askIfDue(now, number -> mMembership.confirmListing(number, now));
+        enrol(now, out);
+    }
+
+    private void refuseUnconfirmed(DirectRequest request, long now, Effects out) {
+        String detail = "no control host confirmed the versions that may have begun the stream";
+        mAnswers.failure(
+                request,
+                Failure.notRun(
+                        ErrorKind.STREAM_VERSION_UNAVAILABLE, detail, SendCheck.RETRY_AFTER_MILLIS),
+                now,
+                out);
     }
 
     private Route route(CallerCall.Forward forward, long now) throws ProxyException {
@@ -330,6 +353,12 @@
             if (mTargets.update(listing, out)) {
                 mVersions.listed(listing, now);
             }
+        } else if (message instanceof FleetMessage.TargetListRead current) {
+            if (current.number() <= mTargets.listing().number()) {
+                mResumptions
+                        .takeConfirmed(current.confirmation())
+                        .forEach(request -> mCalls.begin(request, now, out));
+            }
         } else if (message instanceof FleetMessage.Quarantine stored) {
             mQuarantine.handle(stored, now, out);
         } else if (message instanceof FleetMessage.AskStreams) {
@@ -360,7 +389,8 @@
         mEarlyCalls
                 .takeExpired(nowNanos)
                 .forEach(h -> answerCall(h.call(), h.arrivedAt(), nowNanos, out));
-        enrol(nowNanos, out);
+        mResumptions.takeExpired(nowNanos).forEach(r -> refuseUnconfirmed(r, nowNanos, out));
+        askForConfirmation(nowNanos, out);
         mQuarantine.tick(nowNanos, out);
         mReports.tick(nowNanos, out);
         mVersionSync.tick(nowNanos, out);
@@ -418,6 +448,7 @@
         next = Math.min(next, mReports.nextTickNanos());
         next = Math.min(next, mVersionSync.nextTickNanos());
         next = Math.min(next, mEarlyCalls.nextTickNanos());
+        next = Math.min(next, mResumptions.nextTickNanos());
         next = Math.min(next, mCalls.nextTickNanos());
         next = Math.min(next, mJobs.nextTickNanos());
         long nextWithSync = mIsSynced ? next : Math.min(next, mSyncDeadline);
@@ -428,6 +459,7 @@
     public boolean isDrained() {
         return mStopping
                 && mEarlyCalls.isEmpty()
+                && mResumptions.isEmpty()
                 && mCalls.isEmpty()
                 && mJobs.isEmpty()
                 && mRefusing;
--- a/src/main/java/org/coltsfootproxy/direct/FleetDirectory.java
+++ b/src/main/java/org/coltsfootproxy/direct/FleetDirectory.java
@@ -41,6 +41,11 @@
     private long mNextRead;
     private long mReaderMessageAt;
 
+    /** When this host or another one was last known to have read the list. */
+    private long mListCurrentAt;
+
+    private long mNow;
+
     private FleetDirectory(
             HostId self,
             List<HostId> controls,
@@ -74,6 +79,7 @@
     public void start(long nowNanos) {
         mNextRead = nowNanos;
         mReaderMessageAt = nowNanos - READER_TIMEOUT_NANOS;
+        mListCurrentAt = mReaderMessageAt;
     }
 
     /** Replaces the known control hosts. */
@@ -93,6 +99,7 @@
             mRoster.handle(from, enrol, nowNanos, out);
             mHighestNumber = Math.max(mHighestNumber, enrol.known().listing());
             sendListing(from, enrol.known().listing(), out);
+            confirmListing(from, enrol.confirmation(), nowNanos, out);
         } else if (message instanceof FleetMessage.Listing listing) {
             readerMessageReceived(listing.number(), nowNanos);
             if (mTargets.update(listing, out)) {
@@ -109,9 +116,26 @@
         }
     }
 
+    /**
+     * Tells a host that the list which it has been sent is current, if this host leads or has heard
+     * from the reader of the platform's list recently. The asking host may have been cut off or
+     * suspended for a while without its notice.
+     */
+    private void confirmListing(HostId host, long confirmation, long nowNanos, Effects out) {
+        boolean isCurrent =
+                mTargets.listing().number() > 0
+                        && (mVersions.isLeader()
+                                || nowNanos - mListCurrentAt < READER_TIMEOUT_NANOS);
+        if (confirmation != 0 && isCurrent) {
+            long number = mTargets.listing().number();
+            out.send(host, new FleetMessage.TargetListRead(number, confirmation));
+        }
+    }
+
     private void readerMessageReceived(long number, long nowNanos) {
         mHighestNumber = Math.max(mHighestNumber, number);
         mReaderMessageAt = nowNanos;
+        mListCurrentAt = nowNanos;
     }
 
     /** Handles a new connection to another control host, which may have missed a list. */
@@ -134,6 +158,7 @@
      * @param isLeader whether this host leads the replicated log of the configuration
      */
     public void tick(boolean isLeader, long nowNanos, Effects out) {
+        mNow = nowNanos;
         mRoster.tick(nowNanos, out);
         if (nowNanos - mNextRead < 0) {
             return;
@@ -147,8 +172,9 @@
     private void listRead(List<ListedTarget> read, Effects out) {
         List<ListedTarget> targets = withKnownColdPeriods(read);
         mVersions.listed(targets);
+        mListCurrentAt = mNow;
         if (!publish(targets, out)) {
-            sendToControls(new FleetMessage.TargetListRead(mTargets.listing().number()), out);
+            sendToControls(new FleetMessage.TargetListRead(mTargets.listing().number(), 0), out);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/SendCheck.java
+++ b/src/main/java/org/coltsfootproxy/direct/SendCheck.java
@@ -11,7 +11,7 @@
     /**
      * Retry-after time of a request that can't be sent now, but perhaps soon or by another host.
      */
-    private static final long RETRY_AFTER_MILLIS = 250;
+    static final long RETRY_AFTER_MILLIS = 250;
 
     private final CrashQuarantine mQuarantine;
     private final StreamVersions mVersions;
--- a/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
+++ b/src/main/java/org/coltsfootproxy/direct/StreamVersions.java
@@ -190,6 +190,19 @@
         return onlyVersion(request.service(), nowNanos);
     }
 
+    /**
+     * Returns whether the version at which a stream goes on would follow from the list alone, so
+     * that the list has to be current.
+     */
+    boolean followsFromList(DirectRequest request, long nowNanos) {
+        return request.isResumable()
+                && request.resumption()
+                        .map(r -> streamId(request.organisation().id(), r.firstRequest()))
+                        .filter(stream -> !mStreams.containsKey(stream))
+                        .isPresent()
+                && onlyVersion(request.service(), nowNanos).isPresent();
+    }
+
     /** Applies another entry's report. */
     void handle(List<FleetMessage.BegunStreams> reports, long nowNanos) {
         for (FleetMessage.BegunStreams report : reports) {
--- a/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
+++ b/src/main/java/org/coltsfootproxy/membership/FleetMembership.java
@@ -44,6 +44,7 @@
 
     private List<HostId> mSeeds;
     private long mNextEnrolmentNanos;
+    private long mConfirmation;
 
     /**
      * Identity of this host.
@@ -90,6 +91,16 @@
         mNextEnrolmentNanos = Math.min(mNextEnrolmentNanos, nowNanos);
     }
 
+    /**
+     * Enrols now and asks the control hosts to confirm that the target list is current.
+     *
+     * @param number number of the request, above 0
+     */
+    public void confirmListing(long number, long nowNanos) {
+        mConfirmation = number;
+        enrolNow(nowNanos);
+    }
+
     /**
      * Handles the roster of a control host.
      *
@@ -225,8 +236,10 @@
                             mSelf.dataCentre(),
                             new FleetMessage.KnownVersions(digest, listing),
                             store,
-                            quarantined));
+                            quarantined,
+                            mConfirmation));
         }
+        mConfirmation = 0;
     }
 
     /** Returns the time of the next due {@link #tick}. */
--- a/src/main/java/org/coltsfootproxy/message/FleetMessage.java
+++ b/src/main/java/org/coltsfootproxy/message/FleetMessage.java
@@ -31,6 +31,8 @@
      * @param known versions of the roster and target list that the sender has
      * @param store state of the sender's job store; null from an entry
      * @param quarantined what the calls that the sender sends must not have
+     * @param confirmation number of a request to confirm that the target list is current, which
+     *     {@link TargetListRead} answers; 0 for none
      */
     @WireCode(700)
     record Enrol(
@@ -39,7 +41,8 @@
             DataCentre dataCentre,
             KnownVersions known,
             StoreState store,
-            List<Quarantined> quarantined)
+            List<Quarantined> quarantined,
+            long confirmation)
             implements FleetMessage {
         /** Copies the list. */
         public Enrol {
@@ -137,9 +140,14 @@
         }
     }
 
-    /** Control to control: the platform's target list was read again and still has this version. */
+    /**
+     * Control to control: the platform's target list was read again and still has this version.
+     * Control to entry: the sender's list is current and has this version.
+     *
+     * @param confirmation the number in the {@link Enrol} that this answers; 0 to a control host
+     */
     @WireCode(703)
-    record TargetListRead(long number) implements FleetMessage {}
+    record TargetListRead(long number, long confirmation) implements FleetMessage {}
 
     /**
      * Entry or store to entry or store: reports of the sender and of hosts for which it relays.
--- a/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
+++ b/src/test/java/org/coltsfootproxy/direct/ReportMeasurement.java
@@ -349,7 +349,8 @@
                 DataCentre.of("centre-1"),
                 new FleetMessage.KnownVersions(0x1234_5678_9abc_def0L, 17),
                 null,
-                List.of());
+                List.of(),
+                0);
     }
 
     private static RaftMessage.Append append() {
