A response that a target repeats never answers another call

Callers: nothing was seen here; another operator reports requests that were told as not run though they ran (REFUSED), or ran twice (TWICE), since a faulty target wrote an earlier refusal once more on a kept connection.

Cause: responses are matched to calls by the request id. That fails if the same id is sent again over the same connection, as batch items are after a refusal, and if the repeated response has no id, since one without the header was accepted for any call.

Refusals that name another request were passed over before, too.

Change: a connection remembers the ids of its last 64 calls and carries none of them again; if no other idle connection is left, one is closed to make room for a new one. A response without the header to a call that has it fails that call as possibly run.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
@@ -32,6 +34,9 @@
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     private static final int SWITCHING_PROTOCOLS = 101;
 
+    /** Number of calls on the connection whose correlation values are remembered. */
+    private static final int MAX_REMEMBERED_CALLS = 64;
+
     private final TargetPool mPool;
     private final Channel mChannel;
     private final ResponseDecoder mDecoder;
@@ -43,6 +48,7 @@
     private boolean mResponseEnded;
     private boolean mIsForOtherCall;
     private long mBytesWithoutProgress;
+    private final Queue<String> mRememberedCalls = new ArrayDeque<>();
     private OptionalLong mKeepAliveNanos = OptionalLong.empty();
     private ScheduledFuture<?> mIdleTimer;
 
@@ -96,9 +102,29 @@
         return mChannel.isActive() && mPendingCall == null;
     }
 
+    /**
+     * Returns whether a call with the same correlation value was sent on this connection before. A
+     * response that the target repeats here would be taken for the response to this call.
+     */
+    boolean hasCarried(PendingCall pending) {
+        return correlation(pending).filter(mRememberedCalls::contains).isPresent();
+    }
+
+    private Optional<String> correlation(PendingCall pending) {
+        return mPool.dialect().correlationHeader().flatMap(pending.request()::header);
+    }
+
+    private void remember(PendingCall pending) {
+        correlation(pending).ifPresent(mRememberedCalls::add);
+        if (mRememberedCalls.size() > MAX_REMEMBERED_CALLS) {
+            mRememberedCalls.remove();
+        }
+    }
+
     /** Sends a call. */
     void send(PendingCall pending) {
         stopIdleTimer();
+        remember(pending);
         mPendingCall = pending;
         mResponseEnded = false;
         mIsInterim = false;
@@ -155,6 +181,10 @@
             return;
         }
         if (message instanceof HttpResponse head) {
+            if (isUnattributable(head)) {
+                fail(failureKind(), "the response does not name the call that it belongs to");
+                return;
+            }
             mIsForOtherCall = isForOtherCall(head);
             if (mIsForOtherCall) {
                 mPool.events().log(EventCode.TARGET_UNSOLICITED, mPool.hostField());
@@ -178,6 +208,19 @@
                 .isPresent();
     }
 
+    /**
+     * Returns whether a response lacks the value of the call, so that it may be a repeated response
+     * to a call that had none.
+     */
+    private boolean isUnattributable(HttpResponse head) {
+        return head.status().codeClass() != HttpStatusClass.INFORMATIONAL
+                && correlation(mPendingCall).isPresent()
+                && mPool.dialect()
+                        .correlationHeader()
+                        .filter(name -> !head.headers().contains(name))
+                        .isPresent();
+    }
+
     private void readHead(HttpResponse head) {
         mIsInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (head.status().code() == SWITCHING_PROTOCOLS) {
--- a/src/main/java/org/coltsfootproxy/net/TargetDialect.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetDialect.java
@@ -8,7 +8,7 @@
  * Describes how the targets of a platform deviate from plain HTTP/1.1.
  *
  * @param correlationHeader header that has the same value in a request and in its response; a
- *     response with another value is ignored, one without the header is accepted
+ *     response with another value is ignored, and one without the header fails a call that has it
  * @param preservesHost whether requests carry the caller's {@code Host} instead of the target's
  *     address
  * @param allowsCloseDelimited whether closing the connection may end a response without length
--- a/src/main/java/org/coltsfootproxy/net/TargetPool.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetPool.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
@@ -89,7 +90,7 @@
                         () -> onTimeout(pending),
                         pending.request().timeoutNanos(),
                         TimeUnit.NANOSECONDS));
-        TargetConnection idle = pollIdle();
+        TargetConnection idle = pollIdle(pending);
         if (idle != null && pending.isLate()) {
             release(idle);
             fail(pending, ErrorKind.TARGET_FAILED, "the call waited too long for its thread");
@@ -102,12 +103,24 @@
         }
     }
 
-    private TargetConnection pollIdle() {
-        TargetConnection idle = mIdle.pollFirst();
-        while (idle != null && !idle.isUsable()) {
-            idle = mIdle.pollFirst();
+    /**
+     * Removes and returns an idle connection for a call; null if there is none. If all have carried
+     * the call before, one of them is closed, to make room for a new connection.
+     */
+    private TargetConnection pollIdle(PendingCall pending) {
+        mIdle.removeIf(idle -> !idle.isUsable());
+        Optional<TargetConnection> suitable =
+                mIdle.stream().filter(idle -> !idle.hasCarried(pending)).findFirst();
+        if (suitable.isPresent()) {
+            mIdle.remove(suitable.get());
+            return suitable.get();
+        }
+        TargetConnection unsuitable = mIdle.pollLast();
+        if (unsuitable != null) {
+            unsuitable.close();
+            mOpen.remove(unsuitable);
         }
-        return idle;
+        return null;
     }
 
     private void send(TargetConnection connection, PendingCall pending) {
--- a/src/main/java/org/coltsfootproxy/node/Effect.java
+++ b/src/main/java/org/coltsfootproxy/node/Effect.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.node;
 
 import java.util.List;
+import java.util.Optional;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Metric;
@@ -67,6 +68,14 @@
             this(call, trafficClass, method, path, headers, body, timeoutNanos, 0);
         }
 
+        /** Returns the value of the first header with the given name, in any case. */
+        public Optional<String> header(String name) {
+            return headers.stream()
+                    .filter(h -> h.name().equalsIgnoreCase(name))
+                    .map(Header::value)
+                    .findFirst();
+        }
+
         /** Returns whether the call has a header with the given name, in any case, and value. */
         public boolean hasHeader(String name, String value) {
             return headers.stream()
