A process that is out of memory or has lost a thread ends

The platform starts a process again only if it has ended.

Cause: NodeLoop went on after an Error with a step that was half done; the threads of the disk, the log and the settings ended unnoticed; Netty logs an error that ends a loop.

The end of one of the process's own threads ends it too.

UnexpectedErrorsTest, which asks that other errors end nothing, is unchanged.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -15,6 +15,7 @@
     LOG_LINES_DROPPED(105, Level.WARN, "log lines were dropped"),
     SETTINGS_RELOADED(106, Level.INFO, "settings were reloaded"),
     SETTINGS_REFUSED(107, Level.WARN, "changed settings are invalid and were ignored"),
+    PROCESS_FAILED(108, Level.ERROR, "the process ends after an error that it can't survive"),
 
     // 200-299: consensus and storage
     LEADER_ELECTED(200, Level.INFO, "this host became leader"),
--- a/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
+++ b/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
@@ -11,6 +11,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.runtime.EventLog;
 import org.coltsfootproxy.runtime.HostProcess;
@@ -101,6 +102,7 @@
     private static void serve(CommandLine line, Output out) throws ProxyException {
         List<Settings> settings = load(line);
         EventLog.writeTo(System.out);
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> FatalErrors.end(error));
         Hosts hosts = Hosts.start(settings);
         hosts.watch(line.getOptionValues("settings"));
         CountDownLatch stopped = new CountDownLatch(1);
--- a/src/main/java/org/coltsfootproxy/net/FrontConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/FrontConnection.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Input;
@@ -343,6 +344,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        FatalErrors.endIfFatal(cause);
         if (!(cause instanceof IOException)) {
             mFront.events().log(EventCode.HANDLER_FAILED, "caller connection: " + cause);
         }
--- a/src/main/java/org/coltsfootproxy/net/PeerAcceptor.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerAcceptor.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.base.ProxyException;
 
 /**
@@ -97,6 +98,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        FatalErrors.endIfFatal(cause);
         if (isMalformed(cause)) {
             mContext.reportMalformed(ctx.channel().remoteAddress() + ": " + cause.getMessage());
         }
--- a/src/main/java/org/coltsfootproxy/net/PeerConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/PeerConnection.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Metric;
@@ -333,6 +334,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        FatalErrors.endIfFatal(cause);
         if (PeerAcceptor.isMalformed(cause)) {
             mContext.reportMalformed(peerName() + ": " + cause.getMessage());
         }
--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.node.Input;
 
@@ -323,6 +324,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        FatalErrors.endIfFatal(cause);
         if (mPendingCall != null && !mPendingCall.isEnded()) {
             fail(failureKind(), "error on the connection to the target: " + cause.getMessage());
         }
--- a/src/main/java/org/coltsfootproxy/runtime/DiskWriter.java
+++ b/src/main/java/org/coltsfootproxy/runtime/DiskWriter.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.function.Consumer;
 import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Input;
@@ -85,6 +86,15 @@
     }
 
     private void run() {
+        try {
+            runUntilStopped();
+        } catch (RuntimeException | Error e) {
+            // Without this thread the node would wait for its writes without end.
+            FatalErrors.end(e);
+        }
+    }
+
+    private void runUntilStopped() {
         boolean isWorking = true;
         while (isWorking) {
             int written = mRing.drain(this::apply, MAX_WRITES_PER_ROUND);
--- a/src/main/java/org/coltsfootproxy/runtime/LogWriter.java
+++ b/src/main/java/org/coltsfootproxy/runtime/LogWriter.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.FatalErrors;
 
 /**
  * Writes log lines on its own thread, so that a slow log reader never blocks the callers.
@@ -26,7 +27,7 @@
     private volatile PrintStream mOut = System.err;
     private boolean mIsStarted;
 
-    private LogWriter() {}
+    LogWriter() {}
 
     /** Returns the one writer of this process. */
     static LogWriter shared() {
@@ -62,6 +63,14 @@
     }
 
     private void run() {
+        try {
+            writeLines();
+        } catch (RuntimeException | Error e) {
+            FatalErrors.end(e);
+        }
+    }
+
+    private void writeLines() {
         StringBuilder text = new StringBuilder();
         while (true) {
             int written = mRing.drain(line -> text.append(line).append('\n'), MAX_LINES_PER_WRITE);
--- a/src/main/java/org/coltsfootproxy/runtime/NodeLoop.java
+++ b/src/main/java/org/coltsfootproxy/runtime/NodeLoop.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.coltsfootproxy.base.EventCode;
+import org.coltsfootproxy.base.FatalErrors;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.Node;
@@ -85,6 +86,14 @@
     }
 
     private void run() {
+        try {
+            runUntilStopped();
+        } catch (RuntimeException | Error e) {
+            FatalErrors.end(e);
+        }
+    }
+
+    private void runUntilStopped() {
         runGuarded(() -> mNode.start(System.nanoTime(), mEffects));
         mClockJumpDetector = ClockJumpDetector.create(System::currentTimeMillis, System.nanoTime());
         while (mRunning) {
@@ -140,12 +149,13 @@
 
     /**
      * Runs a step and logs its exception or error. One failing input must not end the thread,
-     * because the host would stop responding.
+     * because the host would stop responding. A fatal error ends the process.
      */
     private void runGuarded(Runnable step) {
         try {
             step.run();
         } catch (RuntimeException | Error e) {
+            FatalErrors.endIfFatal(e);
             mEffects.log(EventCode.DUTY_FAILED, EventLog.describe(e));
             // A step that fails each time must not occupy the processor.
             LockSupport.parkNanos(FAILURE_PAUSE_NANOS);
