--- a/src/main/java/org/coltsfootproxy/consensus/SnapshotAssembly.java
+++ b/src/main/java/org/coltsfootproxy/consensus/SnapshotAssembly.java
@@ -1,16 +1,17 @@
 package org.coltsfootproxy.consensus;
 
-import java.io.ByteArrayOutputStream;
 import org.coltsfootproxy.message.RaftMessage;
 import org.coltsfootproxy.node.LogWrite;
 
 /** A snapshot that is being received, assembled from its pieces in order. */
 final class SnapshotAssembly {
     private final RaftMessage.SnapshotPiece mFirst;
-    private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+    private final byte[] mState;
+    private int mSize;
 
     private SnapshotAssembly(RaftMessage.SnapshotPiece first) {
         mFirst = first;
+        mState = new byte[Math.toIntExact(first.size())];
     }
 
     /** Returns an empty assembly for the snapshot that {@code piece} belongs to. */
@@ -27,21 +28,23 @@
 
     /** Adds the piece if it is the next one; ignores it otherwise. */
     void add(RaftMessage.SnapshotPiece piece) {
-        if (piece.offset() == mBytes.size()) {
-            mBytes.writeBytes(piece.bytes());
+        byte[] bytes = piece.bytes();
+        if (piece.offset() == mSize && bytes.length <= mState.length - mSize) {
+            System.arraycopy(bytes, 0, mState, mSize, bytes.length);
+            mSize += bytes.length;
         }
     }
 
     long size() {
-        return mBytes.size();
+        return mSize;
     }
 
     boolean isComplete() {
-        return mBytes.size() == mFirst.size();
+        return mSize == mState.length;
     }
 
+    /** Returns the complete snapshot. */
     LogWrite.Snapshot snapshot() {
-        return new LogWrite.Snapshot(
-                mFirst.index(), mFirst.indexTerm(), mFirst.members(), mBytes.toByteArray());
+        return new LogWrite.Snapshot(mFirst.index(), mFirst.indexTerm(), mFirst.members(), mState);
     }
 }
--- a/src/main/java/org/coltsfootproxy/storage/Frames.java
+++ b/src/main/java/org/coltsfootproxy/storage/Frames.java
@@ -20,7 +20,9 @@
  * otherwise.
  */
 final class Frames {
-    private static final int HEADER_BYTES = 2 * Integer.BYTES;
+    /** Bytes before the body: its length and its checksum. */
+    static final int HEADER_BYTES = 2 * Integer.BYTES;
+
     private static final int MIN_BODY_BYTES = Long.BYTES + Short.BYTES;
     private static final RecordCodec<SegmentRecord> CODEC = RecordCodec.of(SegmentRecord.class);
 
@@ -36,9 +38,14 @@
 
     private Frames() {}
 
+    /** Returns the encoding of a record, without a frame. */
+    static byte[] encode(SegmentRecord record) {
+        return CODEC.encode(record);
+    }
+
     /** Appends the frame of a record to {@code out}. */
     static void write(SegmentRecord record, long syncedBytes, ByteArrayOutputStream out) {
-        byte[] encoded = CODEC.encode(record);
+        byte[] encoded = encode(record);
         ByteBuffer frame = ByteBuffer.allocate(HEADER_BYTES + Long.BYTES + encoded.length);
         frame.position(HEADER_BYTES);
         frame.putLong(syncedBytes).put(encoded);
--- a/src/main/java/org/coltsfootproxy/storage/SnapshotFiles.java
+++ b/src/main/java/org/coltsfootproxy/storage/SnapshotFiles.java
@@ -1,6 +1,5 @@
 package org.coltsfootproxy.storage;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
 import org.coltsfootproxy.base.ProxyException;
@@ -71,17 +70,14 @@
 
     /** Writes a snapshot to the temporary file, which is deleted if the write fails. */
     void prepare(LogWrite.Snapshot snapshot) throws ProxyException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        SegmentRecord record =
-                new SegmentRecord.SnapshotRecord(
-                        FileLogStore.FORMAT,
-                        mGroup,
-                        snapshot.index(),
-                        snapshot.term(),
-                        snapshot.members(),
-                        snapshot.state());
-        Frames.write(record, 0, bytes);
-        writeUnfinished(bytes.toByteArray());
+        SnapshotFrame frame = SnapshotFrame.of(mGroup, snapshot);
+        try (DiskFile file = mDisk.create(path(UNFINISHED_NAME))) {
+            frame.appendTo(file);
+            file.sync();
+        } catch (ProxyException e) {
+            mDisk.delete(path(UNFINISHED_NAME));
+            throw e;
+        }
     }
 
     /** Deletes the prepared snapshot. */
@@ -96,14 +92,4 @@
         mDisk.syncFolder(mFolder);
         deleteBefore(name);
     }
-
-    private void writeUnfinished(byte[] bytes) throws ProxyException {
-        try (DiskFile file = mDisk.create(path(UNFINISHED_NAME))) {
-            file.append(bytes);
-            file.sync();
-        } catch (ProxyException e) {
-            mDisk.delete(path(UNFINISHED_NAME));
-            throw e;
-        }
-    }
 }
