Targets are told the time that is left when a call is written

Cause: the time left was computed with the decision and sent unchanged, however long the call waited for its network thread or a connection. An entry that stands still in between hands out that time once more.

Change: the header's value is lowered by the time since the decision when the call is written; a call whose time has passed fails unsent.

--- a/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
@@ -25,4 +25,7 @@
 
     /** Returns the name of the header whose value an answer copies from its call. */
     String correlationHeader();
+
+    /** Returns the name of the header of calls with the milliseconds that are left. */
+    String timeLeftHeader();
 }
--- a/src/main/java/org/coltsfootproxy/net/FleetTargetClient.java
+++ b/src/main/java/org/coltsfootproxy/net/FleetTargetClient.java
@@ -57,13 +57,14 @@
 
     /** Sends a call to the target at the address that it states. */
     public void execute(Effect.AddressedTargetCall call) {
-        mLoop.execute(() -> start(call));
+        long nowNanos = System.nanoTime();
+        mLoop.execute(() -> start(call, nowNanos));
     }
 
-    private void start(Effect.AddressedTargetCall call) {
+    private void start(Effect.AddressedTargetCall call, long createdNanos) {
         try {
             TargetPool pool = mPools.computeIfAbsent(call.address(), this::newPool);
-            pool.call(call.call());
+            pool.call(call.call(), createdNanos);
         } catch (IllegalArgumentException e) {
             Input failed =
                     new Input.TargetFailed(
--- a/src/main/java/org/coltsfootproxy/net/PendingCall.java
+++ b/src/main/java/org/coltsfootproxy/net/PendingCall.java
@@ -30,18 +30,23 @@
     }
 
     private final Effect.TargetCall mRequest;
-    private final long mCreatedNanos = System.nanoTime();
+    private final long mCreatedNanos;
     private State mState = State.UNSENT;
     private TargetConnection mConnection;
     private ScheduledFuture<?> mTimer;
 
-    private PendingCall(Effect.TargetCall request) {
+    private PendingCall(Effect.TargetCall request, long createdNanos) {
         mRequest = request;
+        mCreatedNanos = createdNanos;
     }
 
-    /** Returns a pending call that has not been sent. */
-    static PendingCall of(Effect.TargetCall request) {
-        return new PendingCall(request);
+    /**
+     * Returns a pending call that has not been sent.
+     *
+     * @param createdNanos when it was decided to send the call
+     */
+    static PendingCall of(Effect.TargetCall request, long createdNanos) {
+        return new PendingCall(request, createdNanos);
     }
 
     /** Returns the request to send. */
@@ -54,10 +59,15 @@
         return mRequest.call();
     }
 
+    /** Returns the time since it was decided to send the call. */
+    long elapsedNanos() {
+        return System.nanoTime() - mCreatedNanos;
+    }
+
     /** Returns whether the call is no longer to be sent, because a connection took too long. */
     boolean isLate() {
         long limit = mRequest.sendWithinNanos();
-        return limit > 0 && System.nanoTime() - mCreatedNanos >= limit;
+        return limit > 0 && elapsedNanos() >= limit;
     }
 
     State state() {
--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -135,6 +135,13 @@
         FullHttpRequest request =
                 TargetRequestEncoder.encode(
                         pending.request(), mPool.hostField(), mPool.dialect().preservesHost());
+        mPool.timeLeftMillis(pending)
+                .ifPresent(
+                        millis ->
+                                request.headers()
+                                        .set(
+                                                mPool.dialect().timeLeftHeader().orElseThrow(),
+                                                millis));
         mDecoder.expectResponse(pending.request().method().equals("HEAD"));
         pending.advanceTo(PendingCall.State.SENT);
         mRequestWritten = false;
--- a/src/main/java/org/coltsfootproxy/net/TargetDialect.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetDialect.java
@@ -9,17 +9,24 @@
  *
  * @param correlationHeader header that has the same value in a request and in its response; a
  *     response with another value is ignored, and one without the header fails a call that has it
+ * @param timeLeftHeader header that tells how many milliseconds are left for a call; lowered by the
+ *     time between the decision to send the call and its writing
  * @param preservesHost whether requests carry the caller's {@code Host} instead of the target's
  *     address
  * @param allowsCloseDelimited whether closing the connection may end a response without length
  */
 public record TargetDialect(
-        Optional<String> correlationHeader, boolean preservesHost, boolean allowsCloseDelimited) {
+        Optional<String> correlationHeader,
+        Optional<String> timeLeftHeader,
+        boolean preservesHost,
+        boolean allowsCloseDelimited) {
     /** Plain HTTP/1.1, with responses that are chunked or state their length. */
-    public static final TargetDialect PLAIN = new TargetDialect(Optional.empty(), false, false);
+    public static final TargetDialect PLAIN =
+            new TargetDialect(Optional.empty(), Optional.empty(), false, false);
 
-    /** Checks that {@code correlationHeader} is not null. */
+    /** Checks that no component is null. */
     public TargetDialect {
         checkNotNull(correlationHeader, "correlationHeader");
+        checkNotNull(timeLeftHeader, "timeLeftHeader");
     }
 }
--- a/src/main/java/org/coltsfootproxy/net/TargetPool.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetPool.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.net;
 
 import com.google.common.net.HostAndPort;
+import com.google.common.primitives.Longs;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -66,7 +67,12 @@
 
     /** Sends a call. Thread-safe. */
     void call(Effect.TargetCall call) {
-        PendingCall pending = PendingCall.of(call);
+        call(call, System.nanoTime());
+    }
+
+    /** Sends a call that was decided on at {@code createdNanos}. Thread-safe. */
+    void call(Effect.TargetCall call, long createdNanos) {
+        PendingCall pending = PendingCall.of(call, createdNanos);
         runOnEventLoop(() -> start(pending));
     }
 
@@ -88,7 +94,7 @@
         pending.setTimer(
                 mLoop.schedule(
                         () -> onTimeout(pending),
-                        pending.request().timeoutNanos(),
+                        pending.request().timeoutNanos() - pending.elapsedNanos(),
                         TimeUnit.NANOSECONDS));
         TargetConnection idle = pollIdle(pending);
         if (idle != null && pending.isLate()) {
@@ -124,6 +130,11 @@
     }
 
     private void send(TargetConnection connection, PendingCall pending) {
+        if (timeLeftMillis(pending).filter(millis -> millis <= 0).isPresent()) {
+            release(connection);
+            fail(pending, ErrorKind.TARGET_FAILED, "the time has passed before the call was sent");
+            return;
+        }
         try {
             connection.send(pending);
         } catch (IllegalArgumentException e) {
@@ -266,6 +277,15 @@
         return 3 * mSettings.maxHeaderBytes() + MAX_CHUNK_BYTES;
     }
 
+    /** Returns the milliseconds that are left for a call now; empty if the call tells none. */
+    Optional<Long> timeLeftMillis(PendingCall pending) {
+        return dialect()
+                .timeLeftHeader()
+                .flatMap(pending.request()::header)
+                .map(Longs::tryParse)
+                .map(millis -> millis - TimeUnit.NANOSECONDS.toMillis(pending.elapsedNanos()));
+    }
+
     TargetDialect dialect() {
         return mSettings.dialect();
     }
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -193,4 +193,9 @@
     public String correlationHeader() {
         return PlatformHeaders.REQUEST_ID;
     }
+
+    @Override
+    public String timeLeftHeader() {
+        return PlatformHeaders.DEADLINE_MS;
+    }
 }
--- a/src/main/java/org/coltsfootproxy/runtime/TargetClients.java
+++ b/src/main/java/org/coltsfootproxy/runtime/TargetClients.java
@@ -22,7 +22,11 @@
 
     static FleetTargetClient create(TargetProtocol protocol, InputSink sink, NetEvents events) {
         TargetDialect dialect =
-                new TargetDialect(Optional.of(protocol.correlationHeader()), true, true);
+                new TargetDialect(
+                        Optional.of(protocol.correlationHeader()),
+                        Optional.of(protocol.timeLeftHeader()),
+                        true,
+                        true);
         TargetClientSettings settings =
                 TargetClientSettings.defaults(new InetSocketAddress(0))
                         .withTimeouts(CONNECT_TIMEOUT, IDLE_TIMEOUT)
--- a/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
@@ -37,7 +37,9 @@
         mServer.setSoTimeout(TIMEOUT_MILLIS);
         var settings =
                 TargetClientSettings.defaults((InetSocketAddress) mServer.getLocalSocketAddress())
-                        .withDialect(new TargetDialect(Optional.of("Request-Id"), true, true));
+                        .withDialect(
+                                new TargetDialect(
+                                        Optional.of("Request-Id"), Optional.empty(), true, true));
         mClient = TargetClient.create(settings, mSink, new RecordingEvents());
     }
 
--- a/src/test/java/org/coltsfootproxy/net/EndlessResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/EndlessResponseTest.java
@@ -62,7 +62,9 @@
         mServer.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
         mSettings =
                 TargetClientSettings.defaults((InetSocketAddress) mServer.getLocalSocketAddress())
-                        .withDialect(new TargetDialect(Optional.of("Request-Id"), true, true));
+                        .withDialect(
+                                new TargetDialect(
+                                        Optional.of("Request-Id"), Optional.empty(), true, true));
         mClient = TargetClient.create(mSettings, mSink, new RecordingEvents());
     }
 
--- a/src/test/java/org/coltsfootproxy/net/RepeatedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/RepeatedResponseTest.java
@@ -40,7 +40,11 @@
                         TargetClientSettings.defaults(
                                         (InetSocketAddress) mServer.getLocalSocketAddress())
                                 .withDialect(
-                                        new TargetDialect(Optional.of("Request-Id"), true, true)),
+                                        new TargetDialect(
+                                                Optional.of("Request-Id"),
+                                                Optional.empty(),
+                                                true,
+                                                true)),
                         mSink,
                         new RecordingEvents());
     }
