--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -21,7 +21,6 @@
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.entry.CallerCheck;
 import org.coltsfootproxy.entry.EntrySettings;
-import org.coltsfootproxy.entry.Failure;
 import org.coltsfootproxy.job.JobRequestClient;
 import org.coltsfootproxy.limit.SharedCountLimiter;
 import org.coltsfootproxy.membership.FleetMembership;
@@ -64,7 +63,7 @@
     private final LoadShedder mLoadShedder;
     private final StreamVersions mVersions = StreamVersions.create();
     private final StreamVersionSync mVersionSync;
-    private final HeldResumptions mResumptions = new HeldResumptions();
+    private final HeldResumptions mResumptions;
     private final EarlyCalls mEarlyCalls = new EarlyCalls();
     private final SharedCountLimiter mLimiter;
     private final DirectCallerAnswers mAnswers;
@@ -119,6 +118,7 @@
                         mVersions);
         mVersionSync = new StreamVersionSync(settings.host(), mVersions);
         mAnswers = new DirectCallerAnswers(protocols.callers().retryAfter());
+        mResumptions = new HeldResumptions(membership, mAnswers);
         mCalls =
                 new DirectCalls(
                         mAnswers,
@@ -305,27 +305,12 @@
                 mSettings.direct().regions().dataCentres(Regions.allowed(route, organisation)));
         if (mVersions.followsFromList(request, now)) {
             mResumptions.hold(request, now);
-            askForConfirmation(now, out);
+            enrol(now, out);
         } else {
             mCalls.begin(request, now, out);
         }
     }
 
-    private void askForConfirmation(long now, Effects out) {
-        mResumptions.askIfDue(now, number -> mMembership.confirmListing(number, now));
-        enrol(now, out);
-    }
-
-    private void refuseUnconfirmed(DirectRequest request, long now, Effects out) {
-        String detail = "no control host confirmed the versions that may have begun the stream";
-        mAnswers.failure(
-                request,
-                Failure.notRun(
-                        ErrorKind.STREAM_VERSION_UNAVAILABLE, detail, SendCheck.RETRY_AFTER_MILLIS),
-                now,
-                out);
-    }
-
     private Route route(CallerCall.Forward forward, long now) throws ProxyException {
         Optional<Route> route = mConfig.view().route(forward.hostName(), forward.path());
         if (route.isEmpty() && !mConfig.isFresh(now)) {
@@ -389,8 +374,8 @@
         mEarlyCalls
                 .takeExpired(nowNanos)
                 .forEach(h -> answerCall(h.call(), h.arrivedAt(), nowNanos, out));
-        mResumptions.takeExpired(nowNanos).forEach(r -> refuseUnconfirmed(r, nowNanos, out));
-        askForConfirmation(nowNanos, out);
+        mResumptions.tick(nowNanos, out);
+        enrol(nowNanos, out);
         mQuarantine.tick(nowNanos, out);
         mReports.tick(nowNanos, out);
         mVersionSync.tick(nowNanos, out);
--- a/src/main/java/org/coltsfootproxy/direct/HeldResumptions.java
+++ b/src/main/java/org/coltsfootproxy/direct/HeldResumptions.java
@@ -4,7 +4,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
+import org.coltsfootproxy.base.ErrorKind;
+import org.coltsfootproxy.entry.Failure;
+import org.coltsfootproxy.membership.FleetMembership;
+import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Node;
 
 /**
@@ -22,6 +25,8 @@
     /** Interval between two requests for a confirmation, in case one is lost. */
     private static final long ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    private final FleetMembership mMembership;
+    private final DirectCallerAnswers mAnswers;
     private final Deque<Held> mHeld = new ArrayDeque<>();
     private long mLastAsked;
     private long mNextAskAt = Node.NEVER;
@@ -33,29 +38,50 @@
      */
     private record Held(DirectRequest request, long askedBefore, long heldAt) {}
 
+    /**
+     * Creates an instance that holds nothing.
+     *
+     * @param membership passes the requests for a confirmation on to the control hosts
+     */
+    HeldResumptions(FleetMembership membership, DirectCallerAnswers answers) {
+        mMembership = membership;
+        mAnswers = answers;
+    }
+
     /** Holds a request. */
     void hold(DirectRequest request, long nowNanos) {
         mHeld.add(new Held(request, mLastAsked, nowNanos));
-        mNextAskAt = nowNanos;
+        askForConfirmation(nowNanos);
     }
 
-    /** Requests a confirmation if one is due; {@code ask} is given its number. */
-    void askIfDue(long nowNanos, LongConsumer ask) {
-        if (mHeld.isEmpty()) {
-            mNextAskAt = Node.NEVER;
-        } else if (nowNanos - mNextAskAt >= 0) {
-            mNextAskAt = nowNanos + ASK_INTERVAL_NANOS;
-            ask.accept(++mLastAsked);
+    private void askForConfirmation(long nowNanos) {
+        mNextAskAt = nowNanos + ASK_INTERVAL_NANOS;
+        mMembership.confirmListing(++mLastAsked, nowNanos);
+    }
+
+    /** Refuses the requests that have been held for too long; asks again for the others. */
+    void tick(long nowNanos, Effects out) {
+        takeExpired(nowNanos).forEach(request -> refuse(request, nowNanos, out));
+        if (!mHeld.isEmpty() && nowNanos - mNextAskAt >= 0) {
+            askForConfirmation(nowNanos);
         }
     }
 
+    private void refuse(DirectRequest request, long nowNanos, Effects out) {
+        Failure failure =
+                Failure.notRun(
+                        ErrorKind.STREAM_VERSION_UNAVAILABLE,
+                        "no control host confirmed the versions that may have begun the stream",
+                        SendCheck.RETRY_AFTER_MILLIS);
+        mAnswers.failure(request, failure, nowNanos, out);
+    }
+
     /** Removes and returns the requests to which a confirmation applies. */
     List<DirectRequest> takeConfirmed(long confirmation) {
         return take(mHeld.stream().filter(h -> h.askedBefore() < confirmation).toList());
     }
 
-    /** Removes and returns the requests that have been held for the longest time allowed. */
-    List<DirectRequest> takeExpired(long nowNanos) {
+    private List<DirectRequest> takeExpired(long nowNanos) {
         return mHeld.isEmpty()
                 ? List.of()
                 : take(
