The time left that a target is told is never below 1 ms

The time may run out between the check of a pool and the encoding of the call; TargetRequest allows no value below 1 either. No case of this was seen. TimeLeftTest and DirectCallsTest pass.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -141,7 +141,7 @@
                                 request.headers()
                                         .set(
                                                 mPool.dialect().timeLeftHeader().orElseThrow(),
-                                                millis));
+                                                Math.max(1, millis)));
         mDecoder.expectResponse(pending.request().method().equals("HEAD"));
         pending.advanceTo(PendingCall.State.SENT);
         mRequestWritten = false;
