Calls held by a starting entry are bounded in bytes

With bodies of the largest allowed size (4 MiB) 24 calls fill the deployed heap of 96 MB, and the entry ends before it has served anything.

Change: the bodies that are held are at most 8 MiB; a further call is refused as not run, as calls beyond 500 are.

Room is free again when calls are answered, expire or lose their callers.

--- a/src/main/java/org/coltsfootproxy/direct/EarlyCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/EarlyCalls.java
@@ -28,7 +28,11 @@
     /** Maximum number of calls held; about a second's arrivals at one host of a large site. */
     private static final int MAX_CALLS = 500;
 
+    /** Maximum bytes of the bodies held, a twelfth of the smallest deployed heap of an entry. */
+    private static final long MAX_BYTES = 8L << 20;
+
     private final Deque<Held> mHeld = new ArrayDeque<>();
+    private long mHeldBytes;
     private long mNotReadySince;
 
     /** A held call. */
@@ -41,22 +45,29 @@
 
     /** Holds a call and returns true, or returns false if it has to be refused. */
     boolean hold(Input.HttpCall call, long nowNanos) {
-        if (nowNanos - mNotReadySince >= HOLD_WINDOW_NANOS || mHeld.size() >= MAX_CALLS) {
+        boolean isFull = mHeld.size() >= MAX_CALLS || mHeldBytes + call.body().length > MAX_BYTES;
+        if (isFull || nowNanos - mNotReadySince >= HOLD_WINDOW_NANOS) {
             return false;
         }
         mHeld.add(new Held(call, nowNanos));
+        mHeldBytes += call.body().length;
         return true;
     }
 
     /** Drops the call of a caller that has disconnected. */
     void callerDisconnected(long call) {
-        mHeld.removeIf(held -> held.call().call() == call);
+        remove(mHeld.stream().filter(held -> held.call().call() == call).toList());
+    }
+
+    private void remove(List<Held> removed) {
+        mHeld.removeAll(removed);
+        mHeldBytes -= removed.stream().mapToLong(held -> held.call().body().length).sum();
     }
 
     /** Removes and returns all held calls in order of arrival. */
     List<Held> takeAll() {
         List<Held> all = List.copyOf(mHeld);
-        mHeld.clear();
+        remove(all);
         return all;
     }
 
@@ -67,7 +78,7 @@
         }
         List<Held> expired =
                 mHeld.stream().filter(h -> nowNanos - h.arrivedAt() >= MAX_HOLD_NANOS).toList();
-        mHeld.removeAll(expired);
+        remove(expired);
         return expired;
     }
 
