The demonstration gives each of its hosts its own ports

Cause: freeAddress closed each socket before it asked for the next port, so the kernel could give the same port again.

What remains: another process can take a port between its release and its use. The three copies of the function (DemoFleet, FleetDemo, ControlHostsTest) are one class now.

--- a/src/main/java/org/coltsfootproxy/cli/DemoFleet.java
+++ b/src/main/java/org/coltsfootproxy/cli/DemoFleet.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,6 +14,7 @@
 import org.coltsfootproxy.config.KeyDigest;
 import org.coltsfootproxy.fake.FakeTarget;
 import org.coltsfootproxy.fake.FakeTargetSettings;
+import org.coltsfootproxy.runtime.FreePorts;
 import org.coltsfootproxy.runtime.Settings;
 
 /** A small fleet in one process: a control host, an entry host, two agents and two targets. */
@@ -48,20 +48,40 @@
         mFolder = Files.createTempDirectory("coltsfootproxy-demo");
         mEngine = startTarget(FakeTargetSettings.Mode.ENGINE);
         mPlain = startTarget(FakeTargetSettings.Mode.PLAIN);
-        String control = freeAddress();
-        String entry = freeAddress();
-        mAdminAddress = freeAddress();
-        mCallerAddress = freeAddress();
-        mEngineAgentAddress = freeAddress();
-        mPlainAgentAddress = freeAddress();
         List<Settings> settings = new ArrayList<>();
-        settings.add(controlSettings(control));
-        settings.add(
-                agentSettings(
-                        "engine-agent", mEngineAgentAddress, control, "rota-assistant", mEngine));
-        settings.add(
-                agentSettings("plain-agent", mPlainAgentAddress, control, "card-service", mPlain));
-        settings.add(entrySettings(entry, control));
+        try (FreePorts ports = FreePorts.create()) {
+            String control = ports.nextLoopbackAddress();
+            String entry = ports.nextLoopbackAddress();
+            mAdminAddress = ports.nextLoopbackAddress();
+            mCallerAddress = ports.nextLoopbackAddress();
+            mEngineAgentAddress = ports.nextLoopbackAddress();
+            mPlainAgentAddress = ports.nextLoopbackAddress();
+            settings.add(controlSettings(control));
+            settings.add(
+                    agentSettings(
+                            commonSettings(
+                                    "engine-agent",
+                                    mEngineAgentAddress,
+                                    ports.nextLoopbackAddress(),
+                                    control),
+                            "engine-agent",
+                            "rota-assistant",
+                            mEngine));
+            settings.add(
+                    agentSettings(
+                            commonSettings(
+                                    "plain-agent",
+                                    mPlainAgentAddress,
+                                    ports.nextLoopbackAddress(),
+                                    control),
+                            "plain-agent",
+                            "card-service",
+                            mPlain));
+            settings.add(
+                    entrySettings(
+                            commonSettings("entry-1", entry, ports.nextLoopbackAddress(), control),
+                            entry));
+        }
         mHosts = ServeCommands.Hosts.start(settings);
     }
 
@@ -78,16 +98,6 @@
         return FakeTarget.start(FakeTargetSettings.of(anyPort, mode));
     }
 
-    /**
-     * Returns a loopback address with a port that was free at the time of the call. Another process
-     * can take the port before it is used.
-     */
-    private static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        }
-    }
-
     private static String commonSettings(String host, String peer, String admin, String control) {
         return String.format(COMMON_SETTINGS, host, peer, admin, control);
     }
@@ -105,10 +115,9 @@
     }
 
     private static Settings agentSettings(
-            String host, String address, String control, String service, FakeTarget target)
-            throws ProxyException, IOException {
+            String common, String host, String service, FakeTarget target) throws ProxyException {
         String text =
-                commonSettings(host, address, freeAddress(), control)
+                common
                         + "agent:\n  service: "
                         + service
                         + "\n  target: 127.0.0.1:"
@@ -117,10 +126,9 @@
         return Settings.parse(host, text);
     }
 
-    private Settings entrySettings(String address, String control)
-            throws ProxyException, IOException {
+    private Settings entrySettings(String common, String address) throws ProxyException {
         String text =
-                commonSettings("entry-1", address, freeAddress(), control)
+                common
                         + "entry:\n  callerAddress: "
                         + mCallerAddress
                         + "\n  entries:\n    - {host: entry-1, dataCentre: solway, address: \""
--- a/src/main/java/org/coltsfootproxy/runtime/FleetDemo.java
+++ b/src/main/java/org/coltsfootproxy/runtime/FleetDemo.java
@@ -3,7 +3,6 @@
 import com.google.common.io.MoreFiles;
 import com.google.common.io.RecursiveDeleteOption;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -49,13 +48,19 @@
     private final int mPeerPort;
     private final String mOperatorAddress;
     private final String mCallerAddress;
+    private final String mStoreAdminAddress;
+    private final String mEntryAdminAddress;
 
     private FleetDemo(DemoPlatform platform, Path folder) throws IOException {
         mPlatform = platform;
         mDataFolder = folder;
-        mPeerPort = freePort();
-        mOperatorAddress = CONTROL_HOST + ":" + freePort();
-        mCallerAddress = ENTRY_HOST + ":" + freePort();
+        try (FreePorts ports = FreePorts.create()) {
+            mPeerPort = ports.next();
+            mOperatorAddress = CONTROL_HOST + ":" + ports.next();
+            mCallerAddress = ENTRY_HOST + ":" + ports.next();
+            mStoreAdminAddress = STORE_HOST + ":" + ports.next();
+            mEntryAdminAddress = ENTRY_HOST + ":" + ports.next();
+        }
     }
 
     /**
@@ -76,17 +81,7 @@
         }
     }
 
-    /**
-     * Returns a port that was free at the time of the call. Another process can take it before it
-     * is used.
-     */
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
-    private List<Settings> settings() throws ProxyException, IOException {
+    private List<Settings> settings() throws ProxyException {
         String control =
                 commonSettings(CONTROL_HOST, mOperatorAddress)
                         + "controlRole:\n  dataFolder: \"%s\"\n  operatorKeyDigest: \"%s\"\n"
@@ -95,12 +90,12 @@
                         + mPlatform.address()
                         + "\"\n";
         String store =
-                commonSettings(STORE_HOST, STORE_HOST + ":" + freePort())
+                commonSettings(STORE_HOST, mStoreAdminAddress)
                         + "storeRole:\n  dataFolder: \""
                         + mDataFolder.resolve("store")
                         + "\"\n";
         String entry =
-                commonSettings(ENTRY_HOST, ENTRY_HOST + ":" + freePort())
+                commonSettings(ENTRY_HOST, mEntryAdminAddress)
                         + "directEntry:\n  callerAddress: \""
                         + mCallerAddress
                         + "\"\n";
--- a/src/test/java/org/coltsfootproxy/runtime/ControlHostsTest.java
+++ b/src/test/java/org/coltsfootproxy/runtime/ControlHostsTest.java
@@ -6,8 +6,6 @@
 
 import com.google.common.io.MoreFiles;
 import com.google.common.io.RecursiveDeleteOption;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -44,8 +42,10 @@
         mFolder = Files.createTempDirectory("control-hosts");
         mSettings.clear();
         List<String> addresses = new ArrayList<>();
-        for (int i = 0; i < 2 * HOST_COUNT; i++) {
-            addresses.add(freeAddress());
+        try (FreePorts ports = FreePorts.create()) {
+            for (int i = 0; i < 2 * HOST_COUNT; i++) {
+                addresses.add(ports.nextLoopbackAddress());
+            }
         }
         for (int i = 0; i < HOST_COUNT; i++) {
             mSettings.add(Settings.parse("c" + i, settings(i, addresses)));
@@ -68,12 +68,6 @@
         return text.append("\n  operatorKeyDigest: ").append(KeyDigest.of(OPERATOR_KEY)).toString();
     }
 
-    private static String freeAddress() throws Exception {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        }
-    }
-
     @AfterMethod(alwaysRun = true)
     public void removeHosts() throws Exception {
         closeAll();
