A body without length whose request can't be written is not complete

Cause: a target may answer before it has read a long request. If it resets the connection while the request is still being written, the write fails before the reset is read; the connection was then closed on the failed write, and the decoder takes a close as the end of a body without length.

Why it works: the call is failed when the write fails, before the connection is closed. A call that has ended stays so.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -14,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.Optional;
@@ -145,9 +145,18 @@
         mDecoder.expectResponse(pending.request().method().equals("HEAD"));
         pending.advanceTo(PendingCall.State.SENT);
         mRequestWritten = false;
-        mChannel.writeAndFlush(request)
-                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
-                .addListener(f -> mRequestWritten = f.isSuccess());
+        mChannel.writeAndFlush(request).addListener(written -> requestWritten(written, pending));
+    }
+
+    private void requestWritten(Future<?> written, PendingCall pending) {
+        if (written.isSuccess()) {
+            mRequestWritten = true;
+        } else if (mPendingCall == pending && !pending.isEnded()) {
+            // The close that follows must not end a response without length.
+            fail(failureKind(), "can't write the request: " + written.cause().getMessage());
+        } else {
+            mChannel.close();
+        }
     }
 
     /** Closes the connection without reporting the end of the call that it carries. */
--- a/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
@@ -24,6 +24,10 @@
 /** Tests of responses that have neither a length nor chunks and end with their connection. */
 public final class CloseDelimitedResponseTest {
     private static final int TIMEOUT_MILLIS = 30_000;
+
+    /** Size of a body that doesn't fit into the buffers of a connection. */
+    private static final int UNREAD_BODY_BYTES = 32 << 20;
+
     private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: call-1\r\n\r\n";
 
     private RecordingSink mSink;
@@ -50,6 +54,14 @@
     }
 
     private RawHttp callAndRespond(String body) throws IOException {
+        call(new byte[] {'h', 'i'});
+        RawHttp target = new RawHttp(mServer.accept());
+        target.readUntil("\r\n\r\nhi");
+        target.send(HEAD + body);
+        return target;
+    }
+
+    private void call(byte[] body) {
         mClient.execute(
                 new Effect.TargetCall(
                         1,
@@ -57,12 +69,8 @@
                         "POST",
                         "/x",
                         List.of(Header.of("Request-Id", "call-1")),
-                        new byte[] {'h', 'i'},
+                        body,
                         TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS)));
-        RawHttp target = new RawHttp(mServer.accept());
-        target.readUntil("\r\n\r\nhi");
-        target.send(HEAD + body);
-        return target;
     }
 
     @Test
@@ -88,4 +96,23 @@
         assertEquals(failed.ran(), Ran.YES);
         assertTrue(mSink.isEmpty(), "an input after the failure");
     }
+
+    /** Guards against a body that was cut by a reset during the request's body seeming complete. */
+    @Test
+    public void aResetWhileTheRequestIsBeingWrittenBreaksTheBodyOff() throws Exception {
+        call(new byte[UNREAD_BODY_BYTES]);
+        try (RawHttp target = new RawHttp(mServer.accept())) {
+            target.readUntil("\r\n\r\n");
+            target.send(HEAD + "id: 1\ndata: a\n\n");
+            assertEquals(mSink.next(Input.TargetHead.class).status(), 200);
+            mSink.next(Input.TargetChunk.class);
+            target.socket().setSoLinger(true, 0);
+        }
+        Input end = mSink.next();
+        assertEquals(end.getClass(), Input.TargetFailed.class);
+        Input.TargetFailed failed = (Input.TargetFailed) end;
+        assertEquals(failed.kind(), ErrorKind.ANSWER_CUT);
+        assertEquals(failed.ran(), Ran.YES);
+        assertTrue(mSink.isEmpty(), "an input after the failure");
+    }
 }
