The log names the runs that a request has used of its route's limit

Whether a request runs at more targets than its route allows could not be told from the log: it named the sends, which also count those that a target refused without running them. Event 402 now names the runs counted so far, this send included, and the limit.

The count moves from DirectRequest to a class of its own, RunBudget. Nothing is decided differently.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
@@ -30,7 +30,9 @@
                 LogField.of("batch", target.batch()),
                 LogField.of("expectedMillis", expectedMillis(request)),
                 LogField.of("listing", listing),
-                LogField.of("send", request.sends()),
+                LogField.of("send", request.budget().sends()),
+                LogField.of("runs", request.budget().runs()),
+                LogField.of("maxRuns", request.budget().maxRuns()),
                 LogField.of("after", lastEvent(request)),
                 LogField.of("leftMillis", TimeUnit.NANOSECONDS.toMillis(remainingNanos)));
     }
--- a/src/main/java/org/coltsfootproxy/direct/DirectCallerAnswers.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallerAnswers.java
@@ -91,7 +91,7 @@
                 LogField.of("organisation", request.organisation().id()),
                 LogField.of("route", request.route().id()),
                 LogField.of("why", why),
-                LogField.of("sends", request.sends()),
+                LogField.of("sends", request.budget().sends()),
                 LogField.of("mayHaveRun", request.hasPossiblyRun()),
                 LogField.of("millis", TimeUnit.NANOSECONDS.toMillis(now - request.arrived())));
     }
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -315,7 +315,7 @@
         }
         mCalls.ignore(request.targetCall());
         releaseTarget(request);
-        request.noteNotRun();
+        request.budget().lastSendNotRun();
         DirectCallLog.attemptEnded(request, target, "refused with " + answer.status(), Ran.NO, out);
         Failure failure =
                 Failure.notRun(
@@ -325,7 +325,7 @@
 
     /** Sends the request to another target, unless it has been sent {@link #MAX_SENDS} times. */
     private void tryNextTarget(DirectRequest request, Failure failure, long now, Effects out) {
-        if (request.sends() < MAX_SENDS) {
+        if (request.budget().sends() < MAX_SENDS) {
             send(request, failure, now, out);
         } else {
             giveUp(request, failure, now, out);
@@ -334,7 +334,7 @@
 
     private boolean mayRetry(DirectRequest request, long now) {
         return request.isRepeatable()
-                && request.hasRunsLeft()
+                && request.budget().hasRunsLeft()
                 && request.deadline() - now >= MIN_REMAINING_NANOS
                 && mCheck.quarantineFailure(request).isEmpty()
                 && (mChoice.choose(request, now).isPresent()
@@ -380,7 +380,7 @@
         DirectCallLog.attemptEnded(request, target, kind.label() + ": " + why, ran, out);
         boolean isAnswering = request.isIn(DirectState.ANSWERING);
         if (ran == Ran.NO) {
-            request.noteNotRun();
+            request.budget().lastSendNotRun();
             tryNextTarget(
                     request,
                     Failure.notRun(ErrorKind.NO_TARGET, why, RETRY_AFTER_MILLIS),
@@ -410,7 +410,7 @@
     private void setTimer(DirectRequest request, long now) {
         long silenceTimeout = request.silenceTimeoutNanos();
         boolean mayRetryElsewhere =
-                silenceTimeout > 0 && request.isRepeatable() && request.hasRunsLeft();
+                silenceTimeout > 0 && request.isRepeatable() && request.budget().hasRunsLeft();
         long due = mayRetryElsewhere ? request.lastActivity() + silenceTimeout : request.deadline();
         if (request.needsSlotRecheck()) {
             due = Math.min(due, request.sentAt() + SLOT_RECHECK_DELAY_NANOS);
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -52,13 +52,12 @@
     private final long mDeadline;
     private final Set<TargetId> mTried = new HashSet<>();
     private final EventReader mEvents = new EventReader();
+    private final RunBudget mBudget;
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private Optional<Set<DataCentre>> mAllowedDataCentres = Optional.empty();
     private DirectState mState = DirectState.CHART.initial();
     private Target mTarget;
     private long mTargetCall;
-    private int mSends;
-    private int mRuns;
     private boolean mHasHead;
     private boolean mIsSuspect;
     private long mAdvancesAtSend;
@@ -96,6 +95,7 @@
         mArrived = arrived;
         mLastActivity = arrived;
         mDeadline = deadline;
+        mBudget = RunBudget.of(route.policy().maxRuns());
     }
 
     /**
@@ -252,8 +252,7 @@
         mTarget = target;
         mTargetCall = targetCall;
         mTried.add(target.listed().id());
-        mSends++;
-        mRuns++;
+        mBudget.sent();
         mLastActivity = nowNanos;
         mHasHead = false;
         mAdvancesAtSend = mEvents.advances();
@@ -261,9 +260,9 @@
         transition(DirectState.Event.SEND);
     }
 
-    /** Notes that the current target has not run the request. */
-    void noteNotRun() {
-        mRuns--;
+    /** Returns how often the request has been sent and what that has used of its route's runs. */
+    RunBudget budget() {
+        return mBudget;
     }
 
     /** Notes that a target may have run the request. A later refusal does not clear this. */
@@ -275,11 +274,6 @@
         return mHasPossiblyRun;
     }
 
-    /** Returns whether another target may still run the request. */
-    boolean hasRunsLeft() {
-        return mRuns < mRoute.policy().maxRuns();
-    }
-
     /**
      * Returns until when the request may wait for a target's limit, since its arrival or the last
      * output that its caller got.
@@ -294,10 +288,6 @@
         return begin + (long) wait;
     }
 
-    int sends() {
-        return mSends;
-    }
-
     Optional<Target> target() {
         return Optional.ofNullable(mTarget);
     }
