A request is sent only while its route allows another run

Callers' streams could run at more targets than their route's max_attempts: a resumable stream that broke off and whose next target answered with an error went on to a third one, a fourth one and so on.

Cause: each way of ending an attempt had to ask for runs left by itself, and DirectCalls.answerResumed did not; send() checked the deadline only, and the number of sends was checked in yet another place.

send() now is the one place that decides whether a request may be sent once more: by its budget (runs and sends, RunBudget.allowsSend) and its deadline, before a target is chosen or the request is held for a target's limit. A silent target is no longer given up if no send is left.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -31,12 +31,6 @@
  * after its last complete event.
  */
 final class DirectCalls {
-    /**
-     * Maximum number of times that a request is sent, including the sends that full targets refuse
-     * without running it.
-     */
-    private static final int MAX_SENDS = 6;
-
     /**
      * Minimum time until the deadline for another attempt: enough to connect and to receive a short
      * answer.
@@ -136,9 +130,10 @@
     }
 
     /**
-     * Sends a request to a target.
+     * Sends a request to a target, for the first time or again.
      *
-     * @param noTargetFailure the answer to the caller if no target can accept the request
+     * @param noTargetFailure the answer to the caller if no target may get the request or can
+     *     accept it
      */
     private void send(DirectRequest request, Failure noTargetFailure, long now, Effects out) {
         Optional<Failure> quarantined = mCheck.quarantineFailure(request);
@@ -146,15 +141,16 @@
             giveUp(request, quarantined.get(), now, out);
             return;
         }
-        Optional<Target> target = mChoice.choose(request, now);
-        long remaining = request.deadline() - now;
-        if (target.isEmpty() && hold(request, now, out)) {
+        boolean maySend = maySend(request, now);
+        Optional<Target> target = maySend ? mChoice.choose(request, now) : Optional.empty();
+        if (target.isEmpty() && maySend && hold(request, now, out)) {
             return;
         }
-        if (target.isEmpty() || remaining < MIN_REMAINING_NANOS) {
+        if (target.isEmpty()) {
             giveUp(request, noTargetFailure, now, out);
             return;
         }
+        long remaining = request.deadline() - now;
         boolean hasFreeSlot = target.get().inFlight(now) < target.get().slots();
         if (!hasFreeSlot) {
             mLoadExchange.preemptBatchItem(target.get(), out);
@@ -320,22 +316,17 @@
         Failure failure =
                 Failure.notRun(
                         ErrorKind.OVERLOADED, "no target has a free slot", RETRY_AFTER_MILLIS);
-        tryNextTarget(request, failure, now, out);
+        send(request, failure, now, out);
     }
 
-    /** Sends the request to another target, unless it has been sent {@link #MAX_SENDS} times. */
-    private void tryNextTarget(DirectRequest request, Failure failure, long now, Effects out) {
-        if (request.budget().sends() < MAX_SENDS) {
-            send(request, failure, now, out);
-        } else {
-            giveUp(request, failure, now, out);
-        }
+    /** Returns whether the budget and the deadline of a request allow that it is sent now. */
+    private static boolean maySend(DirectRequest request, long now) {
+        return request.budget().allowsSend() && request.deadline() - now >= MIN_REMAINING_NANOS;
     }
 
     private boolean mayRetry(DirectRequest request, long now) {
         return request.isRepeatable()
-                && request.budget().hasRunsLeft()
-                && request.deadline() - now >= MIN_REMAINING_NANOS
+                && maySend(request, now)
                 && mCheck.quarantineFailure(request).isEmpty()
                 && (mChoice.choose(request, now).isPresent()
                         || mChoice.heldUntil(request, now).isPresent());
@@ -345,7 +336,7 @@
         request.notePossiblyRun();
         out.measure(
                 Metric.RETRIES, request.organisation().id().value(), TrafficClass.ONLINE.name(), 1);
-        tryNextTarget(request, Failure.mayHaveRun(ErrorKind.ANSWER_LOST, why), now, out);
+        send(request, Failure.mayHaveRun(ErrorKind.ANSWER_LOST, why), now, out);
     }
 
     private void answerStarted(DirectRequest request, TargetAnswer answer, long now, Effects out) {
@@ -381,11 +372,7 @@
         boolean isAnswering = request.isIn(DirectState.ANSWERING);
         if (ran == Ran.NO) {
             request.budget().lastSendNotRun();
-            tryNextTarget(
-                    request,
-                    Failure.notRun(ErrorKind.NO_TARGET, why, RETRY_AFTER_MILLIS),
-                    now,
-                    out);
+            send(request, Failure.notRun(ErrorKind.NO_TARGET, why, RETRY_AFTER_MILLIS), now, out);
         } else if (isAnswering && !(request.isResumable() && request.hasEventStream())) {
             abortAnswer(request, why, now, out);
         } else if (mayRetry(request, now)) {
@@ -410,7 +397,7 @@
     private void setTimer(DirectRequest request, long now) {
         long silenceTimeout = request.silenceTimeoutNanos();
         boolean mayRetryElsewhere =
-                silenceTimeout > 0 && request.isRepeatable() && request.budget().hasRunsLeft();
+                silenceTimeout > 0 && request.isRepeatable() && request.budget().allowsSend();
         long due = mayRetryElsewhere ? request.lastActivity() + silenceTimeout : request.deadline();
         if (request.needsSlotRecheck()) {
             due = Math.min(due, request.sentAt() + SLOT_RECHECK_DELAY_NANOS);
--- a/src/main/java/org/coltsfootproxy/direct/RunBudget.java
+++ b/src/main/java/org/coltsfootproxy/direct/RunBudget.java
@@ -8,6 +8,12 @@
  * <p>A send counts as a run unless it is known that the target did not run the request.
  */
 final class RunBudget {
+    /**
+     * Maximum number of times that a request is sent, including the sends that full targets refuse
+     * without running it.
+     */
+    private static final int MAX_SENDS = 6;
+
     private final int mMaxRuns;
     private int mSends;
     private int mRuns;
@@ -42,9 +48,9 @@
         }
     }
 
-    /** Returns whether another target may still run the request. */
-    boolean hasRunsLeft() {
-        return mRuns < mMaxRuns;
+    /** Returns whether the request may be sent to another target, which may then run it. */
+    boolean allowsSend() {
+        return mRuns < mMaxRuns && mSends < MAX_SENDS;
     }
 
     int sends() {
