Calls are no longer dropped when pools of former targets are removed

What callers saw: now and then a request to a sound target got no answer until the silence timeout or the deadline. A resumable stream went on elsewhere or was broken off, a request that may not be repeated was answered 504.

Cause: with 64 pools or more, FleetTargetClient removed unused pools inside computeIfAbsent on the same map. If one was removed, the call ended in a ConcurrentModificationException on the event loop: it was neither sent nor reported as failed.

The pool is now looked up, the unused ones are removed, and then it is added. No other computeIfAbsent in the code changes its own map.

--- a/src/main/java/org/coltsfootproxy/net/FleetTargetClient.java
+++ b/src/main/java/org/coltsfootproxy/net/FleetTargetClient.java
@@ -63,8 +63,7 @@
 
     private void start(Effect.AddressedTargetCall call, long createdNanos) {
         try {
-            TargetPool pool = mPools.computeIfAbsent(call.address(), this::newPool);
-            pool.call(call.call(), createdNanos);
+            pool(call.address()).call(call.call(), createdNanos);
         } catch (IllegalArgumentException e) {
             Input failed =
                     new Input.TargetFailed(
@@ -73,11 +72,17 @@
         }
     }
 
-    private TargetPool newPool(String address) {
+    private TargetPool pool(String address) {
+        TargetPool pool = mPools.get(address);
+        if (pool != null) {
+            return pool;
+        }
         if (mPools.size() >= POOL_CLEANUP_THRESHOLD) {
             mPools.values().removeIf(TargetPool::isUnused);
         }
-        return TargetPool.create(mLoop, mSettings.apply(address), mSink, mEvents);
+        TargetPool added = TargetPool.create(mLoop, mSettings.apply(address), mSink, mEvents);
+        mPools.put(address, added);
+        return added;
     }
 
     /** Cancels a call and closes the connection that carries it. */
