A failure reported under a lost lease counts

An item that fails at each run could reach targets more often than its job's max_attempts allows, and once more after each final refusal (422): a store that is cut off or stands still for longer than its lease reports the failure late, when another store already holds the item, and that report was dropped.

Cause: ReportHandler.decide dropped every report of a waiting item that is leased elsewhere. That is right for results, as the current run delivers one, but a failure is lost with it.

Reports of failures now reach the ledger whichever lease they come from. A final one ends the item and revokes the current lease; others count once per lease as before (ItemTable.hasFailedUnder). A failure under a lease that is older than that of the last recorded failure is still dropped.

Evidence, before: aFinalFailureUnderALostLeaseEndsTheItem and aFailureUnderALostLeaseCountsAsAnAttemptAndKeepsTheCurrentLease: expected [1] but found [0]. All tests named Job*Test and FleetJobsTest pass.

--- a/src/main/java/org/coltsfootproxy/job/ReportHandler.java
+++ b/src/main/java/org/coltsfootproxy/job/ReportHandler.java
@@ -162,7 +162,10 @@
             return Optional.of(drop(ref, ReportVerdict.DROPPED));
         } else if (state.get() == ItemState.CANCELLED) {
             return Optional.of(drop(ref, ReportVerdict.CANCELLED));
-        } else if (state.get() == ItemState.WAITING && current.isPresent() && !isHeld) {
+        } else if (state.get() == ItemState.WAITING
+                && current.isPresent()
+                && !isHeld
+                && !isFailure(report)) {
             return Optional.of(drop(ref, ReportVerdict.DROPPED));
         } else if (isHeld && current.get().isBusy()) {
             return Optional.empty();
@@ -176,6 +179,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns whether a report tells a failure, which counts under a lost lease as well. Otherwise
+     * an item that fails at each run would be run more often than its job allows.
+     */
+    private static boolean isFailure(ItemReport report) {
+        return report.outcome() == ItemReport.Outcome.REFUSED
+                || report.outcome() == ItemReport.Outcome.ATTEMPT_FAILED;
+    }
+
     private static boolean isGivenBack(ItemReport report) {
         return report.outcome() == ItemReport.Outcome.GIVEN_BACK;
     }
--- a/src/test/java/org/coltsfootproxy/job/JobServiceTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobServiceTest.java
@@ -220,4 +220,40 @@
                 ReportVerdict.CANCELLED);
         assertEquals(status("tides").status().cancelled(), 2);
     }
+
+    private static ItemReport failed(LeaseRef lease, ItemReport.Outcome outcome) {
+        return ItemReport.failed(lease, outcome, "the target answered so", 0);
+    }
+
+    /** Guards against items that fail at targets again as failures of lost leases are forgotten. */
+    @Test
+    public void aFinalFailureUnderALostLeaseEndsTheItem() {
+        submit("tides", true, 1);
+        LeaseRef lost = pull(AGENT, INCARNATION, 1).get(0).lease();
+        step(JobSettings.defaults().maxLease().toNanos());
+        LeaseRef current = pull(OTHER_AGENT, INCARNATION, 1).get(0).lease();
+
+        ItemReport refused = failed(lost, ItemReport.Outcome.REFUSED);
+        deliver(AGENT, new JobMessage.Report(1, INCARNATION, List.of(refused)));
+
+        assertEquals(status("tides").status().failed(), 1);
+        assertEquals(last(OTHER_AGENT, JobMessage.Revoke.class).leases(), List.of(current));
+    }
+
+    /** Guards against items that fail at targets again as failures of lost leases are forgotten. */
+    @Test
+    public void aFailureUnderALostLeaseCountsAsAnAttemptAndKeepsTheCurrentLease() {
+        submit("tides", true, 1);
+        LeaseRef lost = pull(AGENT, INCARNATION, 1).get(0).lease();
+        step(JobSettings.defaults().maxLease().toNanos());
+        LeaseRef current = pull(OTHER_AGENT, INCARNATION, 1).get(0).lease();
+
+        ItemReport failure = failed(lost, ItemReport.Outcome.ATTEMPT_FAILED);
+        deliver(AGENT, new JobMessage.Report(1, INCARNATION, List.of(failure)));
+        deliver(AGENT, new JobMessage.Report(1, INCARNATION, List.of(failure)));
+        assertEquals(mHost.ledger().job(lost.job()).orElseThrow().items().attempts(0), 1);
+
+        deliver(OTHER_AGENT, new JobMessage.Report(1, INCARNATION, List.of(done(current))));
+        assertEquals(status("tides").status().done(), 1);
+    }
 }
