An answer without length is reset unless it is complete

What callers saw: a caller of HTTP/1.0 gets an answer without length that ends with its connection. Where the host stopped, or the caller's connection was closed because it read too slowly, the connection ended in an orderly way, so a part of an answer looked complete.

Cause: only FrontConnection.abort set a linger time of 0. All other closes, and the end of the process, sent a FIN.

The linger time is now 0 from the head of such an answer to its end, so every close but the orderly one is a reset, also that by the kernel when the process is killed.

--- a/src/main/java/org/coltsfootproxy/net/FrontConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/FrontConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -198,9 +197,7 @@
         mDiscardInput = true;
         mClosing = true;
         mContext.channel().config().setAutoRead(true);
-        if (mContext.channel() instanceof SocketChannel socket && socket.isActive()) {
-            socket.shutdownOutput();
-        }
+        mWriter.shutdownOutput();
         startTimer(LINGERING_CLOSE_TIME, () -> mContext.close());
     }
 
@@ -241,11 +238,6 @@
             return;
         }
         mCurrent = null;
-        if (!exchange.request().acceptsChunked()) {
-            // An HTTP/1.0 caller takes an orderly close for the end of the response. A linger time
-            // of 0 resets the connection instead.
-            ((SocketChannel) mContext.channel()).config().setSoLinger(0);
-        }
         mContext.close();
     }
 
--- a/src/main/java/org/coltsfootproxy/net/ResponseWriter.java
+++ b/src/main/java/org/coltsfootproxy/net/ResponseWriter.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -24,6 +25,9 @@
     private static final int NO_CONTENT = 204;
     private static final int NOT_MODIFIED = 304;
 
+    /** Value of {@code SO_LINGER} with which a close is orderly. */
+    private static final int NO_LINGER = -1;
+
     private final ChannelHandlerContext mContext;
     private final HttpFront mFront;
     private boolean mCloseAfterResponse;
@@ -70,6 +74,26 @@
             HttpUtil.setTransferEncodingChunked(response, true);
         } else {
             mCloseAfterResponse = true;
+            resetOnClose(true);
+        }
+    }
+
+    /**
+     * Sets whether closing the connection resets it. Only an orderly close may end a
+     * close-delimited response, so until its end, any close and the end of the process are made
+     * resets.
+     */
+    private void resetOnClose(boolean resets) {
+        if (mContext.channel() instanceof SocketChannel socket && socket.isActive()) {
+            socket.config().setSoLinger(resets ? 0 : NO_LINGER);
+        }
+    }
+
+    /** Shuts down the output, which ends a close-delimited response. */
+    void shutdownOutput() {
+        resetOnClose(false);
+        if (mContext.channel() instanceof SocketChannel socket && socket.isActive()) {
+            socket.shutdownOutput();
         }
     }
 
