--- a/src/test/java/org/coltsfootproxy/net/TargetClientTest.java
+++ b/src/test/java/org/coltsfootproxy/net/TargetClientTest.java
@@ -10,7 +10,9 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Ran;
@@ -322,6 +324,36 @@
         expectFailed(2, ErrorKind.TARGET_FAILED, Ran.MAYBE);
     }
 
+    @DataProvider
+    public Object[][] breaks() {
+        return IntStream.range(0, 8)
+                .mapToObj(n -> new Object[] {(n & 1) != 0, (n & 2) != 0, (n & 4) != 0})
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against calls that count as not run although a target had some of their bytes. */
+    @Test(dataProvider = "breaks")
+    public void aTargetThatBreaksOffAfterItHasReadSomethingMayHaveRunTheRequest(
+            boolean isWholeRead, boolean isReset, boolean isReused) throws Exception {
+        Optional<RawHttp> idle = Optional.empty();
+        if (isReused) {
+            idle = Optional.of(callAndRespond(1, OK + "Content-Length: 3\r\n\r\none"));
+            expectComplete(1, "one");
+        }
+        mClient.execute(
+                isWholeRead ? call(2, "POST", TIMEOUT_MILLIS) : callLargerThanAllBuffers(2));
+        try (RawHttp target = idle.isPresent() ? idle.get() : accept()) {
+            target.readUntil(isWholeRead ? "\r\n\r\nhi" : "POST");
+            target.socket().setSoLinger(isReset, 0);
+        }
+        expectFailed(2, ErrorKind.TARGET_FAILED, Ran.MAYBE);
+    }
+
+    private static Effect.TargetCall callLargerThanAllBuffers(long number) {
+        return new Effect.TargetCall(
+                number, TrafficClass.ONLINE, "POST", "/x", List.of(), new byte[8 << 20], 1L << 40);
+    }
+
     @Test
     public void anInvalidHeaderFieldIsRefusedBeforeTheRequestIsSent() throws Exception {
         mClient.execute(
