A request that can't be written doesn't end its answer as complete

An answer with neither a length nor chunks ends with its connection. If the target broke off while the request was still being written, the write met the reset first, the connection was closed by CLOSE_ON_FAILURE, and the decoder took this host's own close for the end of the body.

CloseDelimitedResponseTest#aResetBreaksTheBodyOffWhileTheRequestIsStillBeingWritten failed before: "the call ended with TargetEnd[call=1]". The reset is met by the write each time, as the event loop writes before it reads. Now a failed write fails the call (answer-cut once the head has come, with what is known of whether it ran) before the connection closes. Chunked answers were never affected.

Not shown to be the cause of the users' cases: it needs a target that answers before it has read a long request, and then ends.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -146,8 +147,23 @@
         pending.advanceTo(PendingCall.State.SENT);
         mRequestWritten = false;
         mChannel.writeAndFlush(request)
-                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
-                .addListener(f -> mRequestWritten = f.isSuccess());
+                .addListener((ChannelFutureListener) f -> onWritten(f, pending));
+    }
+
+    /**
+     * Fails the call if its request can't be written. The channel closes then, which must not be
+     * taken for the end of a response that ends with its connection.
+     */
+    private void onWritten(ChannelFuture written, PendingCall pending) {
+        mRequestWritten = written.isSuccess();
+        if (written.isSuccess()) {
+            return;
+        }
+        if (mPendingCall == pending && !pending.isEnded()) {
+            fail(failureKind(), "the request can't be written: " + written.cause().getMessage());
+        } else {
+            mChannel.close();
+        }
     }
 
     /** Closes the connection without reporting the end of the call that it carries. */
--- a/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
@@ -24,6 +24,10 @@
 /** Tests of responses that have neither a length nor chunks and end with their connection. */
 public final class CloseDelimitedResponseTest {
     private static final int TIMEOUT_MILLIS = 30_000;
+
+    /** More than the buffers of both sockets hold. */
+    private static final int UNREAD_REQUEST_BYTES = 32 << 20;
+
     private static final String HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: call-1\r\n\r\n";
 
     private RecordingSink mSink;
@@ -50,6 +54,12 @@
     }
 
     private RawHttp callAndRespond(String body) throws IOException {
+        return callAndRespond(new byte[] {'h', 'i'}, "\r\n\r\nhi", body);
+    }
+
+    /** Responds to a call once the target has read it up to a text. */
+    private RawHttp callAndRespond(byte[] request, String readUntil, String body)
+            throws IOException {
         mClient.execute(
                 new Effect.TargetCall(
                         1,
@@ -57,10 +67,10 @@
                         "POST",
                         "/x",
                         List.of(Header.of("Request-Id", "call-1")),
-                        new byte[] {'h', 'i'},
+                        request,
                         TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLIS)));
         RawHttp target = new RawHttp(mServer.accept());
-        target.readUntil("\r\n\r\nhi");
+        target.readUntil(readUntil);
         target.send(HEAD + body);
         return target;
     }
@@ -88,4 +98,22 @@
         assertEquals(failed.ran(), Ran.YES);
         assertTrue(mSink.isEmpty(), "an input after the failure");
     }
+
+    /**
+     * Guards against a body that was cut by a reset reaching the caller as a complete one, because
+     * the write of the rest of the request met the reset before the read did.
+     */
+    @Test
+    public void aResetBreaksTheBodyOffWhileTheRequestIsStillBeingWritten() throws Exception {
+        byte[] request = new byte[UNREAD_REQUEST_BYTES];
+        try (RawHttp target = callAndRespond(request, "\r\n\r\n", "id: 1\ndata: a\n\n")) {
+            assertEquals(mSink.next(Input.TargetHead.class).status(), 200);
+            mSink.next(Input.TargetChunk.class);
+            target.socket().setSoLinger(true, 0);
+        }
+        Input end = mSink.next();
+        assertTrue(end instanceof Input.TargetFailed, "the call ended with " + end);
+        assertEquals(((Input.TargetFailed) end).kind(), ErrorKind.ANSWER_CUT);
+        assertEquals(((Input.TargetFailed) end).ran(), Ran.YES);
+    }
 }
