A resumed stream that only a close ends before any event is not complete

Only a stream from its first event on was protected; EventReader took any event of an earlier target for one of this answer.

Failed before as well: EventReaderTest ("no event after the first, not confirmed"), DirectCallsTest#aResumedStreamThatItsConnectionEndsBeforeAnyEventIsNotComplete ("200 complete", 3 of 10 events), FleetJobsTest#anItemThatItsTargetsConnectionEndsBeforeAnyFurtherEventGoesOn- Elsewhere (3 of 10 events listed as complete).

A target that is asked after the last event has none left, so an empty answer can be right. The end of an answer now tells whether a length or the last chunk has verified it. If not, and there was no event since the resumption, a second target has to end at the same event: items ask one, a request does within max_attempts and is broken off visibly otherwise. EventReader keeps where the current target's stream began; DirectRequest and ItemRun each kept a copy of that.

Not covered, as nothing in the protocol tells: a target that crashes between two events of an answer without length, and whose connection ends without a reset.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -253,8 +253,8 @@
         }
 
         @Override
-        public void ended(long now, Effects out) {
-            if (mRequest.hasEventStream() && mRequest.events().isCut()) {
+        public void ended(Input.TargetEnd end, long now, Effects out) {
+            if (mRequest.endsTooEarly(end)) {
                 noteCut(mRequest, now, out);
                 attemptFailed(
                         mRequest,
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -61,7 +61,6 @@
     private int mRuns;
     private boolean mHasHead;
     private boolean mIsSuspect;
-    private long mAdvancesAtSend;
     private boolean mHasEventStream;
     private boolean mHasPossiblyRun;
     private long mLastActivity;
@@ -256,8 +255,7 @@
         mRuns++;
         mLastActivity = nowNanos;
         mHasHead = false;
-        mAdvancesAtSend = mEvents.advances();
-        mEvents.dropPartial();
+        mEvents.beginStream();
         transition(DirectState.Event.SEND);
     }
 
@@ -362,7 +360,7 @@
 
     /** Returns whether the current target has sent a complete event. */
     boolean hasProgressed() {
-        return mEvents.advances() > mAdvancesAtSend;
+        return mEvents.hasAdvanced();
     }
 
     /** Sets whether the answer is an event stream. */
@@ -394,6 +392,11 @@
         return complete;
     }
 
+    /** Notes the end of the target's answer; returns whether it is a stream that ends too early. */
+    boolean endsTooEarly(Input.TargetEnd end) {
+        return mHasEventStream && mEvents.endsTooEarly(end.isByClose());
+    }
+
     EventReader events() {
         return mEvents;
     }
--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -21,6 +21,8 @@
     private boolean mIsLineEmpty = true;
     private Optional<String> mLastId = Optional.empty();
     private long mAdvances;
+    private long mAdvancesBefore;
+    private Optional<String> mEmptyAfter = Optional.empty();
 
     /** Sets the id of the last event that was received before this stream. */
     void resumeAfter(String id) {
@@ -93,12 +95,29 @@
         return mAdvances;
     }
 
+    /** Returns whether the current target has sent a complete event. */
+    boolean hasAdvanced() {
+        return mAdvances > mAdvancesBefore;
+    }
+
     /**
-     * Returns whether the stream ended too early: within an event, or before the first one. The end
-     * of a stream may be only the end of its connection.
+     * Notes the end of the current target's stream; returns whether it ended too early: within an
+     * event, or before the first one.
+     *
+     * <p>A stream that is resumed after its last event has none left. If only the end of the
+     * connection tells so, the target may as well have crashed; then a further target has to
+     * confirm it.
+     *
+     * @param isByClose whether only the end of the connection has ended the stream
      */
-    boolean isCut() {
-        return hasPartialEvent() || mAdvances == 0 && mLastId.isEmpty();
+    boolean endsTooEarly(boolean isByClose) {
+        if (hasPartialEvent()) {
+            return true;
+        }
+        boolean isConfirmed = !isByClose || mEmptyAfter.equals(mLastId);
+        boolean isEmpty = !hasAdvanced();
+        mEmptyAfter = isEmpty ? mLastId : Optional.empty();
+        return isEmpty && (mLastId.isEmpty() || !isConfirmed);
     }
 
     /** Returns whether the event that has begun is longer than any sound event. */
@@ -111,8 +130,9 @@
         return mPartial.size() > 0;
     }
 
-    /** Discards an event that has begun, because its target was lost. */
-    void dropPartial() {
+    /** Begins the stream of another target; discards an event that the former one has begun. */
+    void beginStream() {
+        mAdvancesBefore = mAdvances;
         mPartial.reset();
         mIsLineEmpty = true;
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -16,6 +16,7 @@
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
 import org.coltsfootproxy.message.PartialOutput;
+import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.quarantine.CallContent;
 import org.coltsfootproxy.work.WorkEstimate;
 import org.coltsfootproxy.work.WorkFeatures;
@@ -44,7 +45,6 @@
     private long mSentAt;
     private long mActiveNanos;
     private boolean mHasSuccess;
-    private long mAdvancesAtSend;
     private int mFailures;
     private boolean mIsKept;
     private int mReportedBytes;
@@ -170,9 +170,8 @@
         mTarget = target;
         mTargetCall = targetCall;
         mTried.add(target.listed().id());
-        mEvents.dropPartial();
+        mEvents.beginStream();
         mHasSuccess = false;
-        mAdvancesAtSend = mEvents.advances();
         mSentAt = nowNanos;
         mLastActivity = nowNanos;
     }
@@ -249,7 +248,7 @@
 
     /** Returns whether the current target has sent a complete event. */
     boolean hasProgressed() {
-        return mEvents.advances() > mAdvancesAtSend;
+        return mEvents.hasAdvanced();
     }
 
     /**
@@ -281,9 +280,9 @@
         return mEvents.lastId();
     }
 
-    /** Returns whether the stream ended within an event, or before the first one. */
-    boolean isCut() {
-        return mEvents.isCut();
+    /** Notes the end of the target's stream; returns whether it ended too early. */
+    boolean endsTooEarly(Input.TargetEnd end) {
+        return mEvents.endsTooEarly(end.isByClose());
     }
 
     byte[] output() {
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -341,8 +341,8 @@
         }
 
         @Override
-        public void ended(long now, Effects out) {
-            if (mRun.isCut()) {
+        public void ended(Input.TargetEnd end, long now, Effects out) {
+            if (mRun.endsTooEarly(end)) {
                 noteBrokenAnswer(mRun, now, out);
                 attemptFailed(
                         mRun, "the stream ended within an event or before the first one", now, out);
--- a/src/main/java/org/coltsfootproxy/direct/TargetCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetCalls.java
@@ -19,8 +19,8 @@
         /** Handles a chunk of the body. */
         void chunk(byte[] bytes, long nowNanos, Effects out);
 
-        /** Handles the end of a complete answer. */
-        void ended(long nowNanos, Effects out);
+        /** Handles the end of an answer that has not failed. */
+        void ended(Input.TargetEnd end, long nowNanos, Effects out);
 
         /** Handles the failure of the call; no complete answer follows. */
         void failed(Input.TargetFailed failure, long nowNanos, Effects out);
@@ -72,7 +72,7 @@
         } else if (input instanceof Input.TargetEnd end) {
             Handler handler = mOpen.remove(end.call());
             if (handler != null) {
-                handler.ended(nowNanos, out);
+                handler.ended(end, nowNanos, out);
             }
         } else if (input instanceof Input.TargetFailed failed) {
             Handler handler = mOpen.remove(failed.call());
--- a/src/main/java/org/coltsfootproxy/direct/TargetListReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetListReader.java
@@ -117,7 +117,7 @@
         }
 
         @Override
-        public void ended(long nowNanos, Effects out) {
+        public void ended(Input.TargetEnd end, long nowNanos, Effects out) {
             if (mStatus == OK) {
                 handlePage(mBody.toByteArray(), out);
             } else {
--- a/src/main/java/org/coltsfootproxy/net/ResponseCheck.java
+++ b/src/main/java/org/coltsfootproxy/net/ResponseCheck.java
@@ -41,7 +41,8 @@
                 : Optional.of("response without Content-Length or chunked encoding");
     }
 
-    private static boolean isBodiless(int status, String method) {
+    /** Returns whether a response has no body, whatever its header fields say. */
+    static boolean isBodiless(int status, String method) {
         return method.equals("HEAD") || status == NO_CONTENT || status == NOT_MODIFIED;
     }
 }
--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -46,6 +46,7 @@
     private PendingCall mPendingCall;
     private boolean mIsInterim;
     private boolean mKeepAlive;
+    private boolean mEndsByClose;
     private boolean mRequestWritten;
     private boolean mResponseEnded;
     private boolean mIsForOtherCall;
@@ -264,6 +265,10 @@
             return;
         }
         mKeepAlive = HttpUtil.isKeepAlive(head) && isFramed(head);
+        mEndsByClose =
+                !isFramed(head)
+                        && !ResponseCheck.isBodiless(
+                                head.status().code(), mPendingCall.request().method());
         mKeepAliveNanos = KeepAlive.idleNanos(head.headers().get("keep-alive"));
         mForwarder.forward(
                 new Input.TargetHead(
@@ -292,7 +297,7 @@
         }
         if (content instanceof LastHttpContent) {
             mResponseEnded = true;
-            mForwarder.forward(new Input.TargetEnd(mPendingCall.callId()));
+            mForwarder.forward(new Input.TargetEnd(mPendingCall.callId(), mEndsByClose));
             mPool.removeCall(mPendingCall);
             mPendingCall.end();
         }
--- a/src/main/java/org/coltsfootproxy/node/Input.java
+++ b/src/main/java/org/coltsfootproxy/node/Input.java
@@ -40,8 +40,18 @@
     /** A part of the body of a target's answer arrived. */
     record TargetChunk(long call, byte[] bytes) implements Input {}
 
-    /** A target's answer is complete, as verified by its length or last chunk. */
-    record TargetEnd(long call) implements Input {}
+    /**
+     * A target's answer has ended.
+     *
+     * @param isByClose whether the answer had neither a length nor chunks, so that only the end of
+     *     its connection tells that it is complete
+     */
+    record TargetEnd(long call, boolean isByClose) implements Input {
+        /** Creates the end of an answer that is verified by its length or last chunk. */
+        public TargetEnd(long call) {
+            this(call, false);
+        }
+    }
 
     /**
      * A call to a target ended without a complete answer.
--- a/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
@@ -39,7 +39,7 @@
             }
             assertEquals(received.toString(), EVENTS);
             assertEquals(reader.lastId(), Optional.of("3"));
-            assertFalse(reader.isCut());
+            assertFalse(reader.endsTooEarly(false));
         }
     }
 
@@ -48,13 +48,39 @@
         EventReader reader = new EventReader();
         assertEquals(
                 text(reader.append(bytes("id: 1\ndata: a\n\nid: 2\nda"))), "id: 1\ndata: a\n\n");
-        assertTrue(reader.isCut());
-        reader.dropPartial();
+        assertTrue(reader.endsTooEarly(false));
+        reader.beginStream();
 
         assertEquals(reader.lastId(), Optional.of("1"));
         assertEquals(text(reader.append(bytes("id: 2\ndata: b\n\n"))), "id: 2\ndata: b\n\n");
     }
 
+    /** Guards against a stream that counts as complete where a target crashed as it went on. */
+    @Test
+    public void aCloseWithoutFurtherEventsIsTheEndOnlyIfAnotherTargetConfirmsIt() {
+        EventReader reader = new EventReader();
+        reader.append(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        assertTrue(reader.endsTooEarly(true));
+        reader.beginStream();
+        assertTrue(reader.endsTooEarly(true), "no event after the first, not confirmed");
+        reader.beginStream();
+        reader.append(bytes("id: 2\ndata: b\n\nid: 3\nda"));
+        assertTrue(reader.endsTooEarly(true));
+        reader.beginStream();
+        assertTrue(reader.endsTooEarly(true), "no event after the second, not confirmed");
+        reader.beginStream();
+        assertFalse(reader.endsTooEarly(true), "confirmed");
+    }
+
+    @Test
+    public void anEndWithLengthOrLastChunkNeedsNoConfirmationOnceThereIsAnEvent() {
+        EventReader reader = new EventReader();
+        assertTrue(reader.endsTooEarly(false));
+        reader.append(bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        reader.beginStream();
+        assertFalse(reader.endsTooEarly(false));
+    }
+
     @Test
     public void dataLinesAreJoinedByLineFeeds() {
         assertEquals(EventReader.data(bytes(EVENTS)), "a\nb\né\nf");
--- a/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
@@ -81,7 +81,7 @@
         assertEquals(mSink.next(Input.TargetHead.class).status(), 200);
         byte[] body = mSink.next(Input.TargetChunk.class).bytes();
         assertEquals(new String(body, StandardCharsets.UTF_8), "id: 1\ndata: a\n\n");
-        assertEquals(mSink.next(Input.TargetEnd.class).call(), 1);
+        assertEquals(mSink.next(Input.TargetEnd.class), new Input.TargetEnd(1, true));
         assertTrue(mSink.isEmpty(), "an input after the end");
     }
 
--- a/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/DirectCallsTest.java
@@ -133,6 +133,32 @@
         return new Object[][] {{1, 0}, {1, 5}, {4, 5}};
     }
 
+    /**
+     * Guards against a stream that ends as complete before its last event, because the target that
+     * was to go on with it crashed as it began.
+     */
+    @Test
+    public void aResumedStreamThatItsConnectionEndsBeforeAnyEventIsNotComplete() {
+        mSimulation.mTargets.values().forEach(target -> target.mCutAtEvent = 4);
+        Answer answer = mSimulation.request(mSimulation.entry(0), "q1", "/ask/1");
+        mSimulation.run(50 * MILLI_NANOS);
+        mSimulation.mTargets.values().stream()
+                .filter(target -> target.mRuns.isEmpty())
+                .forEach(target -> target.mCutAtEvent = 0);
+        closeNextStreams(4, 0);
+        mSimulation.mTargets.values().stream()
+                .filter(target -> !target.mRuns.isEmpty())
+                .forEach(target -> target.mClosesAtEvent = 0);
+        mSimulation.run(6 * SECOND_NANOS);
+
+        List<SimulatedTarget.Run> runs = mSimulation.runsOf("q1");
+        assertEquals(runs.size(), 2);
+        assertEquals(runs.get(1).mResumeAfter, 3);
+        assertEquals(answer.body(), events("q1", 1, 3));
+        assertFalse(answer.mIsComplete, answer.toString());
+        assertTrue(answer.mIsCut, answer.toString());
+    }
+
     @Test
     public void aLostAnswerToANonRepeatableRequestIsReportedAndNotRetried() {
         mSimulation.target("app-1").mCutsNextAnswer = true;
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -136,6 +136,38 @@
         assertAllDone("j1", 12);
     }
 
+    /**
+     * Guards against an output that is listed as complete before its last event, because the target
+     * that was to go on with it crashed as it began.
+     */
+    @Test
+    public void anItemThatItsTargetsConnectionEndsBeforeAnyFurtherEventGoesOnElsewhere() {
+        mSimulation.mTargets.values().forEach(target -> target.mCutAtEvent = 4);
+        mSimulation.submit(mSimulation.entry(0), "j1", 1);
+        runUntilSent("j1-i0", 1);
+        for (SimulatedTarget target : mSimulation.mTargets.values()) {
+            boolean isFirst = !target.mRuns.isEmpty();
+            target.mCutAtEvent = isFirst ? 4 : 0;
+            target.mClosesAtEvent = isFirst ? 0 : 4;
+        }
+        runUntilSent("j1-i0", 2);
+        SimulatedTarget.Run second = mSimulation.runsOf("j1-i0").get(1);
+        mSimulation.mTargets.values().stream()
+                .filter(target -> !target.mRuns.contains(second))
+                .forEach(target -> target.mClosesAtEvent = 0);
+        mSimulation.run(5 * SECOND_NANOS);
+
+        assertAllDone("j1", 1);
+        assertEquals(mSimulation.runsOf("j1-i0").get(2).mResumeAfter, 3);
+    }
+
+    private void runUntilSent(String item, int runs) {
+        for (int n = 0; n < 1_000 && mSimulation.runsOf(item).size() < runs; n++) {
+            mSimulation.run(5 * MILLI_NANOS);
+        }
+        assertEquals(mSimulation.runsOf(item).size(), runs);
+    }
+
     @Test
     public void anItemThatFailsPermanentlyIsListedAsErrored() {
         mSimulation.mTargets.values().forEach(target -> target.mErrorStatus = 422);
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -302,7 +302,7 @@
         if (mClosesAtEvent == number) {
             mClosesAtEvent = 0;
             chunk(run, text.substring(0, mCharsBeforeClose));
-            end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call())));
+            end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call(), true)));
             return;
         }
         if (mCutAtEvent == number) {
