Pieces of an item's output are joined only within a run

Two runs of one item whose offsets meet were joined, and an item that was leased again then went on after a text that no run had made: ORDER, "the text goes on after event n with a run that was not asked with Last-Event-Id n". That takes a piece in flight while the item is leased again, or an item that begins anew at the same version under its lease, and the loss of the store that runs it.

JobLedgerTest#piecesOfTwoLeasesAreNotJoinedWhereTheirOffsetsMeet failed before (a piece of lease 2 was kept after a piece of lease 1: expected 0, found 1), and #outputThatBeginsAnewAtTheSameVersionReplacesTheOutputBefore (expected 1, found 0).

The ledger now keeps the fencing number of the run that sent the last piece, and how often the item had begun anew under that lease. A piece goes on only with its own run, or as the first piece of a later lease that began with exactly this output; a run that begins anew replaces what earlier runs made, and a late piece of an earlier run is ignored. Pieces of stores that don't tell where their run began are kept unless another lease made the output before.

--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -48,6 +48,8 @@
     private int mFailures;
     private boolean mIsKept;
     private int mReportedBytes;
+    private int mLeasedBytes;
+    private int mRestarts;
     private long mLastActivity;
     private WorkEstimate mEstimate = WorkEstimate.UNKNOWN;
 
@@ -65,6 +67,7 @@
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
         mReportedBytes = partial.bytes().length;
+        mLeasedBytes = mReportedBytes;
         mVersion = Optional.ofNullable(partial.version());
         if (!partial.lastEvent().isEmpty()) {
             mEvents.resumeAfter(partial.lastEvent());
@@ -158,6 +161,8 @@
         mEvents = new EventReader();
         mVersion = Optional.empty();
         mReportedBytes = 0;
+        mLeasedBytes = 0;
+        mRestarts++;
         mActiveNanos = 0;
     }
 
@@ -304,7 +309,9 @@
                                 new ItemProgress(
                                         lease(),
                                         offset,
-                                        new PartialOutput(newOutput, id, version)));
+                                        new PartialOutput(newOutput, id, version),
+                                        mLeasedBytes,
+                                        mRestarts));
     }
 
     /** Counts a failed call; returns the number of failed calls since the last complete event. */
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import org.agrona.collections.Int2ObjectHashMap;
 import org.agrona.collections.IntArrayList;
+import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemResult;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobItem;
@@ -31,7 +32,7 @@
     private final int[] mCounts = new int[STATES.length];
     private final Int2ObjectHashMap<FailureRecord> mFailures = new Int2ObjectHashMap<>();
     private final Int2ObjectHashMap<Run> mRuns = new Int2ObjectHashMap<>();
-    private final Int2ObjectHashMap<PartialOutput> mPartialOutputs = new Int2ObjectHashMap<>();
+    private final Int2ObjectHashMap<KeptOutput> mKeptOutputs = new Int2ObjectHashMap<>();
     private final IntArrayList mResultOrder = new IntArrayList();
     private byte[] mStates = new byte[INITIAL_CAPACITY];
     private long[] mHashes = new long[INITIAL_CAPACITY];
@@ -173,7 +174,7 @@
 
     /** Replaces the body of the call by the result and drops the partial output. */
     void setResult(int index, int status, byte[] body) {
-        setPartialOutput(index, PartialOutput.NONE);
+        setKeptOutput(index, KeptOutput.NONE);
         byte[] payload = ItemPayload.withContent(mPayloads[index], status, body);
         mBytes += payload.length - mPayloads[index].length;
         mPayloads[index] = payload;
@@ -221,22 +222,30 @@
 
     /** Returns the partial output of an item that has not ended. */
     PartialOutput partialOutput(int index) {
-        PartialOutput output = mPartialOutputs.get(index);
-        return output == null ? PartialOutput.NONE : output;
+        return keptOutput(index).output();
+    }
+
+    /** Returns the partial output of an item and its run. */
+    KeptOutput keptOutput(int index) {
+        KeptOutput kept = mKeptOutputs.get(index);
+        return kept == null ? KeptOutput.NONE : kept;
     }
 
     /** Appends a piece to the partial output. */
-    void appendPartialOutput(int index, PartialOutput piece) {
+    void appendPartialOutput(ItemProgress progress) {
+        int index = progress.lease().item();
+        PartialOutput piece = progress.piece();
         byte[] bytes = Bytes.concat(partialOutput(index).bytes(), piece.bytes());
-        setPartialOutput(index, new PartialOutput(bytes, piece.lastEvent(), piece.version()));
+        PartialOutput output = new PartialOutput(bytes, piece.lastEvent(), piece.version());
+        setKeptOutput(index, new KeptOutput(output, progress.lease().fence(), progress.restarts()));
     }
 
-    void setPartialOutput(int index, PartialOutput output) {
-        mBytes += output.bytes().length - partialOutput(index).bytes().length;
-        if (output.bytes().length == 0) {
-            mPartialOutputs.remove(index);
+    void setKeptOutput(int index, KeptOutput kept) {
+        mBytes += kept.output().bytes().length - partialOutput(index).bytes().length;
+        if (kept.output().bytes().length == 0) {
+            mKeptOutputs.remove(index);
         } else {
-            mPartialOutputs.put(index, output);
+            mKeptOutputs.put(index, kept);
         }
     }
 
--- a/src/main/java/org/coltsfootproxy/job/ItemTransitions.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTransitions.java
@@ -1,12 +1,10 @@
 package org.coltsfootproxy.job;
 
-import java.util.Objects;
 import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.JobState;
 import org.coltsfootproxy.message.LeaseRef;
-import org.coltsfootproxy.message.PartialOutput;
 import org.coltsfootproxy.message.ReportVerdict;
 
 /**
@@ -77,10 +75,7 @@
 
     /**
      * Appends a piece to an item's partial output if it directly follows what is kept, or replaces
-     * that by the first piece of a run at another software version; tells whether it did.
-     *
-     * <p>A piece of a run that began before the last piece was kept has another offset and is
-     * ignored.
+     * that by the first piece of a run that has begun anew; tells whether it did.
      */
     boolean progress(ItemProgress progress) {
         LeaseRef lease = progress.lease();
@@ -89,18 +84,16 @@
                 || mItems.state(lease.item()) != ItemState.WAITING) {
             return false;
         }
-        PartialOutput kept = mItems.partialOutput(lease.item());
-        boolean isSameVersion = Objects.equals(kept.version(), progress.piece().version());
-        boolean isFirst = progress.offset() == 0;
-        boolean follows = kept.bytes().length == progress.offset() && (isFirst || isSameVersion);
-        if (!follows && isFirst && !isSameVersion) {
-            mItems.setPartialOutput(lease.item(), PartialOutput.NONE);
-            follows = true;
+        KeptOutput kept = mItems.keptOutput(lease.item());
+        boolean isContinued = kept.isContinuedBy(progress);
+        if (!isContinued && !kept.isReplacedBy(progress)) {
+            return false;
         }
-        if (follows) {
-            mItems.appendPartialOutput(lease.item(), progress.piece());
+        if (!isContinued) {
+            mItems.setKeptOutput(lease.item(), KeptOutput.NONE);
         }
-        return follows;
+        mItems.appendPartialOutput(progress);
+        return true;
     }
 
     /** Applies an agent's report. */
--- a/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
@@ -18,7 +18,7 @@
  * payloads.
  */
 final class LedgerSnapshot {
-    private static final int VERSION = 4;
+    private static final int VERSION = 5;
 
     /** Version that lacks the partial output of items that have not ended. */
     private static final int VERSION_WITHOUT_PARTIAL_OUTPUT = 2;
@@ -26,6 +26,9 @@
     /** Version in which partial outputs don't name the software version that they come from. */
     private static final int VERSION_WITHOUT_SOFTWARE_VERSIONS = 3;
 
+    /** Version in which partial outputs don't name the run that they come from. */
+    private static final int VERSION_WITHOUT_RUNS = 4;
+
     private static final ItemState[] STATES = ItemState.values();
     private static final ObjectMapper HEAD_MAPPER = new ObjectMapper(new MessagePackFactory());
 
@@ -54,7 +57,7 @@
             writeBytes(items.payload(i), packer);
             encode(items.failure(i), packer);
             encode(items.run(i), packer);
-            encode(items.partialOutput(i), packer);
+            encode(items.keptOutput(i), packer);
         }
         packer.packInt(items.resultCount());
         for (int position = 0; position < items.resultCount(); position++) {
@@ -80,8 +83,8 @@
         packer.packLong(run.fence()).packString(run.agent());
     }
 
-    private static void encode(PartialOutput output, MessageBufferPacker packer)
-            throws IOException {
+    private static void encode(KeptOutput kept, MessageBufferPacker packer) throws IOException {
+        PartialOutput output = kept.output();
         if (output.bytes().length == 0) {
             packer.packNil();
             return;
@@ -93,6 +96,7 @@
         } else {
             packer.packString(output.version().value());
         }
+        packer.packLong(kept.fence()).packInt(kept.restarts());
     }
 
     private static void writeBytes(byte[] bytes, MessageBufferPacker packer) throws IOException {
@@ -131,7 +135,7 @@
             ItemTable.FailureRecord failure = decodeFailure(unpacker);
             job.items().restore(state, hash, payload, failure, decodeRun(unpacker));
             if (version > VERSION_WITHOUT_PARTIAL_OUTPUT && !unpacker.tryUnpackNil()) {
-                job.items().setPartialOutput(i, decodePartialOutput(version, unpacker));
+                job.items().setKeptOutput(i, decodeKeptOutput(version, unpacker));
             }
         }
         int resultCount = unpacker.unpackInt();
@@ -158,7 +162,7 @@
                 : new ItemTable.Run(unpacker.unpackLong(), unpacker.unpackString());
     }
 
-    private static PartialOutput decodePartialOutput(int version, MessageUnpacker unpacker)
+    private static KeptOutput decodeKeptOutput(int version, MessageUnpacker unpacker)
             throws IOException {
         byte[] output = readBytes(unpacker);
         String lastEvent = unpacker.unpackString();
@@ -166,7 +170,10 @@
                 version > VERSION_WITHOUT_SOFTWARE_VERSIONS && !unpacker.tryUnpackNil();
         SoftwareVersion software =
                 isVersionKnown ? SoftwareVersion.of(unpacker.unpackString()) : null;
-        return new PartialOutput(output, lastEvent, software);
+        PartialOutput partial = new PartialOutput(output, lastEvent, software);
+        return version > VERSION_WITHOUT_RUNS
+                ? new KeptOutput(partial, unpacker.unpackLong(), unpacker.unpackInt())
+                : new KeptOutput(partial, 0, 0);
     }
 
     private static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/org/coltsfootproxy/message/ItemProgress.java
+++ b/src/main/java/org/coltsfootproxy/message/ItemProgress.java
@@ -7,8 +7,12 @@
  * Further output of a running item.
  *
  * @param offset number of output bytes before this piece
+ * @param leased number of output bytes that the run began with: those of the lease, or 0 if it has
+ *     begun anew since
+ * @param restarts how often the item has begun anew under the lease
  */
-public record ItemProgress(LeaseRef lease, int offset, PartialOutput piece) {
+public record ItemProgress(
+        LeaseRef lease, int offset, PartialOutput piece, int leased, int restarts) {
     /** Checks the components. */
     public ItemProgress {
         checkNotNull(lease, "lease is missing");
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -163,11 +163,61 @@
                         bytes.getBytes(StandardCharsets.UTF_8),
                         lastEvent,
                         SoftwareVersion.of(version));
-        var progress = new ItemProgress(new LeaseRef(1, item, 1), offset, piece);
+        return progress(new ItemProgress(new LeaseRef(1, item, 1), offset, piece, 0, 0));
+    }
+
+    private int progress(ItemProgress progress) {
         var command = new JobCommand.Progress(2_000, List.of(progress));
         return ((JobOutcome.Count) apply(command)).changed();
     }
 
+    /** A piece of the output of the first item, of a run that began with some bytes. */
+    private int progressOf(
+            int fence, int restarts, int leased, int offset, String bytes, String lastEvent) {
+        var piece =
+                new PartialOutput(
+                        bytes.getBytes(StandardCharsets.UTF_8),
+                        lastEvent,
+                        SoftwareVersion.of("v1"));
+        return progress(
+                new ItemProgress(new LeaseRef(1, 0, fence), offset, piece, leased, restarts));
+    }
+
+    /** Guards against a text that goes on with a run that was not resumed where it ends. */
+    @Test
+    public void piecesOfTwoLeasesAreNotJoinedWhereTheirOffsetsMeet() {
+        submit(FORTH, "a", 1, 10);
+        assertEquals(progressOf(1, 0, 0, 0, "1:a", "1"), 1);
+        // The item is leased again with this output while a piece of the first lease is in flight.
+        assertEquals(progressOf(1, 0, 0, 3, "\n1:b", "2"), 1);
+        assertEquals(progressOf(2, 0, 3, 3, "\n2:b", "2"), 0);
+        assertEquals(progressOf(2, 0, 3, 7, "\n2:c", "3"), 0);
+        assertEquals(partialOutput(0), "1:a\n1:b after 2");
+        assertEquals(progressOf(1, 0, 0, 7, "\n1:c", "3"), 1);
+        byte[] snapshot = mLedger.snapshot();
+        begin();
+        mLedger.restore(snapshot);
+        assertEquals(progressOf(2, 0, 3, 11, "\n2:d", "4"), 0);
+        assertEquals(progressOf(3, 0, 11, 11, "\n3:d", "4"), 1);
+        assertEquals(progressOf(1, 0, 0, 15, "\n1:e", "5"), 0);
+        assertEquals(partialOutput(0), "1:a\n1:b\n1:c\n3:d after 4");
+    }
+
+    /** Guards against a text that goes on with a run that was not resumed where it ends. */
+    @Test
+    public void outputThatBeginsAnewAtTheSameVersionReplacesTheOutputBefore() {
+        submit(FORTH, "a", 1, 10);
+        assertEquals(progressOf(1, 0, 0, 0, "1:a\n1:b", "2"), 1);
+        assertEquals(progressOf(1, 1, 0, 0, "2:a", "1"), 1);
+        assertEquals(progressOf(1, 1, 0, 3, "\n2:b", "2"), 1);
+        assertEquals(progressOf(1, 0, 0, 7, "\n1:c", "3"), 0);
+        assertEquals(partialOutput(0), "2:a\n2:b after 2");
+        // The first piece got lost.
+        assertEquals(progressOf(2, 0, 0, 7, "\n3:c", "3"), 0);
+        assertEquals(progressOf(1, 0, 0, 0, "1:a", "1"), 0);
+        assertEquals(partialOutput(0), "2:a\n2:b after 2");
+    }
+
     private String partialOutput(int item) {
         PartialOutput output = mLedger.job(1).orElseThrow().items().partialOutput(item);
         return new String(output.bytes(), StandardCharsets.UTF_8) + " after " + output.lastEvent();
