--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -60,7 +60,6 @@
     private long mTargetCall;
     private boolean mHasHead;
     private boolean mIsSuspect;
-    private long mAdvancesAtSend;
     private boolean mHasEventStream;
     private boolean mHasPossiblyRun;
     private long mLastActivity;
@@ -255,8 +254,7 @@
         mBudget.sent();
         mLastActivity = nowNanos;
         mHasHead = false;
-        mAdvancesAtSend = mEvents.advances();
-        mEvents.dropPartial();
+        mEvents.beginStream();
         transition(DirectState.Event.SEND);
     }
 
@@ -352,7 +350,7 @@
 
     /** Returns whether the current target has sent a complete event. */
     boolean hasProgressed() {
-        return mEvents.advances() > mAdvancesAtSend;
+        return mEvents.hasAdvanced();
     }
 
     /** Sets whether the answer is an event stream. */
@@ -384,6 +382,11 @@
         return complete;
     }
 
+    /** Notes the end of the target's answer; returns whether it is a stream that ends too early. */
+    boolean endsTooEarly(Input.TargetEnd end) {
+        return mHasEventStream && mEvents.endsTooEarly(end.isByClose());
+    }
+
     EventReader events() {
         return mEvents;
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -16,6 +16,7 @@
 import org.coltsfootproxy.message.LeaseRef;
 import org.coltsfootproxy.message.LeasedItem;
 import org.coltsfootproxy.message.PartialOutput;
+import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.quarantine.CallContent;
 import org.coltsfootproxy.work.WorkEstimate;
 import org.coltsfootproxy.work.WorkFeatures;
@@ -44,10 +45,11 @@
     private long mSentAt;
     private long mActiveNanos;
     private boolean mHasSuccess;
-    private long mAdvancesAtSend;
     private int mFailures;
     private boolean mIsKept;
     private int mReportedBytes;
+    private int mLeasedBytes;
+    private int mRestarts;
     private long mLastActivity;
     private WorkEstimate mEstimate = WorkEstimate.UNKNOWN;
 
@@ -65,6 +67,7 @@
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
         mReportedBytes = partial.bytes().length;
+        mLeasedBytes = mReportedBytes;
         mVersion = Optional.ofNullable(partial.version());
         if (!partial.lastEvent().isEmpty()) {
             mEvents.resumeAfter(partial.lastEvent());
@@ -158,6 +161,8 @@
         mEvents = new EventReader();
         mVersion = Optional.empty();
         mReportedBytes = 0;
+        mLeasedBytes = 0;
+        mRestarts++;
         mActiveNanos = 0;
     }
 
@@ -170,9 +175,8 @@
         mTarget = target;
         mTargetCall = targetCall;
         mTried.add(target.listed().id());
-        mEvents.dropPartial();
+        mEvents.beginStream();
         mHasSuccess = false;
-        mAdvancesAtSend = mEvents.advances();
         mSentAt = nowNanos;
         mLastActivity = nowNanos;
     }
@@ -249,7 +253,7 @@
 
     /** Returns whether the current target has sent a complete event. */
     boolean hasProgressed() {
-        return mEvents.advances() > mAdvancesAtSend;
+        return mEvents.hasAdvanced();
     }
 
     /**
@@ -281,9 +285,9 @@
         return mEvents.lastId();
     }
 
-    /** Returns whether the stream ended within an event, or before the first one. */
-    boolean isCut() {
-        return mEvents.isCut();
+    /** Notes the end of the target's stream; returns whether it ended too early. */
+    boolean endsTooEarly(Input.TargetEnd end) {
+        return mEvents.endsTooEarly(end.isByClose());
     }
 
     byte[] output() {
@@ -305,7 +309,9 @@
                                 new ItemProgress(
                                         lease(),
                                         offset,
-                                        new PartialOutput(newOutput, id, version)));
+                                        new PartialOutput(newOutput, id, version),
+                                        mLeasedBytes,
+                                        mRestarts));
     }
 
     /** Counts a failed call; returns the number of failed calls since the last complete event. */
--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -45,6 +45,7 @@
     private PendingCall mPendingCall;
     private boolean mIsInterim;
     private boolean mKeepAlive;
+    private boolean mEndsByClose;
     private boolean mRequestWritten;
     private boolean mResponseEnded;
     private boolean mIsForOtherCall;
@@ -257,6 +258,10 @@
             return;
         }
         mKeepAlive = HttpUtil.isKeepAlive(head) && isFramed(head);
+        mEndsByClose =
+                !isFramed(head)
+                        && !ResponseCheck.isBodiless(
+                                head.status().code(), mPendingCall.request().method());
         mKeepAliveNanos = KeepAlive.idleNanos(head.headers().get("keep-alive"));
         mForwarder.forward(
                 new Input.TargetHead(
@@ -285,7 +290,7 @@
         }
         if (content instanceof LastHttpContent) {
             mResponseEnded = true;
-            mForwarder.forward(new Input.TargetEnd(mPendingCall.callId()));
+            mForwarder.forward(new Input.TargetEnd(mPendingCall.callId(), mEndsByClose));
             mPool.removeCall(mPendingCall);
             mPendingCall.end();
         }
