A resumed stream is passed on only if it goes on where it was asked to

EventReader took any id. No target does so by the protocol ("any replica resumes at n + 1"), and none did with the program of real processes; but nothing would have shown it.

EventReader now checks ids that are whole numbers: they increase, and the first one after a resumption is the next. Otherwise nothing of that piece is used, the call is cancelled and counts as cut: an item goes on elsewhere, a request within max_attempts, else the answer is broken off where it can be taken up. The reason in the logs of calls and items names both events.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -245,16 +245,16 @@
             if (complete.length > 0) {
                 out.add(new Effect.HttpChunk(mRequest.call().call(), complete));
             }
-            if (mRequest.events().isTooLong()) {
+            Optional<String> fault = mRequest.events().fault();
+            if (fault.isPresent()) {
                 mCalls.cancel(mRequest.targetCall(), out);
-                String why = "an event is longer than " + EventReader.MAX_EVENT_BYTES + " bytes";
-                attemptFailed(mRequest, ErrorKind.ANSWER_CUT, Ran.YES, why, now, out);
+                attemptFailed(mRequest, ErrorKind.ANSWER_CUT, Ran.YES, fault.get(), now, out);
             }
         }
 
         @Override
         public void ended(Input.TargetEnd end, long now, Effects out) {
-            if (mRequest.endsTooEarly(end)) {
+            if (mRequest.hasEventStream() && mRequest.events().endsTooEarly(end.isByClose())) {
                 noteCut(mRequest, now, out);
                 attemptFailed(
                         mRequest,
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -95,6 +95,7 @@
         mArrived = arrived;
         mLastActivity = arrived;
         mDeadline = deadline;
+        resumption.filter(r -> isResumable()).ifPresent(r -> mEvents.resumeAfter(r.lastEvent()));
     }
 
     /**
@@ -392,11 +393,6 @@
         return complete;
     }
 
-    /** Notes the end of the target's answer; returns whether it is a stream that ends too early. */
-    boolean endsTooEarly(Input.TargetEnd end) {
-        return mHasEventStream && mEvents.endsTooEarly(end.isByClose());
-    }
-
     EventReader events() {
         return mEvents;
     }
--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -1,11 +1,17 @@
 package org.coltsfootproxy.direct;
 
+import com.google.common.primitives.Longs;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 
 /**
- * Splits a stream of server-sent events into complete events.
+ * Splits a stream of server-sent events into complete events and checks that they go on where the
+ * events before have ended.
+ *
+ * <p>Ids of events increase, and a stream that is resumed after event n goes on at n + 1. Ids that
+ * are not whole numbers can't be checked.
  *
  * <p>An event ends at an empty line. Lines end with a line feed or with a carriage return and a
  * line feed.
@@ -14,6 +20,7 @@
     /** Size above which an event is not read any further; many times that of any sound event. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
+    private static final byte[] NO_EVENTS = {};
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data:";
 
@@ -22,6 +29,7 @@
     private Optional<String> mLastId = Optional.empty();
     private long mAdvances;
     private long mAdvancesBefore;
+    private Optional<String> mFault = Optional.empty();
     private Optional<String> mEmptyAfter = Optional.empty();
 
     /** Sets the id of the last event that was received before this stream. */
@@ -29,25 +37,51 @@
         mLastId = Optional.of(id);
     }
 
-    /** Appends bytes and returns the events that are now complete; empty if there is none. */
+    /**
+     * Appends bytes and returns the events that are now complete; empty if there is none, or if one
+     * of them does not follow the events before.
+     */
     byte[] append(byte[] bytes) {
+        if (mFault.isPresent()) {
+            return NO_EVENTS;
+        }
         int end = endOfLastEvent(bytes);
         if (end == 0) {
             mPartial.writeBytes(bytes);
-            return new byte[0];
+            return NO_EVENTS;
         }
         mPartial.write(bytes, 0, end);
         byte[] complete = mPartial.toByteArray();
         mPartial.reset();
         mPartial.write(bytes, end, bytes.length - end);
-        Optional<String> id = lastField(complete, ID_FIELD).or(() -> mLastId);
-        if (id.isEmpty() || !id.equals(mLastId)) {
+        List<String> ids = fields(complete, ID_FIELD);
+        mFault = firstFault(ids);
+        if (mFault.isPresent()) {
+            return NO_EVENTS;
+        }
+        if (!ids.isEmpty() || mLastId.isEmpty()) {
             mAdvances++;
         }
-        mLastId = id;
+        mLastId = ids.isEmpty() ? mLastId : Optional.of(ids.get(ids.size() - 1));
         return complete;
     }
 
+    private Optional<String> firstFault(List<String> ids) {
+        Optional<String> last = mLastId;
+        boolean isResumed = last.isPresent() && !hasAdvanced();
+        for (String id : ids) {
+            Long number = Longs.tryParse(id);
+            Long former = last.map(Longs::tryParse).orElse(null);
+            boolean isChecked = number != null && former != null;
+            if (isChecked && (number <= former || isResumed && number != former + 1)) {
+                return Optional.of("event " + id + " came after event " + former);
+            }
+            isResumed = false;
+            last = Optional.of(id);
+        }
+        return Optional.empty();
+    }
+
     /** Returns the index after the last event that ends in the bytes; 0 if none ends. */
     private int endOfLastEvent(byte[] bytes) {
         int end = 0;
@@ -62,11 +96,11 @@
         return end;
     }
 
-    private static Optional<String> lastField(byte[] events, String field) {
+    private static List<String> fields(byte[] events, String field) {
         return lines(events)
                 .filter(line -> line.startsWith(field))
-                .reduce((former, latter) -> latter)
-                .map(line -> line.substring(field.length()).strip());
+                .map(line -> line.substring(field.length()).strip())
+                .toList();
     }
 
     private static java.util.stream.Stream<String> lines(byte[] events) {
@@ -120,9 +154,14 @@
         return isEmpty && (mLastId.isEmpty() || !isConfirmed);
     }
 
-    /** Returns whether the event that has begun is longer than any sound event. */
-    boolean isTooLong() {
-        return mPartial.size() > MAX_EVENT_BYTES;
+    /**
+     * Returns why the current target's stream can't be read any further: an event that does not
+     * follow those before, or one that is longer than any sound event; empty if it can.
+     */
+    Optional<String> fault() {
+        return mPartial.size() > MAX_EVENT_BYTES
+                ? Optional.of("an event is longer than " + MAX_EVENT_BYTES + " bytes")
+                : mFault;
     }
 
     /** Returns whether an event has begun and not ended. */
@@ -133,6 +172,7 @@
     /** Begins the stream of another target; discards an event that the former one has begun. */
     void beginStream() {
         mAdvancesBefore = mAdvances;
+        mFault = Optional.empty();
         mPartial.reset();
         mIsLineEmpty = true;
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -276,9 +276,11 @@
         }
     }
 
-    /** Returns whether the event that has begun, or the output, is longer than any sound one. */
-    boolean isTooLong() {
-        return mEvents.isTooLong() || mOutput.size() > MAX_OUTPUT_BYTES;
+    /** Returns why the target's answer can't be read any further; empty if it can. */
+    Optional<String> fault() {
+        return mOutput.size() > MAX_OUTPUT_BYTES
+                ? Optional.of("the output is longer than " + MAX_OUTPUT_BYTES + " bytes")
+                : mEvents.fault();
     }
 
     Optional<String> lastEvent() {
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -334,9 +334,10 @@
             if (!hadProgressed && mRun.hasProgressed()) {
                 mQuarantine.answerProgressed(mRun.content(), now, out);
             }
-            if (mRun.isTooLong()) {
+            Optional<String> fault = mRun.fault();
+            if (fault.isPresent()) {
                 mCalls.cancel(mRun.targetCall(), out);
-                attemptFailed(mRun, "an event or the output is too long", now, out);
+                attemptFailed(mRun, fault.get(), now, out);
             }
         }
 
@@ -344,8 +345,7 @@
         public void ended(Input.TargetEnd end, long now, Effects out) {
             if (mRun.endsTooEarly(end)) {
                 noteBrokenAnswer(mRun, now, out);
-                attemptFailed(
-                        mRun, "the stream ended within an event or before the first one", now, out);
+                attemptFailed(mRun, "the stream ended too early", now, out);
                 return;
             }
             mTargets.work()
--- a/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Random;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link EventReader}. */
@@ -81,6 +82,40 @@
         assertFalse(reader.endsTooEarly(false));
     }
 
+    @DataProvider
+    Object[][] eventsThatDoNotFollow() {
+        return new Object[][] {
+            {"begins again", "id: 1\ndata: a\n\n", "event 1 came after event 2"},
+            {"repeats", "id: 2\ndata: b\n\n", "event 2 came after event 2"},
+            {"skips", "id: 4\ndata: d\n\n", "event 4 came after event 2"},
+            {"goes back", "id: 3\ndata: c\n\nid: 2\ndata: b\n\n", "event 2 came after event 3"},
+        };
+    }
+
+    /** Guards against events that come twice, or are missing, at the joint of two streams. */
+    @Test(dataProvider = "eventsThatDoNotFollow")
+    public void aResumedStreamThatDoesNotFollowIsAtFault(String how, String events, String fault) {
+        EventReader reader = new EventReader();
+        reader.append(bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        reader.beginStream();
+        assertEquals(text(reader.append(bytes(events))), "", how);
+        assertEquals(reader.fault(), Optional.of(fault));
+        assertEquals(text(reader.append(bytes("id: 5\ndata: e\n\n"))), "", "after a fault");
+        assertEquals(reader.lastId(), Optional.of("2"));
+        reader.beginStream();
+        assertEquals(text(reader.append(bytes("id: 3\ndata: c\n\n"))), "id: 3\ndata: c\n\n");
+        assertEquals(reader.fault(), Optional.empty());
+    }
+
+    @Test
+    public void idsThatAreNoNumbersAreNotChecked() {
+        EventReader reader = new EventReader();
+        reader.append(bytes("id: b\ndata: 1\n\nid: a\ndata: 2\n\n"));
+        reader.beginStream();
+        assertEquals(text(reader.append(bytes("id: 1\ndata: 3\n\n"))), "id: 1\ndata: 3\n\n");
+        assertEquals(reader.fault(), Optional.empty());
+    }
+
     @Test
     public void dataLinesAreJoinedByLineFeeds() {
         assertEquals(EventReader.data(bytes(EVENTS)), "a\nb\né\nf");
@@ -106,9 +141,9 @@
         byte[] block = new byte[64 << 10];
         java.util.Arrays.fill(block, (byte) 'x');
         for (int n = 0; n <= EventReader.MAX_EVENT_BYTES / block.length; n++) {
-            assertFalse(reader.isTooLong(), "after " + n + " blocks");
+            assertEquals(reader.fault(), Optional.empty(), "after " + n + " blocks");
             reader.append(block);
         }
-        assertTrue(reader.isTooLong());
+        assertTrue(reader.fault().isPresent());
     }
 }
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -15,6 +15,7 @@
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.platform.PlatformSimulation.Answer;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests batch jobs through real nodes and a simulated platform, including the loss of stores. */
@@ -161,6 +162,28 @@
         assertEquals(mSimulation.runsOf("j1-i0").get(2).mResumeAfter, 3);
     }
 
+    @DataProvider
+    Object[][] eventsThatDoNotFollowTheThird() {
+        return new Object[][] {{1}, {3}, {5}};
+    }
+
+    /** Guards against events that stand twice, or are missing, where an item goes on elsewhere. */
+    @Test(dataProvider = "eventsThatDoNotFollowTheThird")
+    public void anItemThatIsResumedAtTheWrongEventGoesOnElsewhere(int event) {
+        mSimulation.mTargets.values().forEach(target -> target.mCutAtEvent = 4);
+        mSimulation.submit(mSimulation.entry(0), "j1", 1);
+        runUntilSent("j1-i0", 1);
+        for (SimulatedTarget target : mSimulation.mTargets.values()) {
+            target.mResumesAt = event;
+            target.mCutAtEvent = target.mRuns.isEmpty() ? 0 : 4;
+        }
+        runUntilSent("j1-i0", 2);
+        mSimulation.mTargets.values().forEach(target -> target.mResumesAt = 0);
+        mSimulation.run(5 * SECOND_NANOS);
+
+        assertAllDone("j1", 1);
+    }
+
     private void runUntilSent(String item, int runs) {
         for (int n = 0; n < 1_000 && mSimulation.runsOf(item).size() < runs; n++) {
             mSimulation.run(5 * MILLI_NANOS);
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -69,6 +69,9 @@
     /** Number of characters of that event that are sent before. */
     int mCharsBeforeClose;
 
+    /** Event at which the next resumed stream goes on; 0 for the one that follows. */
+    int mResumesAt;
+
     /** What the target sends every event interval instead of an event, from this event on. */
     String mFiller = "";
 
@@ -273,10 +276,17 @@
             mFleet.after(
                     mEventIntervalNanos, () -> end(run, () -> answer(run, 200, List.of(), "card")));
         } else {
-            mFleet.after(mEventIntervalNanos, () -> event(run, run.mResumeAfter + 1));
+            int first = firstEvent(run);
+            mFleet.after(mEventIntervalNanos, () -> event(run, first));
         }
     }
 
+    private int firstEvent(Run run) {
+        int resumesAt = run.mResumeAfter > 0 ? mResumesAt : 0;
+        mResumesAt = run.mResumeAfter > 0 ? 0 : mResumesAt;
+        return resumesAt > 0 ? resumesAt : run.mResumeAfter + 1;
+    }
+
     private void event(Run run, int number) {
         if (run.mIsFinished) {
             return;
