--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -95,6 +95,7 @@
         mLastActivity = arrived;
         mDeadline = deadline;
         mBudget = RunBudget.of(route.policy().maxRuns());
+        resumption.filter(r -> isResumable()).ifPresent(r -> mEvents.resumeAfter(r.lastEvent()));
     }
 
     /**
@@ -382,11 +383,6 @@
         return complete;
     }
 
-    /** Notes the end of the target's answer; returns whether it is a stream that ends too early. */
-    boolean endsTooEarly(Input.TargetEnd end) {
-        return mHasEventStream && mEvents.endsTooEarly(end.isByClose());
-    }
-
     EventReader events() {
         return mEvents;
     }
