A request's time begins when its head is received

The waits of EarlyCalls and of held resumptions count as before.

Still open: the time that bytes wait in the kernel before the network thread reads them is not known to the process.

--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -300,7 +300,7 @@
                         organisation,
                         mProtocols.targets().sharedPromptParts(call.headers()),
                         mProtocols.targets().declaredSizes(call.headers()),
-                        arrivedAt);
+                        call.begunNanos(arrivedAt));
         request.allowOnly(
                 mSettings.direct().regions().dataCentres(Regions.allowed(route, organisation)));
         if (mVersions.followsFromList(request, now)) {
--- a/src/main/java/org/coltsfootproxy/entry/OnlineRequests.java
+++ b/src/main/java/org/coltsfootproxy/entry/OnlineRequests.java
@@ -92,11 +92,11 @@
     /** Begins a request whose route and organisation have been checked. */
     void begin(Input.HttpCall call, Route route, Organisation organisation, long now, Effects out) {
         RequestId id = RequestId.of(mOrigin, ++mLastSequence);
-        long deadlineNanos = now + TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis());
-        Request request = Request.of(id, call, route, organisation, now, deadlineNanos);
+        long deadline = call.begunNanos(now) + TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis());
+        Request request = Request.of(id, call, route, organisation, now, deadline);
         mRequests.put(id, request);
         mByCall.put(call.call(), request);
-        mTimers.set(id, deadlineNanos);
+        mTimers.set(id, deadline);
         if (route.open()) {
             onAdmitted(request, now, out);
         } else {
--- a/src/main/java/org/coltsfootproxy/net/FrontConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/FrontConnection.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
@@ -166,7 +167,8 @@
                         request.method(),
                         request.path(),
                         request.headers(),
-                        request.body());
+                        request.body(),
+                        OptionalLong.of(request.receivedNanos()));
         if (!mFront.sink().offer(call)) {
             mFront.events().count(Metric.RING_FULL, "front");
             Problem problem = Problem.of(ErrorKind.OVERLOADED, "the server's input ring is full");
--- a/src/main/java/org/coltsfootproxy/net/InboundRequest.java
+++ b/src/main/java/org/coltsfootproxy/net/InboundRequest.java
@@ -10,6 +10,7 @@
  * @param headers the end-to-end fields, without Content-Length
  * @param keepAlive whether the caller allows the connection to be reused
  * @param acceptsChunked whether the response may use chunked transfer coding (HTTP/1.1)
+ * @param receivedNanos when the head was received
  */
 record InboundRequest(
         String method,
@@ -17,7 +18,8 @@
         List<Header> headers,
         byte[] body,
         boolean keepAlive,
-        boolean acceptsChunked) {
+        boolean acceptsChunked,
+        long receivedNanos) {
     /** Returns whether the method is HEAD, so that the response has no body. */
     boolean isHead() {
         return method.equals("HEAD");
--- a/src/main/java/org/coltsfootproxy/net/RequestReader.java
+++ b/src/main/java/org/coltsfootproxy/net/RequestReader.java
@@ -18,6 +18,7 @@
     private final RequestCheck mCheck;
     private final int mMaxBodyBytes;
     private HttpRequest mHead;
+    private long mHeadNanos;
     private ByteArrayOutputStream mBody;
 
     private RequestReader(HttpFrontSettings settings) {
@@ -40,6 +41,7 @@
         Optional<Problem> problem = mCheck.rejectionOf(head);
         if (problem.isEmpty()) {
             mHead = head;
+            mHeadNanos = System.nanoTime();
             mBody = new ByteArrayOutputStream();
         }
         return problem;
@@ -83,7 +85,8 @@
                         headers,
                         mBody.toByteArray(),
                         isHttp11 && HttpUtil.isKeepAlive(mHead),
-                        isHttp11);
+                        isHttp11,
+                        mHeadNanos);
         mHead = null;
         mBody = null;
         return request;
--- a/src/main/java/org/coltsfootproxy/node/Input.java
+++ b/src/main/java/org/coltsfootproxy/node/Input.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.node;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
@@ -27,9 +28,26 @@
      *
      * @param call number of the call, which the effects that answer it repeat
      * @param path path with query
+     * @param receivedNanos when its head was received; empty if it has not waited since
      */
-    record HttpCall(long call, String method, String path, List<Header> headers, byte[] body)
-            implements Input {}
+    record HttpCall(
+            long call,
+            String method,
+            String path,
+            List<Header> headers,
+            byte[] body,
+            OptionalLong receivedNanos)
+            implements Input {
+        /** Creates a call that has not waited since its head was received. */
+        public HttpCall(long call, String method, String path, List<Header> headers, byte[] body) {
+            this(call, method, path, headers, body, OptionalLong.empty());
+        }
+
+        /** Returns when the caller's time began, for a call that the node got at a given time. */
+        public long begunNanos(long gotNanos) {
+            return Math.min(gotNanos, receivedNanos.orElse(gotNanos));
+        }
+    }
 
     /** The caller of an HTTP request disconnected, or its answer could not be written. */
     record HttpDisconnected(long call) implements Input {}
--- a/src/test/java/org/coltsfootproxy/net/HttpFrontTest.java
+++ b/src/test/java/org/coltsfootproxy/net/HttpFrontTest.java
@@ -110,6 +110,21 @@
         }
     }
 
+    /** Guards against callers whose time begins again when an earlier answer has ended. */
+    @Test
+    public void theTimeOfAPipelinedRequestBeginsWhenItIsReceived() throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            long first = call(caller, GET + "\r\n" + GET + "\r\n").call();
+            mFront.execute(new Effect.HttpHead(first, 200, List.of()));
+            caller.readUntil("\r\n\r\n");
+            long beforeEnd = System.nanoTime();
+            mFront.execute(new Effect.HttpEnd(first));
+
+            Input.HttpCall second = mSink.next(Input.HttpCall.class);
+            assertTrue(second.begunNanos(System.nanoTime()) < beforeEnd);
+        }
+    }
+
     @Test
     public void aChunkOfAStreamIsSentAtOnce() throws Exception {
         try (RawHttp caller = new RawHttp(mAddress)) {
--- a/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
+++ b/src/test/java/org/coltsfootproxy/platform/PlatformSimulation.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -86,6 +87,9 @@
     /** Members of the job log, as a control host logged them last. */
     String mJobMembers = "[]";
 
+    /** When calls that nodes get from now on were received; empty if they don't wait. */
+    OptionalLong mReceivedNanos = OptionalLong.empty();
+
     private final int mVoters;
     private final VirtualFleet mFleet;
     private final Random mRandom;
@@ -580,7 +584,8 @@
         Answer answer = new Answer(mFleet.now());
         mAnswers.put(call, answer);
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        mFleet.deliver(host, new Input.HttpCall(call, method, path, headers, bytes));
+        mFleet.deliver(
+                host, new Input.HttpCall(call, method, path, headers, bytes, mReceivedNanos));
         return answer;
     }
 
--- a/src/test/java/org/coltsfootproxy/platform/RunLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/RunLimitTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.coltsfootproxy.platform.PlatformSimulation.Answer;
 import org.testng.annotations.Test;
@@ -108,6 +109,22 @@
         }
     }
 
+    /** Guards against targets that get the time again that a request has waited in its entry. */
+    @Test
+    public void theTimeThatARequestHasWaitedInItsEntryIsNotLeft() {
+        PlatformSimulation simulation = startWithManyTargets(7);
+        simulation.mReceivedNanos = OptionalLong.of(simulation.now() - 2 * SECOND_NANOS);
+        simulation.request(simulation.entry(0), "q1", "/ask/1");
+        simulation.mReceivedNanos = OptionalLong.of(simulation.now() - 6 * SECOND_NANOS);
+        simulation.request(simulation.entry(0), "q2", "/ask/1");
+        simulation.run(SECOND_NANOS);
+
+        SimulatedTarget.Run run = simulation.runsOf("q1").get(0);
+        long leftMillis = (endNanos(run) - run.mArrivalNanos) / MILLI_NANOS;
+        assertTrue(leftMillis > 2_900 && leftMillis <= 3_000, "left " + leftMillis);
+        assertEquals(simulation.runsOf("q2"), List.of(), "its time has passed");
+    }
+
     private static long endNanos(SimulatedTarget.Run run) {
         return run.mArrivalNanos
                 + MILLI_NANOS
