A planned stop cuts no request that it could have refused or answered

What callers saw: in a planned stop, requests that were passed on during the drain delay were cut without any answer at the end of stopSeconds, also requests that may not be repeated.

Cause: an entry took every request during the drain delay, whatever time limit it had; the delay was chosen for requests of 5 s at most and had no margin. The entry with agents took requests for 5 s whatever stopSeconds is. At the end, connections were closed whether their calls were answered or not, and answers that slow callers had not read were dropped.

StopWindow now refuses (503, not run) calls whose deadline is later than 250 ms before the end of the stop, by the time of their arrival instead of the last timer. Both kinds of entry use it. HttpFront.finish answers the calls that are left (502), refuses later ones and waits until the last bytes are sent. What remains: an event stream that has begun before the stop and lasts longer can only be cut.

--- a/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectEntryNode.java
@@ -21,6 +21,7 @@
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.entry.CallerCheck;
 import org.coltsfootproxy.entry.EntrySettings;
+import org.coltsfootproxy.entry.StopWindow;
 import org.coltsfootproxy.job.JobRequestClient;
 import org.coltsfootproxy.limit.SharedCountLimiter;
 import org.coltsfootproxy.membership.FleetMembership;
@@ -52,6 +53,7 @@
     private static final long SYNC_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final EntrySettings mSettings;
+    private final StopWindow mStop;
     private final Protocols mProtocols;
     private final PeerAddresses mAddresses;
     private final ConfigSubscriber mConfig;
@@ -73,9 +75,6 @@
     private final RandomGenerator mRandom;
     private long mSyncDeadline = NEVER;
     private boolean mIsSynced;
-    private boolean mStopping;
-    private long mRefuseAt;
-    private boolean mRefusing;
     private volatile boolean mIsReady;
 
     /** The protocols towards callers and targets. */
@@ -95,6 +94,7 @@
             FleetMembership membership,
             RandomGenerator random) {
         mSettings = checkNotNull(settings, "settings");
+        mStop = StopWindow.of(settings);
         mProtocols = checkNotNull(protocols, "protocols");
         mAddresses = checkNotNull(addresses, "addresses");
         mConfig = checkNotNull(config, "config");
@@ -218,8 +218,7 @@
             mConfig.discardConfirmations(nowNanos, out);
             configureTargets(nowNanos, out);
         } else if (input instanceof Input.PlannedStop) {
-            mStopping = true;
-            mRefuseAt = nowNanos + mSettings.drainDelayNanos();
+            mStop.begin(nowNanos);
         }
         updateReadiness(nowNanos, out);
     }
@@ -234,7 +233,7 @@
     }
 
     private void httpCall(Input.HttpCall call, long now, Effects out) {
-        if (mIsReady || mStopping || !mEarlyCalls.hold(call, now)) {
+        if (mIsReady || mStop.hasBegun() || !mEarlyCalls.hold(call, now)) {
             answerCall(call, now, now, out);
         }
     }
@@ -247,7 +246,7 @@
                 name = forward.requestName();
                 forward(call, forward, arrivedAt, now, out);
             } else {
-                checkNotRefusing();
+                mStop.check(now + DirectJobs.ANSWER_TIMEOUT_NANOS, now);
                 mJobs.call(call, callerCall, organisation(call, now).id(), now, out);
             }
         } catch (ProxyException e) {
@@ -255,12 +254,6 @@
         }
     }
 
-    private void checkNotRefusing() throws ProxyException {
-        if (mRefusing) {
-            throw ProxyException.of(ErrorKind.STOPPING, "the host is stopping");
-        }
-    }
-
     private Organisation organisation(Input.HttpCall call, long now) throws ProxyException {
         return CallerCheck.organisation(mConfig.view(), mConfig.isFresh(now), call.headers());
     }
@@ -268,7 +261,7 @@
     private void forward(
             Input.HttpCall call, CallerCall.Forward forward, long arrivedAt, long now, Effects out)
             throws ProxyException {
-        checkNotRefusing();
+        mStop.check(now, now);
         Route route = route(forward, now);
         if (!isConfirmed(now)) {
             throw ProxyException.of(
@@ -287,6 +280,7 @@
                                             ErrorKind.UNAUTHENTICATED, "batch jobs need a key"));
             Optional<Set<Region>> allowed = Regions.allowed(route, organisation);
             mRegionCheck.checkStores(allowed);
+            mStop.check(now + DirectJobs.ANSWER_TIMEOUT_NANOS, now);
             mJobs.submit(call, route, owner.id(), allowed, now, out);
             return;
         }
@@ -301,6 +295,7 @@
                         mProtocols.targets().sharedPromptParts(call.headers()),
                         mProtocols.targets().declaredSizes(call.headers()),
                         arrivedAt);
+        mStop.check(request.deadline(), now);
         request.allowOnly(
                 mSettings.direct().regions().dataCentres(Regions.allowed(route, organisation)));
         if (mVersions.followsFromList(request, now)) {
@@ -381,9 +376,7 @@
         mVersionSync.tick(nowNanos, out);
         mCalls.tick(nowNanos, out);
         mJobs.tick(nowNanos, out);
-        if (mStopping && !mRefusing && nowNanos - mRefuseAt >= 0) {
-            mRefusing = true;
-        }
+        mStop.tick(nowNanos);
         updateReadiness(nowNanos, out);
     }
 
@@ -393,13 +386,13 @@
         boolean hasConfigAndTargets = isFresh && mConfig.view().version() > 0 && listing > 0;
         // The wait ends at its deadline whatever else is missing; else a tick would stay due.
         mIsSynced |= mSyncDeadline != NEVER && now - mSyncDeadline >= 0;
-        boolean isReady = !mStopping && hasConfigAndTargets && isSynced(now);
+        boolean isReady = !mStop.hasBegun() && hasConfigAndTargets && isSynced(now);
         if (isReady != mIsReady) {
             mIsReady = isReady;
             out.log(
                     EventCode.READINESS_CHANGED,
                     LogField.of("ready", isReady),
-                    LogField.of("stopping", mStopping),
+                    LogField.of("stopping", mStop.hasBegun()),
                     LogField.of("configFresh", isFresh),
                     LogField.of("configVersion", mConfig.view().version()),
                     LogField.of("listing", listing));
@@ -436,17 +429,16 @@
         next = Math.min(next, mResumptions.nextTickNanos());
         next = Math.min(next, mCalls.nextTickNanos());
         next = Math.min(next, mJobs.nextTickNanos());
-        long nextWithSync = mIsSynced ? next : Math.min(next, mSyncDeadline);
-        return mStopping && !mRefusing ? Math.min(nextWithSync, mRefuseAt) : nextWithSync;
+        next = Math.min(next, mStop.nextTickNanos());
+        return mIsSynced ? next : Math.min(next, mSyncDeadline);
     }
 
     @Override
     public boolean isDrained() {
-        return mStopping
+        return mStop.isClosed()
                 && mEarlyCalls.isEmpty()
                 && mResumptions.isEmpty()
                 && mCalls.isEmpty()
-                && mJobs.isEmpty()
-                && mRefusing;
+                && mJobs.isEmpty();
     }
 }
--- a/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -39,7 +39,7 @@
     /**
      * Time limit for an answer, besides a wait that the caller asked for: an election and a commit.
      */
-    private static final long ANSWER_TIMEOUT_MILLIS = 3_500;
+    static final long ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
 
     /** Time without an answer after which another host is asked: one election of the job log. */
     private static final long RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -175,7 +175,7 @@
             responder.fail(ErrorKind.OVERLOADED, detail, RETRY_AFTER_MILLIS, out);
             return;
         }
-        long end = now + TimeUnit.MILLISECONDS.toNanos(waitMillis + ANSWER_TIMEOUT_MILLIS);
+        long end = now + TimeUnit.MILLISECONDS.toNanos(waitMillis) + ANSWER_TIMEOUT_NANOS;
         mClient.ask(call.call(), ask, bytes, end, responder, now, out);
     }
 
--- a/src/main/java/org/coltsfootproxy/entry/EntryNode.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntryNode.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
-import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.config.ConfigSubscriber;
@@ -50,7 +49,7 @@
     /** Minimum time until the deadline for a retry, in nanoseconds. */
     private static final long MIN_REMAINING_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-    private final EntrySettings mSettings;
+    private final StopWindow mStop;
     private final ConfigSubscriber mConfig;
     private final HostView mHosts = HostView.create();
     private final AgentPool mAgents;
@@ -60,22 +59,13 @@
     private final JobGateway mJobs;
     private long mNextWatchNanos;
 
-    /** Whether a planned stop has begun. */
-    private boolean mStopping;
-
-    /** When the drain delay of a planned stop ends. */
-    private long mRefuseFromNanos;
-
-    /** Whether new requests are refused, as the drain delay is over. */
-    private boolean mRefusing;
-
     private EntryNode(
             EntrySettings settings,
             ConfigSubscriber config,
             EntryPolicies policies,
             JobGateway jobs,
             RandomGenerator random) {
-        mSettings = checkNotNull(settings, "settings");
+        mStop = StopWindow.of(settings);
         mConfig = checkNotNull(config, "config");
         mJobs = checkNotNull(jobs, "jobs");
         mAgents = AgentPool.create(policies.choosers(), mHosts::isLeaving);
@@ -138,16 +128,13 @@
         } else if (input instanceof Input.HostsUnreadable unreadable) {
             mHosts.unreadable(unreadable.detail(), out);
         } else if (input instanceof Input.PlannedStop) {
-            mStopping = true;
-            mRefuseFromNanos = nowNanos + mSettings.drainDelayNanos();
+            mStop.begin(nowNanos);
         }
     }
 
     private void httpCall(Input.HttpCall call, long now, Effects out) {
         try {
-            if (mRefusing) {
-                throw ProxyException.of(ErrorKind.STOPPING, "the host is stopping");
-            }
+            mStop.check(now, now);
             accept(call, now, out);
         } catch (ProxyException e) {
             CallerAnswers.refuse(call.call(), Problem.from(e), out);
@@ -164,6 +151,7 @@
             return;
         }
         Route route = CallerCheck.route(view, call.path());
+        mStop.check(now + TimeUnit.MILLISECONDS.toNanos(route.timeoutMillis()), now);
         if (route.open()) {
             mRequests.begin(call, route, OpenCallers.ORGANISATION, now, out);
             return;
@@ -227,8 +215,7 @@
             mNextWatchNanos = nowNanos + WATCH_INTERVAL_NANOS;
             mAgents.watchDisconnected(out);
         }
-        if (mStopping && !mRefusing && nowNanos - mRefuseFromNanos >= 0) {
-            mRefusing = true;
+        if (mStop.tick(nowNanos)) {
             mLimiter.stop(nowNanos, out);
             mOwnership.stop(nowNanos, out);
         }
@@ -236,21 +223,20 @@
 
     @Override
     public long nextTickNanos() {
-        long next =
-                LongStream.of(
-                                mConfig.nextTickNanos(),
-                                mLimiter.nextTickNanos(),
-                                mOwnership.nextTickNanos(),
-                                mRequests.nextTickNanos(),
-                                mJobs.nextTickNanos(),
-                                mNextWatchNanos)
-                        .min()
-                        .getAsLong();
-        return mStopping && !mRefusing ? Math.min(next, mRefuseFromNanos) : next;
+        return LongStream.of(
+                        mConfig.nextTickNanos(),
+                        mLimiter.nextTickNanos(),
+                        mOwnership.nextTickNanos(),
+                        mRequests.nextTickNanos(),
+                        mJobs.nextTickNanos(),
+                        mNextWatchNanos,
+                        mStop.nextTickNanos())
+                .min()
+                .getAsLong();
     }
 
     @Override
     public boolean isDrained() {
-        return mRefusing && mRequests.isEmpty() && mJobs.isDrained();
+        return mStop.isClosed() && mRequests.isEmpty() && mJobs.isDrained();
     }
 }
--- a/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
+++ b/src/main/java/org/coltsfootproxy/entry/EntrySettings.java
@@ -24,6 +24,7 @@
  *     agent's answer
  * @param drainDelayNanos time after the start of a planned stop during which new requests are still
  *     served, so that the load balancer can notice the stop
+ * @param stopNanos time after the start of a planned stop at which requests are cut
  * @param direct settings that only entries use which call targets themselves
  */
 public record EntrySettings(
@@ -35,6 +36,7 @@
         long askTimeoutNanos,
         long deadlineGraceNanos,
         long drainDelayNanos,
+        long stopNanos,
         Direct direct) {
     /** Time that a request may take, for the requests accepted last to end before the limit. */
     private static final long LONGEST_REQUEST_NANOS = TimeUnit.SECONDS.toNanos(5);
@@ -68,6 +70,7 @@
                 TimeUnit.SECONDS.toNanos(3),
                 TimeUnit.MILLISECONDS.toNanos(250),
                 TimeUnit.SECONDS.toNanos(5),
+                Long.MAX_VALUE,
                 new Direct(Regions.none(), false, ContentionMode.AUTO));
     }
 
@@ -91,6 +94,7 @@
                 askTimeoutNanos,
                 deadlineGraceNanos,
                 drainDelay,
+                stopNanos,
                 direct);
     }
 
@@ -105,6 +109,7 @@
                 askTimeoutNanos,
                 deadlineGraceNanos,
                 drainDelayNanos,
+                stopNanos,
                 settings);
     }
 
--- a/src/main/java/org/coltsfootproxy/net/FrontConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/FrontConnection.java
@@ -166,13 +166,13 @@
                         request.path(),
                         request.headers(),
                         request.body());
-        if (!mFront.sink().offer(call)) {
+        if (mFront.isFinished()) {
+            writeProblem(exchange, Problem.of(ErrorKind.STOPPING, "the host is stopping"));
+        } else if (!mFront.sink().offer(call)) {
             mFront.events().count(Metric.RING_FULL, "front");
             Problem problem = Problem.of(ErrorKind.OVERLOADED, "the server's input ring is full");
             reportRejection(problem);
-            mFront.unregister(exchange);
-            mWriter.writeProblem(exchange, problem);
-            onResponseEnd();
+            writeProblem(exchange, problem);
         }
     }
 
@@ -208,6 +208,15 @@
         }
     }
 
+    /** Sends a problem as the whole response of an exchange that has none yet. */
+    void writeProblem(Exchange exchange, Problem problem) {
+        if (exchange == mCurrent && !exchange.isHeadSent()) {
+            mFront.unregister(exchange);
+            mWriter.writeProblem(exchange, problem);
+            onResponseEnd();
+        }
+    }
+
     /** Sends a chunk of the response's body, or discards it if it can't be written. */
     void writeChunk(Exchange exchange, byte[] bytes) {
         if (exchange != mCurrent || !mWriter.writeChunk(exchange, bytes)) {
--- a/src/main/java/org/coltsfootproxy/net/HttpFront.java
+++ b/src/main/java/org/coltsfootproxy/net/HttpFront.java
@@ -4,11 +4,13 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.ChannelGroupFuture;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -20,6 +22,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import org.coltsfootproxy.base.ErrorKind;
@@ -27,6 +30,7 @@
 import org.coltsfootproxy.base.Metric;
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.node.Effect;
+import org.coltsfootproxy.node.Problem;
 
 /**
  * The HTTP/1.1 server for callers.
@@ -51,6 +55,7 @@
     private final AtomicLong mNextCallId = new AtomicLong(1);
     private Channel mServer;
     private volatile boolean mDraining;
+    private volatile boolean mFinished;
 
     private record OpenCall(FrontConnection connection, Exchange exchange, Channel channel) {}
 
@@ -174,6 +179,28 @@
         mDraining = true;
     }
 
+    /**
+     * Ends the service: stops listening, answers the calls that have no response yet with a
+     * problem, and waits until the responses that have ended are sent to their callers. Calls that
+     * arrive in the meantime are refused.
+     *
+     * @param maxWaitNanos longest time to wait for callers that read slowly
+     */
+    public void finish(Problem problem, long maxWaitNanos) throws InterruptedException {
+        mFinished = true;
+        mServer.close().awaitUninterruptibly();
+        mOpenCalls.values().forEach(open -> answer(open, problem));
+        // Writes of a channel complete in their order, so an empty one completes as the last.
+        ChannelGroupFuture sent = mChannels.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        sent.await(maxWaitNanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void answer(OpenCall open, Problem problem) {
+        open.channel()
+                .eventLoop()
+                .execute(() -> run(open, (c, exchange) -> c.writeProblem(exchange, problem)));
+    }
+
     /** Returns the number of calls whose responses have not ended. */
     public int openCalls() {
         return mOpenCalls.size();
@@ -217,6 +244,11 @@
         return mEvents;
     }
 
+    /** Returns whether no further call is passed to the sink. */
+    boolean isFinished() {
+        return mFinished;
+    }
+
     boolean isDraining() {
         return mDraining;
     }
--- a/src/main/java/org/coltsfootproxy/runtime/EntryRoleComponents.java
+++ b/src/main/java/org/coltsfootproxy/runtime/EntryRoleComponents.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.ProxyException;
@@ -40,7 +41,8 @@
         Incarnation incarnation = Role.newIncarnation(random);
         EntryNode node =
                 EntryNode.create(
-                        EntrySettings.of(settings.host(), settings.dataCentre()),
+                        EntrySettings.of(settings.host(), settings.dataCentre())
+                                .withStopLimit(TimeUnit.SECONDS.toNanos(settings.stopSeconds())),
                         Role.subscriber(settings, random),
                         policies(settings, role, incarnation, random),
                         jobGateway(settings, random),
--- a/src/main/java/org/coltsfootproxy/runtime/HostProcess.java
+++ b/src/main/java/org/coltsfootproxy/runtime/HostProcess.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.Metric;
@@ -23,6 +24,7 @@
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.node.LogField;
 import org.coltsfootproxy.node.Node;
+import org.coltsfootproxy.node.Problem;
 
 /**
  * A running host: its node, and the threads, sockets and files that the node needs.
@@ -33,6 +35,13 @@
     /** Largest configuration document that operators may upload, in bytes. */
     private static final int MAX_CONFIG_BYTES = 8 << 20;
 
+    /** Time at the end of a planned stop for the last answers to be sent to their callers. */
+    private static final long MIN_SEND_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Answer to the calls that are still unanswered at the end of a planned stop. */
+    private static final Problem UNANSWERED =
+            Problem.of(ErrorKind.ANSWER_LOST, "the host has stopped before the call ended");
+
     private volatile Settings mSettings;
     private final EventLog mLog;
     private final Metrics mMetrics = Metrics.create();
@@ -197,7 +206,14 @@
         mReady = false;
         mRole.front().ifPresent(HttpFront::startDraining);
         mNodeLoop.put(new Input.PlannedStop());
-        boolean drained = mNodeLoop.awaitDrained(TimeUnit.SECONDS.toNanos(mSettings.stopSeconds()));
+        long stopNanos = TimeUnit.SECONDS.toNanos(mSettings.stopSeconds());
+        long endNanos = System.nanoTime() + stopNanos;
+        boolean drained = mNodeLoop.awaitDrained(stopNanos);
+        mNodeLoop.stop();
+        if (mRole.front().isPresent()) {
+            long maxWaitNanos = Math.max(MIN_SEND_NANOS, endNanos - System.nanoTime());
+            mRole.front().get().finish(UNANSWERED, maxWaitNanos);
+        }
         close();
         mLog.write(
                 EventCode.PROCESS_STOPPED,
--- a/src/test/java/org/coltsfootproxy/platform/ScriptedTargets.java
+++ b/src/test/java/org/coltsfootproxy/platform/ScriptedTargets.java
@@ -22,7 +22,7 @@
  * the platform's list that shows them.
  */
 final class ScriptedTargets implements AutoCloseable {
-    private static final int SLOTS = 50;
+    private static final int SLOTS = 500;
 
     private final HttpServer mList;
     private final List<Target> mTargets = new ArrayList<>();
--- a/src/test/java/org/coltsfootproxy/platform/SocketFleet.java
+++ b/src/test/java/org/coltsfootproxy/platform/SocketFleet.java
@@ -187,8 +187,9 @@
         return mCallers;
     }
 
-    HostProcess entry() {
-        return mHosts.get(2);
+    /** Stops the entry as planned and returns when its process would end. */
+    void stopEntry() throws Exception {
+        mHosts.remove(mHosts.size() - 1).stop();
     }
 
     @Override
