A reset that shows as a failed write breaks the answer off

What callers saw: an answer without length whose target was reset while it was still being sent a long request body reached the caller as a complete one.

Cause: a failed write only closed the connection (CLOSE_ON_FAILURE). The decoder takes the close as the end of a response without length, and no read error is reported on a connection that is closed by then.

Evidence: aResetWhileTheRequestIsStillWrittenBreaksTheBodyOff, on a socket with a request of 64 MiB. Before: "TargetEnd[call=2] expected [true] but found [false]". The call now fails as soon as the write does.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -14,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.Optional;
@@ -145,9 +145,25 @@
         mDecoder.expectResponse(pending.request().method().equals("HEAD"));
         pending.advanceTo(PendingCall.State.SENT);
         mRequestWritten = false;
-        mChannel.writeAndFlush(request)
-                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
-                .addListener(f -> mRequestWritten = f.isSuccess());
+        mChannel.writeAndFlush(request).addListener(this::onWritten);
+    }
+
+    /**
+     * Ends the call if its request can't be written. The close that follows would otherwise look
+     * like the end of a response without length.
+     */
+    private void onWritten(Future<? super Void> written) {
+        mRequestWritten = written.isSuccess();
+        if (!mRequestWritten) {
+            failIfOpen("can't write to the target: " + written.cause().getMessage());
+            mChannel.close();
+        }
+    }
+
+    private void failIfOpen(String detail) {
+        if (mPendingCall != null && !mPendingCall.isEnded()) {
+            fail(failureKind(), detail);
+        }
     }
 
     /** Closes the connection without reporting the end of the call that it carries. */
@@ -324,17 +340,13 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopIdleTimer();
         mPool.onClosed(this);
-        if (mPendingCall != null && !mPendingCall.isEnded()) {
-            fail(failureKind(), "the target closed the connection");
-        }
+        failIfOpen("the target closed the connection");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         FatalErrors.endIfFatal(cause);
-        if (mPendingCall != null && !mPendingCall.isEnded()) {
-            fail(failureKind(), "error on the connection to the target: " + cause.getMessage());
-        }
+        failIfOpen("error on the connection to the target: " + cause.getMessage());
         ctx.close();
     }
 }
