--- a/src/test/java/org/coltsfootproxy/net/TruncatedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/TruncatedResponseTest.java
@@ -62,7 +62,8 @@
                 "POST",
                 "HTTP/1.1 200 OK\r\n"
                         + ID
-                        + "Transfer-Encoding: chunked\r\n\r\nc\r\nid: 1\ndata:\n\r\n2;x=y\r\n\n\n\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "c\r\nid: 1\ndata:\n\r\n2;x=y\r\n\n\n\r\n"
                         + "0\r\nTrailer: t\r\n\r\n"),
         UNTIL_CLOSE(
                 "POST", "HTTP/1.1 200 OK\r\n" + ID + "Server-Stamp: s\r\n\r\nid: 1\ndata: a\n\n"),
