--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -338,17 +338,13 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopIdleTimer();
         mPool.onClosed(this);
-        if (mPendingCall != null && !mPendingCall.isEnded()) {
-            fail(failureKind(), "the target closed the connection");
-        }
+        failIfOpen("the target closed the connection");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         FatalErrors.endIfFatal(cause);
-        if (mPendingCall != null && !mPendingCall.isEnded()) {
-            fail(failureKind(), "error on the connection to the target: " + cause.getMessage());
-        }
+        failIfOpen("error on the connection to the target: " + cause.getMessage());
         ctx.close();
     }
 }
