--- a/src/test/java/org/coltsfootproxy/entry/OnlineFaultsTest.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlineFaultsTest.java
@@ -241,6 +241,23 @@
         assertEquals(harness.answer(open).status(), 200);
     }
 
+    /** Guards against requests that are passed on late in a stop and cut at its end. */
+    @Test
+    public void aStoppingEntryTakesOnlyRequestsWhoseTimeLimitEndsBeforeIt() {
+        for (int millis = 0; millis <= 6_000; millis += 250) {
+            OnlineHarness harness = new OnlineHarness(millis);
+            harness.fleet().deliver(OnlineHarness.ENTRY, new Input.PlannedStop());
+            harness.fleet().run(TimeUnit.MILLISECONDS.toNanos(millis));
+            long call = harness.call("POST", "/rota/chairs", OnlineHarness.KEY);
+            harness.fleet().run(DRAIN_NANOS);
+
+            // The route's time limit is 20 s of the 22 s, less the time to write answers.
+            boolean isTaken = millis <= 1_750;
+            assertEquals(harness.answer(call).status(), isTaken ? 200 : 503, "after " + millis);
+            assertEquals(harness.runs(call), isTaken ? 1 : 0, "after " + millis);
+        }
+    }
+
     @Test
     public void aStoppingAgentFinishesRunningRequestsAndGetsNoNewOnes() {
         OnlineHarness harness = new OnlineHarness(1);
--- a/src/test/java/org/coltsfootproxy/entry/OnlineHarness.java
+++ b/src/test/java/org/coltsfootproxy/entry/OnlineHarness.java
@@ -44,6 +44,9 @@
     static final String KEY = "key-of-solway";
     static final int CHUNKS = 3;
 
+    /** Time after which the entry ends in a planned stop. */
+    static final long STOP_NANOS = 22_000_000_000L;
+
     private static final String OPERATOR_KEY = "operators-key";
     private static final DataCentre SOLWAY = DataCentre.of("solway");
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -197,7 +200,7 @@
                         ownership);
         EntryNode node =
                 EntryNode.create(
-                        EntrySettings.of(ENTRY, SOLWAY),
+                        EntrySettings.of(ENTRY, SOLWAY).withStopLimit(STOP_NANOS),
                         subscriber(),
                         policies,
                         JobGateway.create(
