An item's output ends only with a stream of events

Jobs listed an output as complete before its last event (ORDER, MIXED) if the target that was to go on with the item answered a signed success that is no event stream and has no body: the end of the answer counted as the end of the stream. Online requests have checked this for resumed streams all along.

FleetJobsTest#anItemThatIsAnsweredWithoutAStreamGoesOnElsewhere failed before (3 of 10 events listed as complete). Found by reading; no target of the program of real processes answers so. Such an answer is now ignored and the item goes on elsewhere, as after an unsigned success.

--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -316,7 +316,7 @@
             if (answer.isLeaving()) {
                 mTargets.saidLeaving(target, now, out);
             }
-            if (answer.isSuccess()) {
+            if (answer.isSuccess() && answer.isEventStream()) {
                 target.callSucceeded();
                 mRun.answerStarted(now);
                 return;
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -184,6 +184,24 @@
         assertAllDone("j1", 1);
     }
 
+    /** Guards against an output that an answer without any event ends as complete. */
+    @Test
+    public void anItemThatIsAnsweredWithoutAStreamGoesOnElsewhere() {
+        mSimulation.mTargets.values().forEach(target -> target.mCutAtEvent = 4);
+        mSimulation.submit(mSimulation.entry(0), "j1", 1);
+        runUntilSent("j1-i0", 1);
+        for (SimulatedTarget target : mSimulation.mTargets.values()) {
+            target.mCutAtEvent = target.mRuns.isEmpty() ? 0 : 4;
+            target.mIsPlain = target.mRuns.isEmpty();
+            target.mPlainBody = "";
+        }
+        runUntilSent("j1-i0", 2);
+        mSimulation.mTargets.values().forEach(target -> target.mIsPlain = false);
+        mSimulation.run(5 * SECOND_NANOS);
+
+        assertAllDone("j1", 1);
+    }
+
     private void runUntilSent(String item, int runs) {
         for (int n = 0; n < 1_000 && mSimulation.runsOf(item).size() < runs; n++) {
             mSimulation.run(5 * MILLI_NANOS);
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -50,6 +50,10 @@
 
     long mEventIntervalNanos = 20 * MILLI_NANOS;
     boolean mIsPlain;
+
+    /** Body of an answer that is no stream. */
+    String mPlainBody = "card";
+
     boolean mIsDraining;
     boolean mIsDown;
     boolean mIsSilent;
@@ -274,7 +278,8 @@
             mFleet.after(mEventIntervalNanos, () -> cutAnswer(run));
         } else if (mIsPlain) {
             mFleet.after(
-                    mEventIntervalNanos, () -> end(run, () -> answer(run, 200, List.of(), "card")));
+                    mEventIntervalNanos,
+                    () -> end(run, () -> answer(run, 200, List.of(), mPlainBody)));
         } else {
             int first = firstEvent(run);
             mFleet.after(mEventIntervalNanos, () -> event(run, first));
