Comments between events add nothing to an item's output

An output had an empty line for each comment that a target had sent between events, so that it was not the item's whole output (MIXED), and each comment cleared the count of failed calls without progress. Found by reading.

FleetJobsTest#commentsBetweenEventsAddNothingToAnItemsOutput failed before (empty lines after the third event). Only data lines now join the output.

--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -107,13 +107,18 @@
         return new String(events, StandardCharsets.UTF_8).lines();
     }
 
-    /** Returns the data lines of complete events, joined by line feeds. */
-    static String data(byte[] events) {
-        return lines(events)
-                .filter(line -> line.startsWith(DATA_FIELD))
-                .map(line -> line.substring(DATA_FIELD.length()))
-                .map(text -> text.startsWith(" ") ? text.substring(1) : text)
-                .collect(java.util.stream.Collectors.joining("\n"));
+    /**
+     * Returns the data lines of complete events, joined by line feeds; empty if there are none, as
+     * in comments.
+     */
+    static Optional<String> data(byte[] events) {
+        List<String> data =
+                lines(events)
+                        .filter(line -> line.startsWith(DATA_FIELD))
+                        .map(line -> line.substring(DATA_FIELD.length()))
+                        .map(text -> text.startsWith(" ") ? text.substring(1) : text)
+                        .toList();
+        return data.isEmpty() ? Optional.empty() : Optional.of(String.join("\n", data));
     }
 
     /** Returns the last event id of the complete events. */
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -267,13 +267,15 @@
             mLastActivity = nowNanos;
             mVersion = Optional.of(mTarget.listed().version());
         }
-        if (complete.length > 0) {
-            if (mOutput.size() > 0) {
-                mOutput.write('\n');
-            }
-            mOutput.writeBytes(EventReader.data(complete).getBytes(StandardCharsets.UTF_8));
-            mFailures = 0;
+        EventReader.data(complete).ifPresent(this::addOutput);
+    }
+
+    private void addOutput(String data) {
+        if (mOutput.size() > 0) {
+            mOutput.write('\n');
         }
+        mOutput.writeBytes(data.getBytes(StandardCharsets.UTF_8));
+        mFailures = 0;
     }
 
     /** Returns why the target's answer can't be read any further; empty if it can. */
--- a/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
@@ -118,7 +118,9 @@
 
     @Test
     public void dataLinesAreJoinedByLineFeeds() {
-        assertEquals(EventReader.data(bytes(EVENTS)), "a\nb\né\nf");
+        assertEquals(EventReader.data(bytes(EVENTS)), Optional.of("a\nb\né\nf"));
+        assertEquals(EventReader.data(bytes("id: 4\ndata:\n\n")), Optional.of(""));
+        assertEquals(EventReader.data(bytes(": still here\n\n")), Optional.empty());
     }
 
     @Test
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -202,6 +202,23 @@
         assertAllDone("j1", 1);
     }
 
+    /** Guards against lines in an output that no event has sent. */
+    @Test
+    public void commentsBetweenEventsAddNothingToAnItemsOutput() {
+        for (SimulatedTarget target : mSimulation.mTargets.values()) {
+            target.mFiller = ": still here\n\n";
+            target.mFillerFrom = 4;
+        }
+        mSimulation.submit(mSimulation.entry(0), "j1", 1);
+        runUntilSent("j1-i0", 1);
+        mSimulation.mTargets.values().stream()
+                .filter(target -> target.mRuns.isEmpty())
+                .forEach(target -> target.mFiller = "");
+        mSimulation.run(8 * SECOND_NANOS);
+
+        assertAllDone("j1", 1);
+    }
+
     private void runUntilSent(String item, int runs) {
         for (int n = 0; n < 1_000 && mSimulation.runsOf(item).size() < runs; n++) {
             mSimulation.run(5 * MILLI_NANOS);
