A refused resend doesn't refuse a job that an earlier send has submitted

What was found by reading, not seen by callers: a submission that its leader commits slowly is resent after 500 ms. If the resend finds the leader's queue of commands or its disk full, the caller got 503, which promises that no item runs (REFUSED), while the first send was still to be committed.

Cause: JobRequestClient counts the sends that may have been carried out, but asked for that number only at the deadline. A refusal ended the request whatever had become of its other sends.

A refusal for lack of capacity now ends a request only if no other send is open. Otherwise it is counted as refused, the answer to the other sends is awaited, and at the deadline the caller is told that the job may run.

Evidence, before: aResendThatIsRefusedDoesNotRefuseAnEarlierSend, for OVERLOADED and STORAGE_FULL: "the first send may still be carried out", expected no answer, found one.

--- a/src/main/java/org/coltsfootproxy/job/JobRequestClient.java
+++ b/src/main/java/org/coltsfootproxy/job/JobRequestClient.java
@@ -61,8 +61,8 @@
         private HostId mSentTo;
 
         /**
-         * Number of sends that were not refused with NO_LEADER. If it is above 0, the request may
-         * have been carried out.
+         * Number of sends that are not known to be refused. If it is above 0, the request may have
+         * been carried out.
          */
         private int mUnrefusedSends;
 
@@ -189,7 +189,7 @@
         if (open == null) {
             return;
         }
-        if (answer instanceof JobMessage.Refused refused && isRetryable(refused)) {
+        if (answer instanceof JobMessage.Refused refused && isRetryable(open, refused)) {
             resendLater(open, from, refused, nowNanos);
             return;
         }
@@ -197,15 +197,28 @@
         open.mListener.answered(answer, out);
     }
 
-    private static boolean isRetryable(JobMessage.Refused refused) {
-        return refused.kind() == ErrorKind.NO_LEADER || refused.kind() == ErrorKind.COMMIT_UNKNOWN;
+    private static boolean isRetryable(OpenRequest open, JobMessage.Refused refused) {
+        return refused.kind() == ErrorKind.NO_LEADER
+                || refused.kind() == ErrorKind.COMMIT_UNKNOWN
+                || lacksCapacity(refused) && open.mUnrefusedSends > 1;
+    }
+
+    /**
+     * Returns whether a send was refused for lack of capacity, which says nothing about the other
+     * sends of the same request: one of them may be about to be committed.
+     */
+    private static boolean lacksCapacity(JobMessage.Refused refused) {
+        return refused.kind() == ErrorKind.OVERLOADED || refused.kind() == ErrorKind.STORAGE_FULL;
     }
 
     private void resendLater(
             OpenRequest open, HostId from, JobMessage.Refused refused, long nowNanos) {
-        if (refused.kind() == ErrorKind.NO_LEADER) {
+        if (refused.kind() != ErrorKind.COMMIT_UNKNOWN) {
             open.mUnrefusedSends--;
         }
+        if (lacksCapacity(refused)) {
+            return;
+        }
         switchFrom(from, open.mAsk.group(), refused.leader());
         open.mNextSendNanos = Math.min(open.mNextSendNanos, nowNanos + REFUSAL_PAUSE_NANOS);
     }
