Comments in a stream of events are no events

Cause: EventReader took each block that ends in an empty line for an event, so the check for a stream without any event did not see one that had none.

Blocks without any line but comments are still passed on to callers, but neither advance a stream nor add to an output.

--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -16,6 +16,7 @@
 
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data:";
+    private static final String COMMENT = ":";
 
     private final ByteArrayOutputStream mPartial = new ByteArrayOutputStream();
     private boolean mIsLineEmpty = true;
@@ -41,7 +42,7 @@
         mPartial.reset();
         mPartial.write(bytes, end, bytes.length - end);
         Optional<String> id = lastField(complete, ID_FIELD).or(() -> mLastId);
-        if (id.isEmpty() || !id.equals(mLastId)) {
+        if (hasEvent(complete) && (id.isEmpty() || !id.equals(mLastId))) {
             mAdvances++;
         }
         mLastId = id;
@@ -73,6 +74,11 @@
         return new String(events, StandardCharsets.UTF_8).lines();
     }
 
+    /** Returns whether there is an event, and not only comments. */
+    static boolean hasEvent(byte[] events) {
+        return lines(events).anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT));
+    }
+
     /** Returns the data lines of complete events, joined by line feeds. */
     static String data(byte[] events) {
         return lines(events)
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -267,7 +267,7 @@
             mLastActivity = nowNanos;
             mVersion = Optional.of(mTarget.listed().version());
         }
-        if (complete.length > 0) {
+        if (EventReader.hasEvent(complete)) {
             if (mOutput.size() > 0) {
                 mOutput.write('\n');
             }
--- a/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Random;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link EventReader}. */
@@ -72,6 +73,27 @@
         assertFalse(reader.endsTooEarly(true), "confirmed");
     }
 
+    /** Guards against a stream that counts as complete although it had no event. */
+    @Test(dataProvider = "comments")
+    public void commentsAreNoEvents(String comment) {
+        EventReader reader = new EventReader();
+        reader.append(bytes(comment));
+        assertFalse(reader.hasAdvanced());
+        assertTrue(reader.endsTooEarly(false));
+        assertTrue(reader.endsTooEarly(true));
+        reader.append(bytes("id: 1\ndata: a\n\n"));
+        assertTrue(reader.hasAdvanced());
+        long advances = reader.advances();
+        reader.append(bytes(comment));
+        assertEquals(reader.advances(), advances);
+        assertFalse(reader.endsTooEarly(false));
+    }
+
+    @DataProvider
+    Object[][] comments() {
+        return new Object[][] {{": still here\n\n"}, {":\r\n\r\n"}};
+    }
+
     @Test
     public void anEndWithLengthOrLastChunkNeedsNoConfirmationOnceThereIsAnEvent() {
         EventReader reader = new EventReader();
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -161,6 +161,20 @@
         assertEquals(mSimulation.runsOf("j1-i0").get(2).mResumeAfter, 3);
     }
 
+    /** Guards against an output with line feeds that are no part of any event's data. */
+    @Test
+    public void commentsBetweenEventsAreNoPartOfTheOutput() {
+        for (SimulatedTarget target : mSimulation.mTargets.values()) {
+            target.mFiller = ": still here\n\n";
+            target.mFillerFrom = 4;
+        }
+        submitAccepted("j1", 2);
+        mSimulation.mTargets.values().forEach(target -> target.mFiller = "");
+        mSimulation.run(5 * SECOND_NANOS);
+
+        assertAllDone("j1", 2);
+    }
+
     private void runUntilSent(String item, int runs) {
         for (int n = 0; n < 1_000 && mSimulation.runsOf(item).size() < runs; n++) {
             mSimulation.run(5 * MILLI_NANOS);
