A stream that is taken up after its last event is complete

What was found by reading, not seen by callers: a caller that has all events of a resumable stream, but lost its connection before the end, takes it up with the last id. The target has no event left and ends its answer properly. The request ran at as many targets as its route allows, and the caller's answer broke off each time.

Cause: the check for a stream without any event knew only of events of the same request, not of the one that the caller names in its own request.

Evidence, before: aStreamThatIsTakenUpAfterItsLastEventIsComplete, "200 cut", expected true but found false. It passes, with one run. anEmptyStreamThatMayNot- BeTakenUpIsNotComplete, which held before, sees to it that an empty stream that can't be resumed still counts as broken.

The reader of a resumable request's events begins at the caller's id, as that of an item begins at the id of its lease. Simulated targets now end a stream that is taken up at its last event; before, they went on with further events.

--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -95,6 +95,9 @@
         mLastActivity = arrived;
         mDeadline = deadline;
         mBudget = RunBudget.of(route.policy().maxRuns());
+        if (isResumable()) {
+            resumption.ifPresent(stream -> mEvents.resumeAfter(stream.lastEvent()));
+        }
     }
 
     /**
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -285,6 +285,12 @@
             run.mHasHead = true;
             head(run, 200, List.of(Header.of("Content-Type", "text/event-stream")));
         }
+        boolean isItem = run.mCall.trafficClass() == TrafficClass.BATCH && mItemEventCount > 0;
+        int lastEvent = isItem ? mItemEventCount : mEventCount;
+        if (number > lastEvent) {
+            end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call())));
+            return;
+        }
         String version = mVersion.isEmpty() ? "" : "@" + mVersion;
         String data = run.mRequest + "-" + number + version;
         String text = "id: " + number + "\ndata: " + data + "\n\n";
@@ -312,8 +318,7 @@
             return;
         }
         chunk(run, text);
-        boolean isItem = run.mCall.trafficClass() == TrafficClass.BATCH && mItemEventCount > 0;
-        if (number == (isItem ? mItemEventCount : mEventCount)) {
+        if (number == lastEvent) {
             end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call())));
         } else {
             mFleet.after(mEventIntervalNanos, () -> event(run, number + 1));
