An item's later run goes on only after the event that it was resumed after

A piece now also names the last event of the output that its run began with. An older store names none; its pieces are kept only after an empty output, or in the run that made the output before.

--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -49,6 +49,7 @@
     private boolean mIsKept;
     private int mReportedBytes;
     private int mLeasedBytes;
+    private String mLeasedEvent;
     private int mRestarts;
     private long mLastActivity;
     private WorkEstimate mEstimate = WorkEstimate.UNKNOWN;
@@ -68,6 +69,7 @@
         mOutput.writeBytes(partial.bytes());
         mReportedBytes = partial.bytes().length;
         mLeasedBytes = mReportedBytes;
+        mLeasedEvent = partial.lastEvent();
         mVersion = Optional.ofNullable(partial.version());
         if (!partial.lastEvent().isEmpty()) {
             mEvents.resumeAfter(partial.lastEvent());
@@ -162,6 +164,7 @@
         mVersion = Optional.empty();
         mReportedBytes = 0;
         mLeasedBytes = 0;
+        mLeasedEvent = "";
         mRestarts++;
         mActiveNanos = 0;
     }
@@ -311,7 +314,8 @@
                                         offset,
                                         new PartialOutput(newOutput, id, version),
                                         mLeasedBytes,
-                                        mRestarts));
+                                        mRestarts,
+                                        mLeasedEvent));
     }
 
     /** Counts a failed call; returns the number of failed calls since the last complete event. */
--- a/src/main/java/org/coltsfootproxy/job/KeptOutput.java
+++ b/src/main/java/org/coltsfootproxy/job/KeptOutput.java
@@ -22,8 +22,17 @@
     boolean isContinuedBy(ItemProgress progress) {
         return progress.offset() == output.bytes().length
                 && (isEmpty() || isSameVersion(progress))
-                && (isOfSameRun(progress)
-                        || isOfLaterRun(progress) && progress.leased() == progress.offset());
+                && (isOfSameRun(progress) || isFirstOfLaterRun(progress));
+    }
+
+    /**
+     * Returns whether a piece is the first of a later run that was resumed after this output. An
+     * output that was replaced since the item was leased may have as many bytes.
+     */
+    private boolean isFirstOfLaterRun(ItemProgress progress) {
+        return isOfLaterRun(progress)
+                && progress.leased() == progress.offset()
+                && (isEmpty() || output.lastEvent().equals(progress.leasedEvent()));
     }
 
     /** Returns whether a piece is the first of a run that takes the place of this output. */
--- a/src/main/java/org/coltsfootproxy/message/ItemProgress.java
+++ b/src/main/java/org/coltsfootproxy/message/ItemProgress.java
@@ -10,9 +10,16 @@
  * @param leased number of output bytes that the run began with: those of the lease, or 0 if it has
  *     begun anew since
  * @param restarts how often the item has begun anew under the lease
+ * @param leasedEvent id of the last event of the output that the run began with; empty if there is
+ *     none, null if unknown
  */
 public record ItemProgress(
-        LeaseRef lease, int offset, PartialOutput piece, int leased, int restarts) {
+        LeaseRef lease,
+        int offset,
+        PartialOutput piece,
+        int leased,
+        int restarts,
+        String leasedEvent) {
     /** Checks the components. */
     public ItemProgress {
         checkNotNull(lease, "lease is missing");
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -163,7 +163,7 @@
                         bytes.getBytes(StandardCharsets.UTF_8),
                         lastEvent,
                         SoftwareVersion.of(version));
-        return progress(new ItemProgress(new LeaseRef(1, item, 1), offset, piece, 0, 0));
+        return progress(new ItemProgress(new LeaseRef(1, item, 1), offset, piece, 0, 0, ""));
     }
 
     private int progress(ItemProgress progress) {
@@ -171,16 +171,30 @@
         return ((JobOutcome.Count) apply(command)).changed();
     }
 
-    /** A piece of the output of the first item, of a run that began with some bytes. */
+    /** A piece with one event of the first item, of a run that began with some bytes. */
     private int progressOf(
             int fence, int restarts, int leased, int offset, String bytes, String lastEvent) {
+        String before = leased == 0 ? "" : Integer.toString(Integer.parseInt(lastEvent) - 1);
+        return progressOf(fence, restarts, leased, before, offset, bytes, lastEvent);
+    }
+
+    /** A piece of the first item, of a run that began with some bytes, up to an event. */
+    private int progressOf(
+            int fence,
+            int restarts,
+            int leased,
+            String leasedEvent,
+            int offset,
+            String bytes,
+            String lastEvent) {
         var piece =
                 new PartialOutput(
                         bytes.getBytes(StandardCharsets.UTF_8),
                         lastEvent,
                         SoftwareVersion.of("v1"));
         return progress(
-                new ItemProgress(new LeaseRef(1, 0, fence), offset, piece, leased, restarts));
+                new ItemProgress(
+                        new LeaseRef(1, 0, fence), offset, piece, leased, restarts, leasedEvent));
     }
 
     /** Guards against a text that goes on with a run that was not resumed where it ends. */
@@ -218,6 +232,18 @@
         assertEquals(partialOutput(0), "2:a\n2:b after 2");
     }
 
+    /** Guards against a text that goes on with a run that was not resumed where it ends. */
+    @Test
+    public void aLaterLeaseGoesOnOnlyWithTheOutputThatItBeganWith() {
+        submit(FORTH, "a", 1, 10);
+        assertEquals(progressOf(1, 0, 0, 0, "1:abc", "1"), 1);
+        // Leased again with this output while the run before begins anew.
+        assertEquals(progressOf(1, 1, 0, 0, "9\n9:z", "2"), 1);
+        assertEquals(progressOf(2, 0, 5, "1", 5, "\n2:b", "2"), 0);
+        assertEquals(progressOf(3, 0, 5, "2", 5, "\n3:c", "3"), 1);
+        assertEquals(partialOutput(0), "9\n9:z\n3:c after 3");
+    }
+
     private String partialOutput(int item) {
         PartialOutput output = mLedger.job(1).orElseThrow().items().partialOutput(item);
         return new String(output.bytes(), StandardCharsets.UTF_8) + " after " + output.lastEvent();
