--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -23,6 +23,7 @@
     private static final byte[] NO_EVENTS = {};
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data:";
+    private static final String COMMENT = ":";
 
     private final ByteArrayOutputStream mPartial = new ByteArrayOutputStream();
     private boolean mIsLineEmpty = true;
@@ -59,7 +60,7 @@
         if (mFault.isPresent()) {
             return NO_EVENTS;
         }
-        if (!ids.isEmpty() || mLastId.isEmpty()) {
+        if (!ids.isEmpty() || mLastId.isEmpty() && hasEvent(complete)) {
             mAdvances++;
         }
         mLastId = ids.isEmpty() ? mLastId : Optional.of(ids.get(ids.size() - 1));
@@ -107,6 +108,11 @@
         return new String(events, StandardCharsets.UTF_8).lines();
     }
 
+    /** Returns whether there is an event, and not only comments. */
+    private static boolean hasEvent(byte[] events) {
+        return lines(events).anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT));
+    }
+
     /**
      * Returns the data lines of complete events, joined by line feeds; empty if there are none, as
      * in comments.
