--- a/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -115,4 +116,24 @@
         assertEquals(failed.ran(), Ran.YES);
         assertTrue(mSink.isEmpty(), "an input after the failure");
     }
+
+    /** Guards against a complete response that is lost with the rest of a long request. */
+    @Test
+    public void aFramedResponseBeforeTheRequestIsReadIsComplete() throws Exception {
+        call(new byte[UNREAD_BODY_BYTES]);
+        try (RawHttp target = new RawHttp(mServer.accept())) {
+            target.readUntil("\r\n\r\n");
+            target.send(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: call-1\r\nContent-Length: 15\r\n\r\n"
+                            + "id: 1\ndata: a\n\n");
+            target.socket().shutdownOutput();
+            target.socket().getInputStream().transferTo(OutputStream.nullOutputStream());
+        } catch (IOException e) {
+            // The client may close the connection before it has sent the rest.
+        }
+        assertEquals(mSink.next(Input.TargetHead.class).status(), 200);
+        mSink.next(Input.TargetChunk.class);
+        assertEquals(mSink.next(), new Input.TargetEnd(1));
+        assertTrue(mSink.isEmpty(), "an input after the end");
+    }
 }
--- a/src/test/java/org/coltsfootproxy/net/CutAnswerTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CutAnswerTest.java
@@ -123,4 +123,27 @@
             }
         }
     }
+
+    @DataProvider
+    Object[][] requests() {
+        return new Object[][] {
+            {"GET /a HTTP/1.0\r\nHost: h\r\n\r\n"},
+            {"GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n"},
+            {"GET /a HTTP/1.0\r\nHost: h\r\n\r\nGET /b HTTP/1.0\r\nHost: h\r\n\r\n"}
+        };
+    }
+
+    /** Guards against a complete answer of which a reset takes the last bytes. */
+    @Test(dataProvider = "requests")
+    public void aCompleteAnswerWithoutLengthEndsInAnOrderlyWay(String request) throws Exception {
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            caller.send(request);
+            long call = mSink.next(Input.HttpCall.class).call();
+            mFront.execute(new Effect.HttpHead(call, 200, List.of()));
+            mFront.execute(new Effect.HttpChunk(call, new byte[BYTES_BEYOND_ALL_BUFFERS]));
+            mFront.execute(new Effect.HttpEnd(call));
+            caller.readUntil("\r\n\r\n");
+            assertEquals(caller.readAll().length(), BYTES_BEYOND_ALL_BUFFERS);
+        }
+    }
 }
