A change of settings during the start does not end a host

Cause: SIGHUP was handled only once all hosts of the process had started; until then it ends a Java process.

Signals that arrive early are passed on as one reload when the hosts run.

--- a/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
+++ b/src/main/java/org/coltsfootproxy/cli/ServeCommands.java
@@ -17,7 +17,6 @@
 import org.coltsfootproxy.runtime.HostProcess;
 import org.coltsfootproxy.runtime.Settings;
 import org.coltsfootproxy.runtime.SoleVoterRecovery;
-import sun.misc.Signal;
 
 /** Commands that run hosts and check their settings. */
 final class ServeCommands {
@@ -100,11 +99,12 @@
     }
 
     private static void serve(CommandLine line, Output out) throws ProxyException {
+        HangupSignal hangup = HangupSignal.handle();
         List<Settings> settings = load(line);
         EventLog.writeTo(System.out);
         Thread.setDefaultUncaughtExceptionHandler((thread, error) -> FatalErrors.end(error));
         Hosts hosts = Hosts.start(settings);
-        hosts.watch(line.getOptionValues("settings"));
+        hosts.watch(hangup, line.getOptionValues("settings"));
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(hosts, stopped), "stop"));
         out.line("serving " + String.join(" ", Arrays.asList(line.getOptionValues("settings"))));
@@ -144,11 +144,12 @@
          * Watches the settings files and applies their changes. A SIGHUP makes all hosts reload
          * them at once.
          */
-        void watch(String... files) throws ProxyException {
+        void watch(HangupSignal hangup, String... files) throws ProxyException {
             for (int i = 0; i < files.length; i++) {
                 mRunning.get(i).watch(Path.of(files[i]));
             }
-            Signal.handle(new Signal("HUP"), s -> mRunning.forEach(HostProcess::checkSettingsNow));
+            List<HostProcess> watching = List.copyOf(mRunning);
+            hangup.passOn(() -> watching.forEach(HostProcess::checkSettingsNow));
         }
 
         /** Stops the hosts gracefully, in reverse order of their start. */
