--- a/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/CloseDelimitedResponseTest.java
@@ -136,4 +136,21 @@
         assertEquals(mSink.next(), new Input.TargetEnd(1));
         assertTrue(mSink.isEmpty(), "an input after the end");
     }
+
+    /** Guards against a complete response that is lost as the rest of the request isn't read. */
+    @Test
+    public void aFramedResponseIsNotLostIfTheTargetClosesBeforeTheRequestIsRead() throws Exception {
+        call(new byte[UNREAD_BODY_BYTES]);
+        try (RawHttp target = new RawHttp(mServer.accept())) {
+            target.readUntil("\r\n\r\n");
+            target.send(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: call-1\r\nContent-Length: 15\r\n\r\n"
+                            + "id: 1\ndata: a\n\n");
+        }
+        Input end = mSink.next();
+        while (!(end instanceof Input.TargetEnd) && !(end instanceof Input.TargetFailed)) {
+            end = mSink.next();
+        }
+        assertEquals(end, new Input.TargetEnd(1));
+    }
 }
