--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -221,9 +221,7 @@
             } else if (mRequest.isIn(DirectState.RESUMING)) {
                 answerResumed(mRequest, answer, now, out);
             } else if (answer.isServerError() && mayRetry(mRequest, now)) {
-                mCalls.ignore(mRequest.targetCall());
-                releaseTarget(mRequest);
-                retryElsewhere(mRequest, "the target answered " + answer.status(), now, out);
+                retryAfterAnswer(mRequest, answer, now, out);
             } else {
                 target.callSucceeded();
                 answerStarted(mRequest, answer, now, out);
@@ -357,9 +355,17 @@
             setTimer(request, now);
             return;
         }
+        retryAfterAnswer(request, answer, now, out);
+    }
+
+    /** Sends a request elsewhere whose target has run it and answered what its caller can't use. */
+    private void retryAfterAnswer(
+            DirectRequest request, TargetAnswer answer, long now, Effects out) {
+        String why = "the target answered " + answer.status();
+        DirectCallLog.attemptEnded(request, request.target().orElseThrow(), why, Ran.YES, out);
         mCalls.ignore(request.targetCall());
         releaseTarget(request);
-        retryElsewhere(request, "the target answered " + answer.status(), now, out);
+        retryElsewhere(request, why, now, out);
     }
 
     /** Handles an attempt that ended without a complete answer. */
