The test of ending network threads waits for both of them

Cause: the test before it ends a group of two threads and took one of their two reports; the other one arrived in the queue of the next test. The product is not at fault.

The test is stricter now: each thread has to report its end.

--- a/src/test/java/org/coltsfootproxy/net/NetworkThreadEndTest.java
+++ b/src/test/java/org/coltsfootproxy/net/NetworkThreadEndTest.java
@@ -19,6 +19,7 @@
 /** Tests that a process ends with a network thread, or with an error that one can't survive. */
 public final class NetworkThreadEndTest {
     private static final long WAIT_SECONDS = 30;
+    private static final int THREADS = 2;
 
     private final BlockingQueue<Throwable> mEnds = new LinkedBlockingQueue<>();
     private Consumer<Throwable> mEndingBefore;
@@ -37,15 +38,18 @@
     /** Guards against connections that nobody reads because their thread has ended. */
     @Test
     public void anEventLoopThatEndsEndsTheProcess() throws Exception {
-        EventLoopGroup group = EventLoops.create("ending", 2);
+        EventLoopGroup group = EventLoops.create("ending", THREADS);
         group.next().submit(() -> {}).await();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).await();
-        assertNotNull(mEnds.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+        // Each thread reports its own end, also after the end of the group.
+        for (int n = 0; n < THREADS; n++) {
+            assertNotNull(mEnds.poll(WAIT_SECONDS, TimeUnit.SECONDS));
+        }
     }
 
     @Test
     public void anEventLoopThatIsStoppedDoesNotEndTheProcess() throws Exception {
-        EventLoopGroup group = EventLoops.create("stopped", 2);
+        EventLoopGroup group = EventLoops.create("stopped", THREADS);
         group.next().submit(() -> {}).await();
         EventLoops.stop(group);
         group.terminationFuture().await();
