--- a/src/main/java/org/coltsfootproxy/cli/HangupSignal.java
+++ b/src/main/java/org/coltsfootproxy/cli/HangupSignal.java
@@ -23,7 +23,8 @@
         return signal;
     }
 
-    private synchronized void received() {
+    /** Handles one signal. */
+    synchronized void received() {
         if (mReload == null) {
             mIsPending = true;
         } else {
