Items of a moved route run at the service that the route names now

While the former targets still served, items went on being sent to them long after the change was in force.

Cause: an entry wrote the service of the route into the job when it was submitted, and LeaseManager and ItemWorker used that for good. Nothing looked at the route again.

Change: JobRouting determines the service of an item from the configuration in force, and ItemRouting applies it before each call to a target. Calls in progress continue.

--- a/src/main/java/org/coltsfootproxy/config/ConfigSubscriber.java
+++ b/src/main/java/org/coltsfootproxy/config/ConfigSubscriber.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.EventCode;
@@ -50,6 +51,9 @@
     private boolean mHasFreshness;
     private long mFreshUntilNanos;
 
+    /** When the last confirmed renewal was sent; empty if there was none. */
+    private OptionalLong mConfirmedNanos = OptionalLong.empty();
+
     private ConfigSubscriber(List<ControlHost> hosts, ConfigTiming timing, Random random) {
         mHosts = hosts;
         mTiming = timing;
@@ -108,6 +112,7 @@
             mHasFreshness = false;
             out.log(EventCode.CONFIG_LEASE_LOST, "version " + mView.version());
         }
+        mConfirmedNanos = OptionalLong.empty();
         mRenewals.clear();
         mNextRenewalNanos = nowNanos;
     }
@@ -179,6 +184,11 @@
         return mHasFreshness && nowNanos - mFreshUntilNanos < 0;
     }
 
+    /** Returns whether the view contains all that was in force at a time on this host's clock. */
+    public boolean isConfirmedSince(long nanos) {
+        return mConfirmedNanos.isPresent() && mConfirmedNanos.getAsLong() - nanos >= 0;
+    }
+
     /** Returns the control host of the current subscription. */
     public HostId current() {
         return mHosts.get(mCurrentIndex).host();
@@ -236,6 +246,9 @@
     }
 
     private void extendFreshness(long sentNanos) {
+        if (mConfirmedNanos.isEmpty() || sentNanos - mConfirmedNanos.getAsLong() > 0) {
+            mConfirmedNanos = OptionalLong.of(sentNanos);
+        }
         long untilNanos = sentNanos + ConfigTiming.shortenForDrift(mTiming.freshNanos());
         if (!mHasFreshness || untilNanos - mFreshUntilNanos > 0) {
             mFreshUntilNanos = untilNanos;
--- a/src/main/java/org/coltsfootproxy/config/Route.java
+++ b/src/main/java/org/coltsfootproxy/config/Route.java
@@ -115,6 +115,14 @@
                 : policy.split().stream().map(RoutePolicy.Share::service);
     }
 
+    /** Returns whether a service gets a share of the requests. */
+    boolean sharesWith(ServiceId other) {
+        return policy.split().isEmpty()
+                ? service.equals(other)
+                : policy.split().stream()
+                        .anyMatch(share -> share.weight() > 0 && share.service().equals(other));
+    }
+
     /**
      * Returns the service at a point of the weighted split.
      *
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -119,6 +119,7 @@
                         mTargets,
                         mQuarantine,
                         mConfig::view,
+                        mConfig::isConfirmedSince,
                         settings.regions());
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -1,7 +1,5 @@
 package org.coltsfootproxy.direct;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -15,7 +13,7 @@
 import org.coltsfootproxy.base.ProxyException;
 import org.coltsfootproxy.base.Ran;
 import org.coltsfootproxy.base.Region;
-import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.config.JobRouting;
 import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.job.JobRequestClient;
 import org.coltsfootproxy.message.Header;
@@ -110,7 +108,7 @@
         long due = Math.max(1, route.policy().jobGoalMillis());
         return new JobSpec(
                 job.id(),
-                service(route, job.id()),
+                JobRouting.atSubmission(route, job.id()),
                 METHOD,
                 call.path(),
                 true,
@@ -122,13 +120,6 @@
                 allowedRegions.map(r -> r.stream().sorted().toList()).orElse(null));
     }
 
-    /** Returns the service for a job: one of the route's split, the same for each resend. */
-    private static ServiceId service(Route route, JobId job) {
-        int hash =
-                Hashing.murmur3_32_fixed().hashString(job.value(), StandardCharsets.UTF_8).asInt();
-        return route.serviceAt((hash & Integer.MAX_VALUE) / (1.0 + Integer.MAX_VALUE));
-    }
-
     /** Reads results, reads an item's body or cancels a job. */
     void call(
             Input.HttpCall call,
--- a/src/main/java/org/coltsfootproxy/direct/ItemLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemLog.java
@@ -18,6 +18,7 @@
                 LogField.of("item", run.lease().item()),
                 LogField.of("lease", run.lease().fence()),
                 LogField.of("promptParts", run.content().parts()),
+                LogField.of("service", run.service()),
                 LogField.of("target", target.listed().id()),
                 LogField.of("version", target.listed().version()),
                 LogField.of("online", target.online()),
@@ -48,6 +49,7 @@
                 LogField.of("item", run.lease().item()),
                 LogField.of("lease", run.lease().fence()),
                 LogField.of("version", run.version().map(SoftwareVersion::value).orElse("")),
+                LogField.of("service", run.service()),
                 LogField.of("listing", listing),
                 LogField.of("bytes", run.output().length),
                 LogField.of("after", run.lastEvent().orElse("")));
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.DataCentre;
 import org.coltsfootproxy.base.PromptPartId;
+import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.base.TargetId;
 import org.coltsfootproxy.message.ItemProgress;
@@ -33,11 +34,13 @@
     private final LeasedItem mItem;
     private final ItemCall.Post mCall;
     private final CallContent mContent;
-    private final WorkFeatures mFeatures;
     private final long mStartedAt;
     private final Set<TargetId> mTried = new HashSet<>();
     private EventReader mEvents = new EventReader();
     private Optional<SoftwareVersion> mVersion;
+    private ServiceId mService;
+    private ServiceId mOutputService;
+    private WorkFeatures mFeatures;
     private final ByteArrayOutputStream mOutput = new ByteArrayOutputStream();
     private Optional<Set<DataCentre>> mAllowedDataCentres = Optional.empty();
     private Target mTarget;
@@ -64,6 +67,7 @@
         mCall = call;
         mContent = content;
         mFeatures = features;
+        mService = item.service();
         mStartedAt = nowNanos;
         PartialOutput partial = item.partialOutput();
         mOutput.writeBytes(partial.bytes());
@@ -71,6 +75,7 @@
         mLeasedBytes = mReportedBytes;
         mLeasedEvent = partial.lastEvent();
         mVersion = Optional.ofNullable(partial.version());
+        mOutputService = Optional.ofNullable(partial.service()).orElse(item.service());
         if (!partial.lastEvent().isEmpty()) {
             mEvents.resumeAfter(partial.lastEvent());
         }
@@ -90,7 +95,7 @@
             long nowNanos) {
         WorkFeatures features =
                 WorkRouting.features(
-                        "batch:" + item.service().value(),
+                        routeName(item.service()),
                         item.organisation(),
                         promptParts,
                         declared,
@@ -98,6 +103,26 @@
         return new ItemRun(item, call, CallContent.ofItem(promptParts), features, nowNanos);
     }
 
+    private static String routeName(ServiceId service) {
+        return "batch:" + service.value();
+    }
+
+    /** Sets the service to which the item belongs from now on. */
+    void moveTo(ServiceId service) {
+        mService = service;
+        mFeatures = mFeatures.withRoute(routeName(service));
+    }
+
+    /** Returns the service to which the item belongs. */
+    ServiceId service() {
+        return mService;
+    }
+
+    /** Returns whether the output is of a service to which the item no longer belongs. */
+    boolean hasOutputOfFormerService() {
+        return lastEvent().isPresent() && !mOutputService.equals(mService);
+    }
+
     /** Returns what is known of the item's cost before it runs. */
     WorkFeatures features() {
         return mFeatures;
@@ -269,6 +294,7 @@
         if (mEvents.advances() > advances) {
             mLastActivity = nowNanos;
             mVersion = Optional.of(mTarget.listed().version());
+            mOutputService = mTarget.listed().service();
         }
         EventReader.data(complete).ifPresent(this::addOutput);
     }
@@ -316,7 +342,7 @@
                                 new ItemProgress(
                                         lease(),
                                         offset,
-                                        new PartialOutput(newOutput, id, version),
+                                        new PartialOutput(newOutput, id, version, mOutputService),
                                         mLeasedBytes,
                                         mRestarts,
                                         mLeasedEvent));
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.coltsfootproxy.base.ErrorKind;
@@ -75,7 +76,7 @@
     private final Targets mTargets;
     private final CrashQuarantine mQuarantine;
     private final Supplier<ConfigView> mConfig;
-    private final Regions mRegions;
+    private final ItemRouting mRouting;
     private final Map<LeaseRef, ItemRun> mRuns = new HashMap<>();
     private final Timers<LeaseRef> mTimers = Timers.create();
     private final FreeBatchSlots mFreeSlots;
@@ -100,7 +101,7 @@
             Targets targets,
             CrashQuarantine quarantine,
             Supplier<ConfigView> config,
-            Regions regions) {
+            ItemRouting routing) {
         mPuller =
                 ItemPuller.create(JOB_GROUP, incarnation, ServiceId.ANY, 1, controls, new Runner());
         mProtocol = checkNotNull(protocol, "protocol");
@@ -108,7 +109,7 @@
         mTargets = checkNotNull(targets, "targets");
         mQuarantine = checkNotNull(quarantine, "quarantine");
         mConfig = checkNotNull(config, "config");
-        mRegions = checkNotNull(regions, "regions");
+        mRouting = routing;
         mFreeSlots = new FreeBatchSlots(targets);
         mProgress = new ItemProgressSender(mPuller);
         mWorkers = controls.size();
@@ -121,6 +122,8 @@
      * @param incarnation incarnation of this host; a restart keeps it if the data folder is kept
      * @param controls hosts to pull items from, at least one
      * @param config returns the configuration in force
+     * @param isConfirmedSince returns whether this configuration contains all that was in force at
+     *     a given time
      * @param regions the regions of the data centres
      */
     public static ItemWorker create(
@@ -131,9 +134,11 @@
             Targets targets,
             CrashQuarantine quarantine,
             Supplier<ConfigView> config,
+            LongPredicate isConfirmedSince,
             Regions regions) {
+        var routing = new ItemRouting(protocol, config, isConfirmedSince, regions);
         return new ItemWorker(
-                incarnation, controls, protocol, calls, targets, quarantine, config, regions);
+                incarnation, controls, protocol, calls, targets, quarantine, config, routing);
     }
 
     /**
@@ -212,18 +217,26 @@
             finish(run, ItemReport.givenBack(run.lease()), now, out);
             return;
         }
-        if (!maySend(run, now)) {
-            mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
+        ItemRouting.Step step = mRouting.apply(run);
+        if (step == ItemRouting.Step.END) {
+            ItemReport.Outcome outcome = ItemReport.Outcome.REFUSED;
+            finish(
+                    run,
+                    ItemReport.failed(run.lease(), outcome, "the route was removed", 0),
+                    now,
+                    out);
             return;
         }
-        if (mConfig.get().version() == 0) {
-            // It is not known yet what the item and the targets are limited to.
+        if (step == ItemRouting.Step.WAIT) {
             mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
             return;
         }
-        ServiceId service = run.item().service();
-        run.allowOnly(mRegions.dataCentres(Regions.allowed(run.item(), mConfig.get())));
-        if (!mTargets.canResume(service, run.version(), run.lastEvent(), run::isInAllowedRegion)) {
+        if (!maySend(run, now)) {
+            mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
+            return;
+        }
+        ServiceId service = run.service();
+        if (!canResume(run)) {
             ItemLog.begunAnew(run, mTargets.listing().number(), out);
             run.beginAnew();
         }
@@ -262,6 +275,14 @@
         ItemLog.sent(run, target.get(), mTargets.listing().number(), out);
     }
 
+    /** Returns whether a target of the item's service may continue its output. */
+    private boolean canResume(ItemRun run) {
+        return run.hasOutputOfFormerService()
+                ? mTargets.active(run.service()).noneMatch(run::isInAllowedRegion)
+                : mTargets.canResume(
+                        run.service(), run.version(), run.lastEvent(), run::isInAllowedRegion);
+    }
+
     /** Returns whether an item is not quarantined, or may be tried in spite of it. */
     private boolean maySend(ItemRun run, long now) {
         return !isQuarantined(run)
@@ -525,7 +546,7 @@
     }
 
     private void preempt(ItemRun run, long now, Effects out) {
-        mFreeSlots.itemPreempted(run.item().service(), now);
+        mFreeSlots.itemPreempted(run.service(), now);
         mCalls.cancel(run.targetCall(), out);
         releaseTarget(run, now);
         ItemLog.attemptEnded(run, "preempted by an online request", out);
--- a/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetProtocol.java
@@ -11,6 +11,9 @@
     /** Returns the headers of a call: the caller's without its keys, and those of this system. */
     List<Header> headers(List<Header> callerHeaders, TargetRequest request);
 
+    /** Returns the host name that a call names, without its port; empty if it names none. */
+    String hostName(List<Header> callerHeaders);
+
     /**
      * Returns the parts of a call's prompt that other calls may share, in their order; empty if the
      * headers name none.
--- a/src/main/java/org/coltsfootproxy/job/ItemTable.java
+++ b/src/main/java/org/coltsfootproxy/job/ItemTable.java
@@ -236,7 +236,8 @@
         int index = progress.lease().item();
         PartialOutput piece = progress.piece();
         byte[] bytes = Bytes.concat(partialOutput(index).bytes(), piece.bytes());
-        PartialOutput output = new PartialOutput(bytes, piece.lastEvent(), piece.version());
+        PartialOutput output =
+                new PartialOutput(bytes, piece.lastEvent(), piece.version(), piece.service());
         setKeptOutput(index, new KeptOutput(output, progress.lease().fence(), progress.restarts()));
     }
 
--- a/src/main/java/org/coltsfootproxy/job/KeptOutput.java
+++ b/src/main/java/org/coltsfootproxy/job/KeptOutput.java
@@ -21,7 +21,7 @@
     /** Returns whether a piece directly follows this output. */
     boolean isContinuedBy(ItemProgress progress) {
         return progress.offset() == output.bytes().length
-                && (isEmpty() || isSameVersion(progress))
+                && (isEmpty() || isOfSameSource(progress))
                 && (isOfSameRun(progress) || isFirstOfLaterRun(progress));
     }
 
@@ -38,15 +38,16 @@
     /** Returns whether a piece is the first of a run that takes the place of this output. */
     boolean isReplacedBy(ItemProgress progress) {
         return progress.offset() == 0
-                && (isOfLaterRun(progress) || isOfSameRun(progress) && !isSameVersion(progress));
+                && (isOfLaterRun(progress) || isOfSameRun(progress) && !isOfSameSource(progress));
     }
 
     private boolean isEmpty() {
         return output.bytes().length == 0;
     }
 
-    private boolean isSameVersion(ItemProgress progress) {
-        return Objects.equals(output.version(), progress.piece().version());
+    private boolean isOfSameSource(ItemProgress progress) {
+        return Objects.equals(output.version(), progress.piece().version())
+                && Objects.equals(output.service(), progress.piece().service());
     }
 
     private boolean isOfSameRun(ItemProgress progress) {
--- a/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
+++ b/src/main/java/org/coltsfootproxy/job/LedgerSnapshot.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.message.ItemState;
 import org.coltsfootproxy.message.PartialOutput;
@@ -18,7 +19,7 @@
  * payloads.
  */
 final class LedgerSnapshot {
-    private static final int VERSION = 5;
+    private static final int VERSION = 6;
 
     /** Version that lacks the partial output of items that have not ended. */
     private static final int VERSION_WITHOUT_PARTIAL_OUTPUT = 2;
@@ -29,6 +30,9 @@
     /** Version in which partial outputs don't name the run that they come from. */
     private static final int VERSION_WITHOUT_RUNS = 4;
 
+    /** Version in which partial outputs don't name the service that they come from. */
+    private static final int VERSION_WITHOUT_SERVICES = 5;
+
     private static final ItemState[] STATES = ItemState.values();
     private static final ObjectMapper HEAD_MAPPER = new ObjectMapper(new MessagePackFactory());
 
@@ -97,6 +101,11 @@
             packer.packString(output.version().value());
         }
         packer.packLong(kept.fence()).packInt(kept.restarts());
+        if (output.service() == null) {
+            packer.packNil();
+        } else {
+            packer.packString(output.service().value());
+        }
     }
 
     private static void writeBytes(byte[] bytes, MessageBufferPacker packer) throws IOException {
@@ -170,10 +179,13 @@
                 version > VERSION_WITHOUT_SOFTWARE_VERSIONS && !unpacker.tryUnpackNil();
         SoftwareVersion software =
                 isVersionKnown ? SoftwareVersion.of(unpacker.unpackString()) : null;
-        PartialOutput partial = new PartialOutput(output, lastEvent, software);
-        return version > VERSION_WITHOUT_RUNS
-                ? new KeptOutput(partial, unpacker.unpackLong(), unpacker.unpackInt())
-                : new KeptOutput(partial, 0, 0);
+        boolean isRunKnown = version > VERSION_WITHOUT_RUNS;
+        long fence = isRunKnown ? unpacker.unpackLong() : 0;
+        int restarts = isRunKnown ? unpacker.unpackInt() : 0;
+        boolean isServiceKnown = version > VERSION_WITHOUT_SERVICES && !unpacker.tryUnpackNil();
+        ServiceId service = isServiceKnown ? ServiceId.of(unpacker.unpackString()) : null;
+        return new KeptOutput(
+                new PartialOutput(output, lastEvent, software, service), fence, restarts);
     }
 
     private static byte[] readBytes(MessageUnpacker unpacker) throws IOException {
--- a/src/main/java/org/coltsfootproxy/platform/PlatformCallerProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformCallerProtocol.java
@@ -54,15 +54,11 @@
             String item = query(call).getOrDefault("id", "");
             return new CallerCall.ReadBody(jobId(path.substring(ITEM_PATH_PREFIX.length())), item);
         }
-        String host =
-                PlatformHeaders.value(call.headers(), PlatformHeaders.HOST)
-                        .orElse("")
-                        .replaceFirst(":\\d+$", "");
         long timeoutMillis =
                 PlatformHeaders.millis(
                         call.headers(), PlatformHeaders.DEADLINE_MS, DEFAULT_TIMEOUT_MILLIS);
         return new CallerCall.Forward(
-                host.toLowerCase(Locale.ROOT),
+                PlatformHeaders.hostName(call.headers()),
                 call.path(),
                 PlatformHeaders.value(call.headers(), PlatformHeaders.REQUEST_ID).orElse(""),
                 resumption(call.headers()),
--- a/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformHeaders.java
@@ -1,6 +1,7 @@
 package org.coltsfootproxy.platform;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.ProxyException;
@@ -78,6 +79,11 @@
                 .findFirst();
     }
 
+    /** Returns the lower-case host name of a request, without its port; empty if it has none. */
+    static String hostName(List<Header> headers) {
+        return value(headers, HOST).orElse("").replaceFirst(":\\d+$", "").toLowerCase(Locale.ROOT);
+    }
+
     static boolean has(List<Header> headers, String name) {
         return value(headers, name).isPresent();
     }
--- a/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformTargetProtocol.java
@@ -65,6 +65,11 @@
                 || isLastEventId && request.resumeAfter().isPresent();
     }
 
+    @Override
+    public String hostName(List<Header> callerHeaders) {
+        return PlatformHeaders.hostName(callerHeaders);
+    }
+
     @Override
     public List<PromptPartId> sharedPromptParts(List<Header> callerHeaders) {
         List<String> parts =
--- a/src/main/java/org/coltsfootproxy/work/WorkFeatures.java
+++ b/src/main/java/org/coltsfootproxy/work/WorkFeatures.java
@@ -24,6 +24,11 @@
         checkArgument(bodyBytes >= 0, "bodyBytes %s is below 0", bodyBytes);
     }
 
+    /** Returns these features for another route, or another service of a batch item. */
+    public WorkFeatures withRoute(String other) {
+        return new WorkFeatures(other, organisation, subject, declared, bodyBytes);
+    }
+
     /**
      * Sizes that a caller declares, in tokens; 0 where it declares none.
      *
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -1,15 +1,18 @@
 package org.coltsfootproxy.job;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.JobId;
 import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.ProxyException;
+import org.coltsfootproxy.base.ServiceId;
 import org.coltsfootproxy.base.SoftwareVersion;
 import org.coltsfootproxy.message.ItemProgress;
 import org.coltsfootproxy.message.ItemReport;
@@ -162,7 +165,8 @@
                 new PartialOutput(
                         bytes.getBytes(StandardCharsets.UTF_8),
                         lastEvent,
-                        SoftwareVersion.of(version));
+                        SoftwareVersion.of(version),
+                        null);
         return progress(new ItemProgress(new LeaseRef(1, item, 1), offset, piece, 0, 0, ""));
     }
 
@@ -191,7 +195,8 @@
                 new PartialOutput(
                         bytes.getBytes(StandardCharsets.UTF_8),
                         lastEvent,
-                        SoftwareVersion.of("v1"));
+                        SoftwareVersion.of("v1"),
+                        null);
         return progress(
                 new ItemProgress(
                         new LeaseRef(1, 0, fence), offset, piece, leased, restarts, leasedEvent));
@@ -245,7 +250,7 @@
     }
 
     private String partialOutput(int item) {
-        PartialOutput output = mLedger.job(1).orElseThrow().items().partialOutput(item);
+        PartialOutput output = partialOutputOf(item);
         return new String(output.bytes(), StandardCharsets.UTF_8) + " after " + output.lastEvent();
     }
 
@@ -304,4 +309,55 @@
         assertEquals(partialOutput(0), " after ");
         assertEquals(progress(0, 0, "one", "4"), 0);
     }
+
+    private int progressAt(ServiceId service, int fence, int offset, String bytes, String event) {
+        var piece =
+                new PartialOutput(
+                        bytes.getBytes(StandardCharsets.UTF_8),
+                        event,
+                        SoftwareVersion.of("v1"),
+                        service);
+        return progress(new ItemProgress(new LeaseRef(1, 0, fence), offset, piece, offset, 0, "1"));
+    }
+
+    /** Guards against a text that one service has begun and another one continues. */
+    @Test
+    public void outputOfAnotherServiceOfTheSameVersionIsNotAppended() {
+        ServiceId first = ServiceId.of("first");
+        ServiceId second = ServiceId.of("second");
+        submit(FORTH, "a", 1, 10);
+        assertEquals(progressAt(first, 1, 0, "one", "1"), 1);
+        byte[] snapshot = mLedger.snapshot();
+        begin();
+        mLedger.restore(snapshot);
+        assertEquals(partialOutputOf(0).service(), first);
+        assertEquals(progressAt(second, 2, 3, "\ntwo", "2"), 0);
+        assertEquals(progressAt(first, 2, 3, "\ntwo", "2"), 1);
+        assertEquals(partialOutput(0), "one\ntwo after 2");
+        assertEquals(progressAt(second, 3, 0, "uno", "1"), 1);
+        assertEquals(partialOutput(0), "uno after 1");
+        assertEquals(partialOutputOf(0).service(), second);
+    }
+
+    /** Guards against jobs that are lost when a store is upgraded. */
+    @Test
+    public void aSnapshotWhosePartialOutputNamesNoServiceCanBeRead() {
+        // Version 5: a job of one item with the output of one event.
+        mLedger.restore(
+                Base64.getDecoder()
+                        .decode(
+                                "BQABzQfQAcUBA4embnVtYmVyAaxvcmdhbmlzYXRpb26lZm9ydGikc3BlY4uiaW"
+                                        + "ShYadzZXJ2aWNlrnJvdGEtYXNzaXN0YW50pm1ldGhvZKRQT1NUpHBhdGiiL3"
+                                        + "CqcmVwZWF0YWJsZcOtdGltZW91dE1pbGxpc80D6LNkZWFkbGluZUVwb2NoTW"
+                                        + "lsbGlzzgA27oCvZGVhZGxpbmVBc0dpdmVupWxhdGVypWl0ZW1zAattYXhBdH"
+                                        + "RlbXB0cwCuYWxsb3dlZFJlZ2lvbnPApXN0YXRlp1JVTk5JTketdG91Y2hlZE"
+                                        + "1pbGxpc80D6K5hY2NlcHRlZE1pbGxpc80D6K5maW5pc2hlZE1pbGxpcwABAN"
+                                        + "PqGgn4yIV4g8QGAAAAAAAAwMDEA29uZaE0onYxBwAA"));
+        assertEquals(partialOutput(0), "one after 4");
+        assertNull(partialOutputOf(0).service());
+    }
+
+    private PartialOutput partialOutputOf(int item) {
+        return mLedger.job(1).orElseThrow().items().partialOutput(item);
+    }
 }
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedConfig.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedConfig.java
@@ -57,6 +57,42 @@
                 + "\"]}]}";
     }
 
+    /** Returns a configuration whose jobs run at the given service. */
+    static String configWithJobsAt(long version, String service) {
+        return withJobsRoute(version, jobsRoute("\"service\":\"" + service + "\""));
+    }
+
+    /** Returns a configuration whose jobs are split over two services by weight. */
+    static String configWithJobsSplit(
+            long version, String first, int firstWeight, String second, int secondWeight) {
+        return withJobsRoute(
+                version,
+                jobsRoute(
+                        String.format(
+                                "\"split\":[{\"service\":\"%s\",\"weight\":%d},"
+                                        + "{\"service\":\"%s\",\"weight\":%d}]",
+                                first, firstWeight, second, secondWeight)));
+    }
+
+    /** Returns a configuration without a route for jobs. */
+    static String configWithoutJobs(long version) {
+        return withJobsRoute(version, "");
+    }
+
+    private static String jobsRoute(String services) {
+        return "{\"name\":\"r-jobs\",\"host\":\"svc.example\",\"path_prefix\":\"/jobs/\","
+                + "\"kind\":\"batch\",\"timeout_ms\":5000,\"goal_ms\":300,\"gap_aim_ms\":400,"
+                + "\"max_attempts\":3,\"run_target_ms\":18000,"
+                + services
+                + "}";
+    }
+
+    private static String withJobsRoute(long version, String route) {
+        return config(version, 1_000)
+                .replaceFirst(",\\{\"name\":\"r-jobs\"[^}]*}", route.isEmpty() ? "" : "," + route)
+                .replace("{\"name\":\"app\"}", "{\"name\":\"app\"},{\"name\":\"lm-new\"}");
+    }
+
     static String route(String name, String kind, String service, String extraFields) {
         return String.format(
                 "{\"name\":\"r-%s\",\"host\":\"svc.example\",\"path_prefix\":\"/%s/\","
