Agents of the new service get the items of a moved route

What callers saw: in a fleet with agents, items of accepted jobs waited for ever if their route moved to another service and no agent of the former one was left.

The leader matched pulls, run times and estimates with the service that the job had at submission.

Evidence: JobServiceTest.theItemsOfAMovedRouteAreLeasedToTheAgentsOfTheNewService got no lot while the leader used JobServices.atSubmission(), which is what it did before.

Stores pull items of all services and route each item themselves, so their leader keeps the service at submission, by which only the first estimate of a run time is chosen.

Not changed: an agent runs the items that it already holds.

--- a/src/main/java/org/coltsfootproxy/control/ControlNode.java
+++ b/src/main/java/org/coltsfootproxy/control/ControlNode.java
@@ -23,6 +23,7 @@
 import org.coltsfootproxy.job.JobGateway;
 import org.coltsfootproxy.job.JobLedger;
 import org.coltsfootproxy.job.JobService;
+import org.coltsfootproxy.job.JobServices;
 import org.coltsfootproxy.membership.LeaseGranter;
 import org.coltsfootproxy.message.ConfigMessage;
 import org.coltsfootproxy.message.FleetMessage;
@@ -144,6 +145,7 @@
                         group,
                         mSettings.jobs(),
                         this::weight,
+                        JobServices.routedBy(mMachine.config()::view),
                         clock));
     }
 
--- a/src/main/java/org/coltsfootproxy/control/StoreNode.java
+++ b/src/main/java/org/coltsfootproxy/control/StoreNode.java
@@ -27,6 +27,7 @@
 import org.coltsfootproxy.job.EpochClock;
 import org.coltsfootproxy.job.JobLedger;
 import org.coltsfootproxy.job.JobService;
+import org.coltsfootproxy.job.JobServices;
 import org.coltsfootproxy.membership.FleetMembership;
 import org.coltsfootproxy.message.ConfigMessage;
 import org.coltsfootproxy.message.FleetMessage;
@@ -100,6 +101,7 @@
                         mGroup,
                         settings.jobs(),
                         this::weight,
+                        JobServices.atSubmission(),
                         clock);
         mTargets = Targets.create(settings.dataCentre(), random);
         mReports =
--- a/src/main/java/org/coltsfootproxy/job/JobScheduler.java
+++ b/src/main/java/org/coltsfootproxy/job/JobScheduler.java
@@ -27,6 +27,7 @@
     private final Map<Long, JobQueue> mQueues = new LinkedHashMap<>();
     private final FairShare mShare;
     private final RunTimes mRunTimes;
+    private final JobServices mServices;
     private final double mMaxAdvanceSeconds;
 
     /**
@@ -35,14 +36,17 @@
      */
     record Choice(JobQueue queue, boolean forDeadline) {}
 
-    private JobScheduler(FairShare share, RunTimes runTimes, double maxAdvanceSeconds) {
+    private JobScheduler(
+            FairShare share, RunTimes runTimes, JobServices services, double maxAdvanceSeconds) {
         mShare = share;
         mRunTimes = runTimes;
+        mServices = services;
         mMaxAdvanceSeconds = maxAdvanceSeconds;
     }
 
-    static JobScheduler create(FairShare share, RunTimes runTimes, double maxAdvanceSeconds) {
-        return new JobScheduler(share, runTimes, maxAdvanceSeconds);
+    static JobScheduler create(
+            FairShare share, RunTimes runTimes, JobServices services, double maxAdvanceSeconds) {
+        return new JobScheduler(share, runTimes, services, maxAdvanceSeconds);
     }
 
     void put(JobQueue queue) {
@@ -76,7 +80,7 @@
     Optional<Choice> choose(
             ServiceId service, int slots, long epochMillis, Predicate<OrganisationId> mayRun) {
         List<JobQueue> ready =
-                queues().filter(q -> service.covers(q.job().spec().service()))
+                queues().filter(q -> service.covers(mServices.of(q.job())))
                         .filter(q -> q.hasReady(epochMillis) && mayRun.test(q.organisation()))
                         .toList();
         double totalWeight = totalWeight(ready.stream());
@@ -148,7 +152,7 @@
             return 0;
         }
         Stream<JobQueue> competitors =
-                queues().filter(q -> q.job().spec().service().equals(job.spec().service()))
+                queues().filter(q -> mServices.of(q.job()).equals(mServices.of(job)))
                         .filter(q -> q.job().state() == JobState.RUNNING);
         double totalWeight = Math.max(totalWeight(competitors), mShare.weight(job.organisation()));
         double share = mShare.weight(job.organisation()) / totalWeight;
--- a/src/main/java/org/coltsfootproxy/job/JobService.java
+++ b/src/main/java/org/coltsfootproxy/job/JobService.java
@@ -56,6 +56,7 @@
             Proposer proposer,
             JobSettings settings,
             ToDoubleFunction<OrganisationId> weights,
+            JobServices services,
             EpochClock clock) {
         mSelf = self;
         mGroup = group;
@@ -64,7 +65,7 @@
         mSettings = settings;
         mStep = new StepContext(clock);
         mLog = CommandLog.create(proposer, this::restartTerm);
-        mState = new LeaderState(ledger, mStep, settings, FairShare.create(weights));
+        mState = new LeaderState(ledger, mStep, settings, FairShare.create(weights), services);
         mLeaseManager = new LeaseManager(group, mState, mLog);
         mReportHandler = new ReportHandler(group, mState, mLog, mLeaseManager);
         mAskHandler = new AskHandler(mState, mLog, mLeaseManager);
@@ -79,6 +80,7 @@
      * @param ledger state machine of the group on this host
      * @param proposer the group's log
      * @param weights fair-share weight of each organisation; weights of 0 and below count as 1
+     * @param services the services whose agents run the jobs
      * @param clock converts the monotonic times passed to the service into wall-clock times
      */
     public static JobService create(
@@ -88,14 +90,16 @@
             Proposer proposer,
             JobSettings settings,
             ToDoubleFunction<OrganisationId> weights,
+            JobServices services,
             EpochClock clock) {
         checkNotNull(self, "host is missing");
         checkArgument(group > 0, "group %s is below 1", group);
         checkNotNull(ledger, "ledger is missing");
         checkNotNull(proposer, "proposer is missing");
         checkNotNull(weights, "weights are missing");
+        checkNotNull(services, "services are missing");
         checkNotNull(clock, "clock is missing");
-        return new JobService(self, group, ledger, proposer, settings, weights, clock);
+        return new JobService(self, group, ledger, proposer, settings, weights, services, clock);
     }
 
     /** Handles a message from an entry or agent for this group. */
--- a/src/main/java/org/coltsfootproxy/job/LeaderState.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaderState.java
@@ -24,7 +24,8 @@
     private final JobLedger mLedger;
     private final StepContext mStep;
     private final JobSettings mSettings;
-    private final RunTimes mRunTimes = new RunTimes();
+    private final JobServices mServices;
+    private final RunTimes mRunTimes;
     private final ItemLeaseTable mLeaseTable = new ItemLeaseTable();
     private final Set<ServiceId> mServicesWithWork = new LinkedHashSet<>();
     private final Set<LeaseRef> mUnrecordedLosses = new LinkedHashSet<>();
@@ -35,13 +36,20 @@
     private boolean mIsGracePeriod;
     private long mGraceEndNanos;
 
-    LeaderState(JobLedger ledger, StepContext step, JobSettings settings, FairShare share) {
+    LeaderState(
+            JobLedger ledger,
+            StepContext step,
+            JobSettings settings,
+            FairShare share,
+            JobServices services) {
         mLedger = ledger;
         mStep = step;
         mSettings = settings;
         mShare = share;
+        mServices = services;
+        mRunTimes = new RunTimes(services);
         double advanceSeconds = settings.maxAdvance().toMillis() / MILLIS_PER_SECOND;
-        mScheduler = JobScheduler.create(share, mRunTimes, advanceSeconds);
+        mScheduler = JobScheduler.create(share, mRunTimes, services, advanceSeconds);
     }
 
     void open(long term) {
@@ -87,6 +95,11 @@
         return mRunTimes;
     }
 
+    /** Returns the service whose agents run the items of a job now. */
+    ServiceId service(LedgerJob job) {
+        return mServices.of(job);
+    }
+
     FairShare share() {
         return mShare;
     }
@@ -134,7 +147,7 @@
 
     void requeue(JobQueue queue, int item) {
         queue.requeue(item);
-        mServicesWithWork.add(queue.job().spec().service());
+        mServicesWithWork.add(mServices.of(queue.job()));
     }
 
     /** Updates the queues after a job was accepted, cancelled, settled or has ended. */
@@ -143,7 +156,7 @@
         if (job.state() == JobState.RUNNING && queue.isEmpty()) {
             JobQueue added = JobQueue.ofNew(job);
             mScheduler.put(added);
-            mServicesWithWork.add(job.spec().service());
+            mServicesWithWork.add(mServices.of(job));
         } else if (queue.isPresent() && job.items().openCount() == 0) {
             mScheduler.remove(job.number());
         }
@@ -156,8 +169,9 @@
         return services;
     }
 
-    void addServiceWithWork(ServiceId service) {
-        mServicesWithWork.add(service);
+    /** Notes that a job has work whose agents may be waiting. */
+    void addServiceWithWork(LedgerJob job) {
+        mServicesWithWork.add(mServices.of(job));
     }
 
     boolean hasServiceWithWork() {
@@ -183,7 +197,6 @@
     }
 
     long estimateEpochMillis(LedgerJob job) {
-        return mScheduler.estimateEpochMillis(
-                job, slots(job.spec().service()), mStep.epochMillis());
+        return mScheduler.estimateEpochMillis(job, slots(mServices.of(job)), mStep.epochMillis());
     }
 }
--- a/src/main/java/org/coltsfootproxy/job/LeaseManager.java
+++ b/src/main/java/org/coltsfootproxy/job/LeaseManager.java
@@ -145,7 +145,7 @@
         return new LeasedItem(
                 ref,
                 job.organisation().value(),
-                job.spec().service(),
+                mState.service(job),
                 job.spec().repeatable(),
                 job.spec().method(),
                 job.spec().path(),
@@ -253,7 +253,7 @@
         mState.scheduler()
                 .queues()
                 .filter(queue -> queue.hasReady(mStep.epochMillis()))
-                .forEach(queue -> mState.addServiceWithWork(queue.job().spec().service()));
+                .forEach(queue -> mState.addServiceWithWork(queue.job()));
     }
 
     /**
--- a/src/main/java/org/coltsfootproxy/job/RunTimes.java
+++ b/src/main/java/org/coltsfootproxy/job/RunTimes.java
@@ -10,13 +10,18 @@
     private static final double SMOOTHING_FACTOR = 0.1;
     private static final double MIN_SECONDS = 0.001;
 
+    private final JobServices mServices;
     private final Map<Long, Double> mByJob = new HashMap<>();
     private final Map<ServiceId, Double> mByService = new HashMap<>();
 
+    RunTimes(JobServices services) {
+        mServices = services;
+    }
+
     void add(LedgerJob job, double seconds) {
         double boundedSeconds = Math.max(seconds, MIN_SECONDS);
         mByJob.merge(job.number(), boundedSeconds, RunTimes::average);
-        mByService.merge(job.spec().service(), boundedSeconds, RunTimes::average);
+        mByService.merge(mServices.of(job), boundedSeconds, RunTimes::average);
     }
 
     private static double average(double old, double last) {
@@ -31,7 +36,7 @@
         Double jobAverage = mByJob.get(job.number());
         return jobAverage != null
                 ? jobAverage
-                : mByService.getOrDefault(job.spec().service(), DEFAULT_SECONDS);
+                : mByService.getOrDefault(mServices.of(job), DEFAULT_SECONDS);
     }
 
     void remove(long job) {
--- a/src/test/java/org/coltsfootproxy/job/FakeFleet.java
+++ b/src/test/java/org/coltsfootproxy/job/FakeFleet.java
@@ -183,6 +183,7 @@
                 host,
                 mSettings,
                 organisation -> 1,
+                JobServices.atSubmission(),
                 EpochClock.of(0, EPOCH));
     }
 
--- a/src/test/java/org/coltsfootproxy/job/JobMeasurements.java
+++ b/src/test/java/org/coltsfootproxy/job/JobMeasurements.java
@@ -215,6 +215,7 @@
                             host,
                             settings,
                             o -> 1,
+                            JobServices.atSubmission(),
                             EpochClock.of(0, FakeFleet.EPOCH));
             mService.tick(mNow, this::collect);
             mLog.commitAll();
--- a/src/test/java/org/coltsfootproxy/job/JobServiceTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobServiceTest.java
@@ -6,12 +6,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.coltsfootproxy.base.HostId;
 import org.coltsfootproxy.base.Incarnation;
 import org.coltsfootproxy.base.JobId;
 import org.coltsfootproxy.base.OrganisationId;
+import org.coltsfootproxy.base.RouteId;
 import org.coltsfootproxy.base.ServiceId;
+import org.coltsfootproxy.config.ConfigView;
+import org.coltsfootproxy.config.Route;
 import org.coltsfootproxy.message.ItemReport;
 import org.coltsfootproxy.message.JobItem;
 import org.coltsfootproxy.message.JobMessage;
@@ -39,6 +44,7 @@
     private FakeLog mLog;
     private FakeLog.Host mHost;
     private JobService mService;
+    private ConfigView mConfig = ConfigView.empty();
     private long mNow;
     private final List<Effect.Send> mSent = new ArrayList<>();
 
@@ -48,6 +54,7 @@
         mHost = mLog.addHost("control-1");
         mLog.changeLeader(mHost, 0);
         mNow = 5 * SECOND;
+        mConfig = ConfigView.empty();
         mService = service();
         step(0);
         step(JobSettings.defaults().maxLease().toNanos());
@@ -62,6 +69,7 @@
                 mHost,
                 JobSettings.defaults(),
                 organisation -> 1,
+                JobServices.routedBy(() -> mConfig),
                 EpochClock.of(0, 1_000_000_000_000L));
     }
 
@@ -256,4 +264,46 @@
         deliver(OTHER_AGENT, new JobMessage.Report(1, INCARNATION, List.of(done(current))));
         assertEquals(status("tides").status().done(), 1);
     }
+
+    private static ConfigView routedTo(ServiceId service) {
+        Route route =
+                Route.of(
+                        RouteId.of("briefings"),
+                        "/assistant",
+                        service,
+                        false,
+                        Set.of(),
+                        Set.of("POST"),
+                        10_000);
+        return ConfigView.of(2, Stream.of(), Stream.of(), Stream.of(), Stream.of(route));
+    }
+
+    /** Guards against items that are kept for the agents of a service that their route has left. */
+    @Test
+    public void theItemsOfAMovedRouteAreLeasedToTheAgentsOfTheNewService() {
+        ServiceId next = ServiceId.of("next-assistant");
+        mConfig = routedTo(SERVICE);
+        submit("a", true, 2);
+        deliver(OTHER_AGENT, new JobMessage.Pull(1, INCARNATION, next, 1, 4, 4));
+        step(SECOND);
+        assertTrue(sent(OTHER_AGENT, JobMessage.Lot.class).isEmpty());
+        mConfig = routedTo(next);
+        step(SECOND);
+        List<LeasedItem> items = last(OTHER_AGENT, JobMessage.Lot.class).items();
+        assertEquals(items.size(), 2);
+        assertTrue(items.stream().allMatch(item -> item.service().equals(next)));
+        deliver(AGENT, new JobMessage.Pull(1, INCARNATION, SERVICE, 1, 4, 4));
+        submit("b", true, 2);
+        step(SECOND);
+        assertTrue(sent(AGENT, JobMessage.Lot.class).isEmpty());
+    }
+
+    /** Guards against items that no agent gets because their route was removed. */
+    @Test
+    public void theItemsOfARemovedRouteStayAtTheirServiceAtSubmission() {
+        mConfig = routedTo(SERVICE);
+        submit("a", true, 2);
+        mConfig = ConfigView.empty();
+        assertEquals(pull(AGENT, INCARNATION, 4).size(), 2);
+    }
 }
