--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -35,7 +35,6 @@
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
 import org.coltsfootproxy.quarantine.CrashQuarantine;
-import org.coltsfootproxy.quarantine.CutCall;
 
 /**
  * Runs batch items at targets that this host calls directly.
@@ -74,7 +73,8 @@
     private final TargetProtocol mProtocol;
     private final TargetCalls mCalls;
     private final Targets mTargets;
-    private final CrashQuarantine mQuarantine;
+    private final ItemTrials mTrials;
+    private final KeptSlots mKept;
     private final Supplier<ConfigView> mConfig;
     private final ItemRouting mRouting;
     private final Map<LeaseRef, ItemRun> mRuns = new HashMap<>();
@@ -82,12 +82,6 @@
     private final FreeBatchSlots mFreeSlots;
     private final ItemProgressSender mProgress;
 
-    /** Fraction by which this host waits longer than the others for trials of quarantined items. */
-    private final double mTrialJitter;
-
-    /** {@link CrashQuarantine#version} for which the items at targets were checked. */
-    private long mCheckedQuarantine;
-
     private int mWorkers;
     private boolean mIsStopping;
     private long mNextSlotCheck;
@@ -107,13 +101,14 @@
         mProtocol = checkNotNull(protocol, "protocol");
         mCalls = checkNotNull(calls, "calls");
         mTargets = checkNotNull(targets, "targets");
-        mQuarantine = checkNotNull(quarantine, "quarantine");
+        mTrials =
+                new ItemTrials(quarantine, new SplittableRandom(incarnation.value()).nextDouble());
+        mKept = new KeptSlots(targets);
         mConfig = checkNotNull(config, "config");
         mRouting = routing;
         mFreeSlots = new FreeBatchSlots(targets);
         mProgress = new ItemProgressSender(mPuller);
         mWorkers = controls.size();
-        mTrialJitter = new SplittableRandom(incarnation.value()).nextDouble();
     }
 
     /**
@@ -231,15 +226,25 @@
             mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
             return;
         }
-        if (!maySend(run, now)) {
+        if (!mTrials.maySend(run, mRuns.values(), now)) {
             mTimers.set(run.lease(), now + QUARANTINE_CHECK_INTERVAL_NANOS);
             return;
         }
-        ServiceId service = run.service();
         if (!canResume(run)) {
             ItemLog.begunAnew(run, mTargets.listing().number(), out);
             run.beginAnew();
         }
+        Optional<Target> target = chooseTarget(run, now);
+        if (target.isEmpty()) {
+            run.forgetTried();
+            mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
+            return;
+        }
+        start(run, target.get(), now, out);
+    }
+
+    private Optional<Target> chooseTarget(ItemRun run, long now) {
+        ServiceId service = run.service();
         run.setEstimate(mTargets.work().estimate(service, run.features()));
         Predicate<Target> allowed =
                 target -> run.allows(target) && mTargets.work().fits(target, run.estimate());
@@ -247,32 +252,30 @@
                 mFreeSlots.count(service, now) > 0
                         ? mTargets.chooseForBatch(service, allowed, mWorkers, now)
                         : Optional.empty();
-        if (target.isEmpty() && run.needsSlotNow(mMeanRunNanos, now)) {
-            target = mTargets.chooseForUrgent(service, allowed, now);
-        }
-        if (target.isEmpty()) {
-            run.forgetTried();
-            mTimers.set(run.lease(), now + RETRY_PAUSE_NANOS);
-            return;
-        }
+        return target.isEmpty() && run.needsSlotNow(mMeanRunNanos, now)
+                ? mTargets.chooseForUrgent(service, allowed, now)
+                : target;
+    }
+
+    private void start(ItemRun run, Target target, long now, Effects out) {
         long call = mCalls.nextCall();
-        Effect.TargetCall request = ItemTargetCall.of(run, target.get(), call, mProtocol);
-        run.sentTo(target.get(), call, now);
+        Effect.TargetCall request = ItemTargetCall.of(run, target, call, mProtocol);
+        run.sentTo(target, call, now);
         mTargets.work()
                 .began(
-                        target.get(),
+                        target,
                         TrafficClass.BATCH,
                         call,
                         run.estimate(),
                         run.lastEvent().isEmpty(),
                         now);
-        mTargets.callStarted(target.get(), TrafficClass.BATCH, now);
-        target.get().batchStarted(now);
-        mFreeSlots.itemStarted(service);
-        updateKept(run, now);
-        mCalls.start(target.get().listed().address(), request, new Answer(run), out);
+        mTargets.callStarted(target, TrafficClass.BATCH, now);
+        target.batchStarted(now);
+        mFreeSlots.itemStarted(run.service());
+        mKept.update(run, mMeanRunNanos, now);
+        mCalls.start(target.listed().address(), request, new Answer(run), out);
         mTimers.set(run.lease(), now + SILENCE_TIMEOUT_NANOS);
-        ItemLog.sent(run, target.get(), mTargets.listing().number(), out);
+        ItemLog.sent(run, target, mTargets.listing().number(), out);
     }
 
     /** Returns whether a target of the item's service may continue its output. */
@@ -283,33 +286,9 @@
                         run.service(), run.version(), run.lastEvent(), run::isInAllowedRegion);
     }
 
-    /** Returns whether an item is not quarantined, or may be tried in spite of it. */
-    private boolean maySend(ItemRun run, long now) {
-        return !isQuarantined(run)
-                || !isAnyTried() && mQuarantine.mayTry(run.content(), mTrialJitter, now);
-    }
-
-    private boolean isAnyTried() {
-        return mRuns.values().stream()
-                .anyMatch(run -> run.target().isPresent() && isQuarantined(run));
-    }
-
-    private boolean isQuarantined(ItemRun run) {
-        return mQuarantine.firstQuarantined(run.content()).isPresent();
-    }
-
-    private boolean waitsInQuarantine(ItemRun run) {
-        return run.target().isEmpty() && isQuarantined(run);
-    }
-
     /** Cancels the calls with a quarantined part that wait at a target; their items wait here. */
     private void cancelQuarantined(long now, Effects out) {
-        List<ItemRun> waiting =
-                mRuns.values().stream()
-                        .filter(run -> run.target().isPresent() && !run.hasSuccess())
-                        .filter(this::isQuarantined)
-                        .toList();
-        for (ItemRun run : waiting) {
+        for (ItemRun run : mTrials.newlyQuarantined(mRuns.values())) {
             mCalls.cancel(run.targetCall(), out);
             releaseTarget(run, now);
             ItemLog.attemptEnded(run, "a part of the prompt was quarantined", out);
@@ -353,7 +332,7 @@
                 mRun.append(bytes, now);
             }
             if (!hadProgressed && mRun.hasProgressed()) {
-                mQuarantine.answerProgressed(mRun.content(), now, out);
+                mTrials.answerProgressed(mRun, now, out);
             }
             Optional<String> fault = mRun.fault();
             if (fault.isPresent()) {
@@ -365,7 +344,7 @@
         @Override
         public void ended(Input.TargetEnd end, long now, Effects out) {
             if (mRun.endsTooEarly(end)) {
-                noteBrokenAnswer(mRun, now, out);
+                mTrials.answerCut(mRun, now, out);
                 attemptFailed(mRun, "the stream ended too early", now, out);
                 return;
             }
@@ -384,24 +363,12 @@
         @Override
         public void failed(Input.TargetFailed failure, long now, Effects out) {
             if (failure.kind() == ErrorKind.ANSWER_CUT) {
-                noteBrokenAnswer(mRun, now, out);
+                mTrials.answerCut(mRun, now, out);
             }
             attemptFailed(mRun, failure.kind().label() + ": " + failure.detail(), now, out);
         }
     }
 
-    /** Reports a target that ended the connection as it began its answer. */
-    private void noteBrokenAnswer(ItemRun run, long now, Effects out) {
-        if (run.hasSuccess() && !run.hasProgressed()) {
-            var cut =
-                    CutCall.ofItem(
-                            run.target().orElseThrow().listed().id(),
-                            run.lease().job() + "/" + run.lease().item(),
-                            run.content());
-            mQuarantine.callCut(cut, now, out);
-        }
-    }
-
     private static ItemReport doneReport(ItemRun run, long now) {
         return new ItemReport(
                 run.lease(),
@@ -433,7 +400,7 @@
     }
 
     private void attemptFailed(ItemRun run, String why, long now, Effects out) {
-        mQuarantine.trialFailed(run.content(), now);
+        mTrials.callFailed(run, now);
         run.target().ifPresent(target -> target.callFailed(now));
         releaseTarget(run, now);
         retry(run, why, now, out);
@@ -449,9 +416,7 @@
     }
 
     private void releaseTarget(ItemRun run, long now) {
-        if (run.isKept()) {
-            setKept(run, false);
-        }
+        mKept.release(run);
         run.target()
                 .ifPresent(
                         target -> {
@@ -475,10 +440,7 @@
 
     /** Carries out the work that is due. */
     public void tick(long now, Effects out) {
-        if (mCheckedQuarantine != mQuarantine.version()) {
-            mCheckedQuarantine = mQuarantine.version();
-            cancelQuarantined(now, out);
-        }
+        cancelQuarantined(now, out);
         Optional<LeaseRef> due = mTimers.pollDue(now);
         while (due.isPresent()) {
             Optional.ofNullable(mRuns.get(due.get()))
@@ -488,7 +450,7 @@
         mPuller.tick(now, out);
         if (now - mNextSlotCheck >= 0) {
             mNextSlotCheck = now + SLOT_CHECK_INTERVAL_NANOS;
-            updateKept(now);
+            mKept.update(mRuns.values(), mMeanRunNanos, now);
             mProgress.send(mRuns.values(), now, out);
             offerSlots(now, out);
         }
@@ -521,30 +483,6 @@
                 .ifPresent(run -> preempt(run, now, out));
     }
 
-    /** Updates which items keep their slots; the other hosts learn it with the next load report. */
-    private void updateKept(long now) {
-        mRuns.values().stream()
-                .filter(run -> run.target().isPresent())
-                .forEach(run -> updateKept(run, now));
-    }
-
-    private void updateKept(ItemRun run, long now) {
-        boolean needsSlotNow = run.needsSlotNow(mMeanRunNanos, now);
-        if (run.isKept() && !needsSlotNow) {
-            setKept(run, false);
-        } else if (!run.isKept()
-                && needsSlotNow
-                && Targets.mayAddKept(run.target().orElseThrow())) {
-            setKept(run, true);
-        }
-    }
-
-    private void setKept(ItemRun run, boolean isKept) {
-        run.setKept(isKept);
-        mTargets.setKept(run.target().orElseThrow(), isKept);
-        run.target().orElseThrow().work().setPreemptible(run.targetCall(), !isKept);
-    }
-
     private void preempt(ItemRun run, long now, Effects out) {
         mFreeSlots.itemPreempted(run.service(), now);
         mCalls.cancel(run.targetCall(), out);
@@ -559,7 +497,7 @@
     private void offerSlots(long now, Effects out) {
         List<ServiceId> services = mConfig.get().batchServices();
         int slots = services.stream().flatMap(mTargets::active).mapToInt(Target::slots).sum();
-        long quarantined = mRuns.values().stream().filter(this::waitsInQuarantine).count();
+        long quarantined = mTrials.waiting(mRuns.values());
         mPuller.setCapacity((int) (Math.max(1, slots / mWorkers) + quarantined));
         int free = services.stream().mapToInt(service -> mFreeSlots.count(service, now)).sum();
         long waiting =
--- a/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
+++ b/src/test/java/org/coltsfootproxy/job/JobLedgerTest.java
@@ -346,13 +346,15 @@
         mLedger.restore(
                 Base64.getDecoder()
                         .decode(
-                                "BQABzQfQAcUBA4embnVtYmVyAaxvcmdhbmlzYXRpb26lZm9ydGikc3BlY4uiaW"
-                                        + "ShYadzZXJ2aWNlrnJvdGEtYXNzaXN0YW50pm1ldGhvZKRQT1NUpHBhdGiiL3"
-                                        + "CqcmVwZWF0YWJsZcOtdGltZW91dE1pbGxpc80D6LNkZWFkbGluZUVwb2NoTW"
-                                        + "lsbGlzzgA27oCvZGVhZGxpbmVBc0dpdmVupWxhdGVypWl0ZW1zAattYXhBdH"
-                                        + "RlbXB0cwCuYWxsb3dlZFJlZ2lvbnPApXN0YXRlp1JVTk5JTketdG91Y2hlZE"
-                                        + "1pbGxpc80D6K5hY2NlcHRlZE1pbGxpc80D6K5maW5pc2hlZE1pbGxpcwABAN"
-                                        + "PqGgn4yIV4g8QGAAAAAAAAwMDEA29uZaE0onYxBwAA"));
+                                "BQABzQfQAcUBA4embnVtYmVyAaxvcmdhbmlzYXRpb26lZm9y"
+                                        + "dGikc3BlY4uiaWShYadzZXJ2aWNlrnJvdGEtYXNzaXN0YW50"
+                                        + "pm1ldGhvZKRQT1NUpHBhdGiiL3CqcmVwZWF0YWJsZcOtdGlt"
+                                        + "ZW91dE1pbGxpc80D6LNkZWFkbGluZUVwb2NoTWlsbGlzzgA2"
+                                        + "7oCvZGVhZGxpbmVBc0dpdmVupWxhdGVypWl0ZW1zAattYXhB"
+                                        + "dHRlbXB0cwCuYWxsb3dlZFJlZ2lvbnPApXN0YXRlp1JVTk5J"
+                                        + "TketdG91Y2hlZE1pbGxpc80D6K5hY2NlcHRlZE1pbGxpc80D"
+                                        + "6K5maW5pc2hlZE1pbGxpcwABANPqGgn4yIV4g8QGAAAAAAAA"
+                                        + "wMDEA29uZaE0onYxBwAA"));
         assertEquals(partialOutput(0), "one after 4");
         assertNull(partialOutputOf(0).service());
     }
