Items follow a change of the regions that their route allows

What callers saw: items of an accepted job were sent to regions that their route no longer allowed, and would have waited for ever if the route had moved to other regions altogether.

Cause: as with the service, the regions of the route were written into the job at submission, and stores intersected only those of the organisation anew.

Change: ItemRouting restricts an item by the route and the organisation of the configuration in force. The fields on the wire stay for hosts of an earlier version.

--- a/src/main/java/org/coltsfootproxy/config/Regions.java
+++ b/src/main/java/org/coltsfootproxy/config/Regions.java
@@ -8,9 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.coltsfootproxy.base.DataCentre;
-import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.base.Region;
-import org.coltsfootproxy.message.LeasedItem;
 
 /** The regions of the data centres, and what requests that are bound to regions may reach. */
 public final class Regions {
@@ -41,16 +39,6 @@
         return both(named(ofRoute), named(ofOrganisation));
     }
 
-    /** Returns the regions that an item may reach by its job and by its organisation now. */
-    public static Optional<Set<Region>> allowed(LeasedItem item, ConfigView config) {
-        Optional<Set<Region>> ofJob = Optional.ofNullable(item.allowedRegions()).map(Set::copyOf);
-        Set<Region> ofOrganisation =
-                config.organisation(OrganisationId.of(item.organisation()))
-                        .map(Organisation::allowedRegions)
-                        .orElse(Set.of());
-        return both(ofJob, named(ofOrganisation));
-    }
-
     /** Returns the regions that a route or an organisation names; empty if it names none. */
     public static Optional<Set<Region>> named(Set<Region> regions) {
         return regions.isEmpty() ? Optional.empty() : Optional.of(regions);
--- a/src/main/java/org/coltsfootproxy/direct/ItemRouting.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRouting.java
@@ -5,8 +5,10 @@
 import java.util.Optional;
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
+import org.coltsfootproxy.base.OrganisationId;
 import org.coltsfootproxy.config.ConfigView;
 import org.coltsfootproxy.config.JobRouting;
+import org.coltsfootproxy.config.Organisation;
 import org.coltsfootproxy.config.Regions;
 import org.coltsfootproxy.config.Route;
 
@@ -58,7 +60,9 @@
             return mIsConfirmedSince.test(run.startedAt()) ? Step.END : Step.WAIT;
         }
         run.moveTo(JobRouting.now(route.get(), run.item().service(), run.lease().job()));
-        run.allowOnly(mRegions.dataCentres(Regions.allowed(run.item(), config)));
+        Optional<Organisation> organisation =
+                config.organisation(OrganisationId.of(run.item().organisation()));
+        run.allowOnly(mRegions.dataCentres(Regions.allowed(route.get(), organisation)));
         return Step.SEND;
     }
 }
--- a/src/main/java/org/coltsfootproxy/message/JobSpec.java
+++ b/src/main/java/org/coltsfootproxy/message/JobSpec.java
@@ -24,7 +24,8 @@
  * @param items number of items, at least 1
  * @param maxAttempts number of failed attempts after which an item fails for good; 0 for the
  *     fleet's default
- * @param allowedRegions regions that the items may reach; null if they are not restricted
+ * @param allowedRegions regions that the items might reach at submission; null if they were not
+ *     restricted. Hosts of an earlier version restrict the items to them
  */
 public record JobSpec(
         JobId id,
--- a/src/main/java/org/coltsfootproxy/message/LeasedItem.java
+++ b/src/main/java/org/coltsfootproxy/message/LeasedItem.java
@@ -17,7 +17,8 @@
  *     if the deadline has passed
  * @param partialOutput output of earlier runs, {@link PartialOutput#NONE} if there is none
  * @param body request body of the call
- * @param allowedRegions regions that the item may reach; null if it is not restricted
+ * @param allowedRegions regions that the item might reach at submission; null if it was not
+ *     restricted. Agents of an earlier version restrict the item to them
  */
 public record LeasedItem(
         LeaseRef lease,
--- a/src/test/java/org/coltsfootproxy/platform/RegionTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/RegionTest.java
@@ -177,4 +177,23 @@
             assertTrue(!mSimulation.runsOf("j1-i" + item).isEmpty(), "item " + item);
         }
     }
+
+    /** Guards against items that go on in the regions that their route allowed at submission. */
+    @Test
+    public void theItemsOfAJobFollowAChangeOfTheRegionsOfTheirRoute() {
+        start(1, "\"eu\",\"us\",\"asia\"", "any");
+        mSimulation.mTargets.values().forEach(target -> target.mSlots = 2);
+        mSimulation.mTargets.values().forEach(t -> t.mEventIntervalNanos = 100 * MILLI_NANOS);
+        Answer answer = mSimulation.submit(mSimulation.entry(0), "j1", 60);
+        mSimulation.run(SECOND_NANOS);
+        assertEquals(answer.mStatus, 202, answer.toString());
+        configure(3, "\"us\"", "any");
+        mSimulation.run(SECOND_NANOS);
+        mSimulation.mTargets.values().forEach(target -> target.mArrivals.clear());
+        mSimulation.run(40 * SECOND_NANOS);
+        assertArrivedOnlyAt("lm-2");
+        for (int item = 0; item < 60; item++) {
+            assertTrue(!mSimulation.runsOf("j1-i" + item).isEmpty(), "item " + item);
+        }
+    }
 }
