The queue of targets' answers to a node is bounded in bytes

Cause: the ring between network and node threads holds 16,384 inputs, each with up to 64 kB of an answer: 1 GB, at a heap of 96 MB. A node that parses events is slower than a target on a fast link, so the ring filled.

EndlessResponseTest.aBodyOfTinyChunksIsForwardedInLargerParts failed before: 20,000 chunks of a byte became 20,000 inputs.

Change: InputQueue refuses further parts of answers while 1 MiB of them are queued; InputForwarder then stops reading the connection, as it did for a full ring. TargetConnection collects the content of one read, so that small chunks cost no object each, and what a connection holds back is about one read.

Items at targets with endless events stayed open; that is another fault.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -38,6 +39,9 @@
     /** Number of calls on the connection whose correlation values are remembered. */
     private static final int MAX_REMEMBERED_CALLS = 64;
 
+    /** Bytes of a body that are forwarded at a time; one read delivers about as many. */
+    private static final int MAX_FORWARDED_BYTES = 64 << 10;
+
     private final TargetPool mPool;
     private final Channel mChannel;
     private final ResponseDecoder mDecoder;
@@ -51,6 +55,10 @@
     private boolean mIsForOtherCall;
     private long mBytesWithoutProgress;
     private final Queue<String> mRememberedCalls = new ArrayDeque<>();
+
+    /** Content that was read and not forwarded yet; null if there is none. */
+    private ByteArrayOutputStream mBody;
+
     private OptionalLong mKeepAliveNanos = OptionalLong.empty();
     private ScheduledFuture<?> mIdleTimer;
 
@@ -132,6 +140,7 @@
         mIsInterim = false;
         mIsForOtherCall = false;
         mBytesWithoutProgress = 0;
+        mBody = null;
         pending.assignTo(this);
         FullHttpRequest request =
                 TargetRequestEncoder.encode(
@@ -293,10 +302,10 @@
         }
         if (content.content().isReadable()) {
             mBytesWithoutProgress = 0;
-            byte[] bytes = ByteBufUtil.getBytes(content.content());
-            mForwarder.forward(new Input.TargetChunk(mPendingCall.callId(), bytes));
+            appendBody(content.content());
         }
         if (content instanceof LastHttpContent) {
+            forwardBody();
             mResponseEnded = true;
             mForwarder.forward(new Input.TargetEnd(mPendingCall.callId(), mEndsByClose));
             mPool.removeCall(mPendingCall);
@@ -304,8 +313,33 @@
         }
     }
 
+    /**
+     * Collects the content of one read, so that a body of many small chunks does not become as many
+     * inputs.
+     */
+    private void appendBody(ByteBuf content) {
+        if (mBody != null && mBody.size() + content.readableBytes() > MAX_FORWARDED_BYTES) {
+            forwardBody();
+        }
+        if (mBody == null) {
+            mBody = new ByteArrayOutputStream(content.readableBytes());
+        }
+        mBody.writeBytes(ByteBufUtil.getBytes(content));
+    }
+
+    private void forwardBody() {
+        if (mBody != null) {
+            byte[] bytes = mBody.toByteArray();
+            mBody = null;
+            mForwarder.forward(new Input.TargetChunk(mPendingCall.callId(), bytes));
+        }
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (mPendingCall != null) {
+            forwardBody();
+        }
         if (!mResponseEnded || mPendingCall == null) {
             return;
         }
@@ -333,6 +367,7 @@
     }
 
     private void fail(ErrorKind kind, String detail) {
+        forwardBody();
         PendingCall pending = mPendingCall;
         mPendingCall = null;
         mChannel.close();
--- a/src/main/java/org/coltsfootproxy/runtime/NodeLoop.java
+++ b/src/main/java/org/coltsfootproxy/runtime/NodeLoop.java
@@ -21,6 +21,9 @@
 final class NodeLoop {
     static final int RING_CAPACITY = 16_384;
 
+    /** Maximum bytes of the answers of targets that are queued. */
+    static final long MAX_ANSWER_BYTES = 1L << 20;
+
     /** Inputs handled before timers are checked again. */
     private static final int MAX_INPUTS_PER_ROUND = 256;
 
@@ -32,7 +35,7 @@
     private final Node mNode;
     private final Effects mEffects;
     private final Consumer<Input> mObserver;
-    private final Ring<Input> mRing = Ring.create(RING_CAPACITY);
+    private final InputQueue mInputs = InputQueue.create(RING_CAPACITY, MAX_ANSWER_BYTES);
     private final CountDownLatch mDrained = new CountDownLatch(1);
     private final Thread mThread;
     private volatile boolean mRunning = true;
@@ -43,7 +46,7 @@
         mEffects = checkNotNull(effects, "effects");
         mObserver = checkNotNull(observer, "observer");
         mThread = new Thread(this::run, name);
-        mRing.consumedBy(mThread);
+        mInputs.consumedBy(mThread);
     }
 
     /**
@@ -61,7 +64,7 @@
 
     /** Queues an input without waiting; returns false if the ring is full. */
     boolean offer(Input input) {
-        return mRing.offer(input);
+        return mInputs.offer(input);
     }
 
     /**
@@ -70,7 +73,7 @@
      * @return false if the calling thread was interrupted and the input was not queued
      */
     boolean put(Input input) {
-        return mRing.put(input);
+        return mInputs.put(input);
     }
 
     /** Waits until the node has drained after a planned stop; returns false on a timeout. */
@@ -103,7 +106,7 @@
 
     private void runRound() {
         reportClockJump();
-        int handled = mRing.drain(this::handle, MAX_INPUTS_PER_ROUND);
+        int handled = mInputs.drain(this::handle, MAX_INPUTS_PER_ROUND);
         runGuarded(this::tickIfDue);
         if (mNode.isDrained()) {
             mDrained.countDown();
@@ -143,7 +146,7 @@
         long next = mNode.nextTickNanos();
         long wait = next == Node.NEVER ? MAX_PARK_NANOS : next - System.nanoTime();
         if (wait > 0) {
-            mRing.awaitElement(Math.min(wait, MAX_PARK_NANOS));
+            mInputs.awaitInput(Math.min(wait, MAX_PARK_NANOS));
         }
     }
 
--- a/src/test/java/org/coltsfootproxy/net/EndlessResponseTest.java
+++ b/src/test/java/org/coltsfootproxy/net/EndlessResponseTest.java
@@ -253,4 +253,28 @@
             assertEquals(received, length);
         }
     }
+
+    /** Guards against a heap that fills with objects, one for each byte of a body. */
+    @Test
+    public void aBodyOfTinyChunksIsForwardedInLargerParts() throws Exception {
+        int chunks = 20_000;
+        call();
+        try (RawHttp target = new RawHttp(mServer.accept())) {
+            target.readUntil("\r\n\r\nhi");
+            target.send(OK + "Transfer-Encoding: chunked\r\n\r\n");
+            target.send("1\r\nb\r\n".repeat(chunks) + "0\r\n\r\n");
+            assertEquals(mSink.next(Input.TargetHead.class).status(), 200);
+            int received = 0;
+            int inputs = 0;
+            Input input = mSink.next();
+            while (input instanceof Input.TargetChunk chunk) {
+                inputs++;
+                received += chunk.bytes().length;
+                input = mSink.next();
+            }
+            assertEquals(input, new Input.TargetEnd(1));
+            assertEquals(received, chunks);
+            assertTrue(inputs <= chunks / 100, inputs + " inputs");
+        }
+    }
 }
