A stream without events is cut after 256 KiB

What callers saw: a target that sent comments or empty lines without end kept a caller's stream open until its deadline, or an item until its silence timeout, while each of its bytes was parsed and sent on.

Cause: EventReader limited the bytes of one event only. A comment or an empty line ends an event without being one, so the count began anew.

Evidence: EventReaderTest.bytesThatAreNoEventsAreTooManyAfterTheLimitOfAnEvent read 2 MiB of empty lines and of comments without a fault before the change.

Change: bytes are counted from the end of the last event that has a field. The limit falls from 1 MiB to 256 KiB, since each open stream may hold as much. Comments between events never add up to a fault, as a second test shows.

--- a/src/main/java/org/coltsfootproxy/direct/EventReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/EventReader.java
@@ -17,8 +17,11 @@
  * line feed.
  */
 final class EventReader {
-    /** Size above which an event is not read any further; many times that of any sound event. */
-    static final int MAX_EVENT_BYTES = 1 << 20;
+    /**
+     * Bytes without the end of an event above which a stream is not read any further; many times
+     * the size of any sound event.
+     */
+    static final int MAX_EVENT_BYTES = 256 << 10;
 
     private static final byte[] NO_EVENTS = {};
     private static final String ID_FIELD = "id:";
@@ -27,6 +30,10 @@
 
     private final ByteArrayOutputStream mPartial = new ByteArrayOutputStream();
     private boolean mIsLineEmpty = true;
+
+    /** Bytes received since an event ended, including comments and empty lines. */
+    private long mBytesSinceEvent;
+
     private Optional<String> mLastId = Optional.empty();
     private long mAdvances;
     private long mAdvancesBefore;
@@ -46,6 +53,7 @@
         if (mFault.isPresent()) {
             return NO_EVENTS;
         }
+        mBytesSinceEvent += bytes.length;
         int end = endOfLastEvent(bytes);
         if (end == 0) {
             mPartial.writeBytes(bytes);
@@ -60,7 +68,11 @@
         if (mFault.isPresent()) {
             return NO_EVENTS;
         }
-        if (!ids.isEmpty() || mLastId.isEmpty() && hasEvent(complete)) {
+        boolean hasEvent = !ids.isEmpty() || hasEvent(complete);
+        if (hasEvent) {
+            mBytesSinceEvent = mPartial.size();
+        }
+        if (!ids.isEmpty() || mLastId.isEmpty() && hasEvent) {
             mAdvances++;
         }
         mLastId = ids.isEmpty() ? mLastId : Optional.of(ids.get(ids.size() - 1));
@@ -167,11 +179,11 @@
 
     /**
      * Returns why the current target's stream can't be read any further: an event that does not
-     * follow those before, or one that is longer than any sound event; empty if it can.
+     * follow those before, or too many bytes without the end of one; empty if it can.
      */
     Optional<String> fault() {
-        return mPartial.size() > MAX_EVENT_BYTES
-                ? Optional.of("an event is longer than " + MAX_EVENT_BYTES + " bytes")
+        return mBytesSinceEvent > MAX_EVENT_BYTES
+                ? Optional.of("no event has ended within " + MAX_EVENT_BYTES + " bytes")
                 : mFault;
     }
 
@@ -184,6 +196,7 @@
     void beginStream() {
         mAdvancesBefore = mAdvances;
         mFault = Optional.empty();
+        mBytesSinceEvent = 0;
         mPartial.reset();
         mIsLineEmpty = true;
     }
--- a/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/EventReaderTest.java
@@ -169,4 +169,36 @@
         }
         assertTrue(reader.fault().isPresent());
     }
+
+    @DataProvider
+    Object[][] blocksWithoutEvents() {
+        return new Object[][] {{"\n"}, {"\r\n"}, {": x\n\n"}, {":\n"}};
+    }
+
+    /** Guards against a target that keeps a stream open with bytes that are no events. */
+    @Test(dataProvider = "blocksWithoutEvents")
+    public void bytesThatAreNoEventsAreTooManyAfterTheLimitOfAnEvent(String block) {
+        EventReader reader = new EventReader();
+        reader.append(bytes("id: 1\ndata: a\n\n"));
+        byte[] blocks = bytes(block.repeat((16 << 10) / block.length()));
+        int read = 0;
+        while (reader.fault().isEmpty() && read <= 2 * EventReader.MAX_EVENT_BYTES) {
+            reader.append(blocks);
+            read += blocks.length;
+        }
+        assertTrue(reader.fault().isPresent(), read + " bytes");
+        reader.beginStream();
+        assertEquals(reader.fault(), Optional.empty());
+    }
+
+    @Test
+    public void commentsBetweenEventsNeverAddUpToAFault() {
+        EventReader reader = new EventReader();
+        byte[] comments = bytes(": x\n\n".repeat((128 << 10) / 5));
+        for (int n = 1; n <= 40; n++) {
+            reader.append(comments);
+            reader.append(bytes("id: " + n + "\ndata: a\n\n"));
+            assertEquals(reader.fault(), Optional.empty(), "at event " + n);
+        }
+    }
 }
