An item does not keep the output of a target that sends events without end

What callers saw: items that a target had answered with events without end were listed with megabytes of that target's text, or not at all, and reads of the job failed, since one result was larger than a read returns.

Cause: an output that passed its limit of 8 MiB failed the attempt, but was kept and resumed at the next target, which had nothing to add after such an event number. Each such item also put up to 8 MiB into the replicated ledger.

Evidence: FleetJobsTest.anItemWhoseTargetSendsEventsWithoutEndRunsFromItsStartElsewhere listed 1 of 4 items within 20 s before the change.

Change: an output that passes the limit is discarded, and the item begins anew at another target. The limit is 512 KiB, half of what one read of results may return.

--- a/src/main/java/org/coltsfootproxy/base/EventCode.java
+++ b/src/main/java/org/coltsfootproxy/base/EventCode.java
@@ -85,7 +85,7 @@
     ITEM_TRY_ENDED(603, Level.INFO, "an attempt at a batch item ended without complete output"),
     ITEM_REPORTED(604, Level.INFO, "a batch item's outcome was reported"),
     ITEM_BEGUN_ANEW(
-            605, Level.INFO, "a batch item's output was discarded: no target can resume it"),
+            605, Level.INFO, "a batch item's output was discarded: not resumable, or too long"),
 
     // 700-799: network
     PEER_CONNECTED(700, Level.INFO, "a peer connected"),
--- a/src/main/java/org/coltsfootproxy/direct/ItemRun.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemRun.java
@@ -28,8 +28,11 @@
     /** An item with less slack than this fraction of the mean run time keeps its slot. */
     private static final double MIN_SLACK_RUNS = 0.5;
 
-    /** Size above which an output is not read any further; many times that of any sound item. */
-    static final int MAX_OUTPUT_BYTES = 8 << 20;
+    /**
+     * Size above which an output is not read any further: half of what one read of results may
+     * return, and many times that of any sound item.
+     */
+    static final int MAX_OUTPUT_BYTES = 512 << 10;
 
     private final LeasedItem mItem;
     private final ItemCall.Post mCall;
@@ -182,7 +185,7 @@
         return mVersion;
     }
 
-    /** Discards the output, because no target can resume it. */
+    /** Discards the output, because no target can resume it or because it is not sound. */
     void beginAnew() {
         mOutput.reset();
         mEvents = new EventReader();
@@ -309,11 +312,16 @@
 
     /** Returns why the target's answer can't be read any further; empty if it can. */
     Optional<String> fault() {
-        return mOutput.size() > MAX_OUTPUT_BYTES
+        return hasTooLongOutput()
                 ? Optional.of("the output is longer than " + MAX_OUTPUT_BYTES + " bytes")
                 : mEvents.fault();
     }
 
+    /** Returns whether the output can't be sound; no target may continue it. */
+    boolean hasTooLongOutput() {
+        return mOutput.size() > MAX_OUTPUT_BYTES;
+    }
+
     Optional<String> lastEvent() {
         return mEvents.lastId();
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -337,6 +337,7 @@
             Optional<String> fault = mRun.fault();
             if (fault.isPresent()) {
                 mCalls.cancel(mRun.targetCall(), out);
+                discardTooLongOutput(mRun, out);
                 attemptFailed(mRun, fault.get(), now, out);
             }
         }
@@ -369,6 +370,13 @@
         }
     }
 
+    private void discardTooLongOutput(ItemRun run, Effects out) {
+        if (run.hasTooLongOutput()) {
+            ItemLog.begunAnew(run, mTargets.listing().number(), out);
+            run.beginAnew();
+        }
+    }
+
     private static ItemReport doneReport(ItemRun run, long now) {
         return new ItemReport(
                 run.lease(),
--- a/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/FleetJobsTest.java
@@ -474,4 +474,17 @@
             assertEquals(unknown.mStatus, 404, unknown.toString());
         }
     }
+
+    /** Guards against items that keep the output of a target that sends events without end. */
+    @Test
+    public void anItemWhoseTargetSendsEventsWithoutEndRunsFromItsStartElsewhere() {
+        SimulatedTarget faulty = mSimulation.target("lm-1");
+        faulty.mIsEndless = true;
+        faulty.mPaddingBytes = 64 << 10;
+        submitAccepted("j1", 4);
+        mSimulation.run(20 * SECOND_NANOS);
+
+        assertTrue(faulty.mRuns.size() > 0);
+        assertAllDone("j1", 4);
+    }
 }
--- a/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
+++ b/src/test/java/org/coltsfootproxy/platform/SimulatedTarget.java
@@ -49,6 +49,13 @@
     int mItemEventCount;
 
     long mEventIntervalNanos = 20 * MILLI_NANOS;
+
+    /** Whether streams have no end and events of {@link #mPaddingBytes}. */
+    boolean mIsEndless;
+
+    /** Bytes that are added to the data of each event. */
+    int mPaddingBytes;
+
     boolean mIsPlain;
 
     /** Body of an answer that is no stream. */
@@ -302,12 +309,12 @@
         }
         boolean isItem = run.mCall.trafficClass() == TrafficClass.BATCH && mItemEventCount > 0;
         int lastEvent = isItem ? mItemEventCount : mEventCount;
-        if (number > lastEvent) {
+        if (number > lastEvent && !mIsEndless) {
             end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call())));
             return;
         }
         String version = mVersion.isEmpty() ? "" : "@" + mVersion;
-        String data = run.mRequest + "-" + number + version;
+        String data = run.mRequest + "-" + number + version + "x".repeat(mPaddingBytes);
         String text = "id: " + number + "\ndata: " + data + "\n\n";
         boolean hasItsEvents = number > run.mResumeAfter + mEventsBeforeCrash;
         if (holdsCrashingPart(run) || crashesOn(run) && hasItsEvents) {
@@ -333,7 +340,7 @@
             return;
         }
         chunk(run, text);
-        if (number == lastEvent) {
+        if (number == lastEvent && !mIsEndless) {
             end(run, () -> deliver(run.mHost, new Input.TargetEnd(run.mCall.call())));
         } else {
             mFleet.after(mEventIntervalNanos, () -> event(run, number + 1));
