The responses that callers read slowly are bounded together

What callers saw, as far as shown: an entry holds up to 4 MiB of each response that its caller does not read in time, so a target with long answers and some twenty slow callers fill a heap of 96 MB.

Cause: HttpFront limited the unsent bytes of each response, not of all.

Change: above four times the limit of one response, the response with the most unsent bytes is cut, whether it has ended or not. The count of a response that is cut leaves the sum at once, so that no second one is cut for the same bytes, and a chunk that is discarded is no longer counted for ever.

--- a/src/main/java/org/coltsfootproxy/net/Exchange.java
+++ b/src/main/java/org/coltsfootproxy/net/Exchange.java
@@ -5,7 +5,7 @@
 /**
  * One request on a caller's connection and the state of its response.
  *
- * <p>Confined to the connection's event loop except for the count of unsent bytes. Byte counts
+ * <p>Confined to the connection's event loop except for the counts of unsent bytes. Byte counts
  * cover the response's body.
  */
 final class Exchange {
@@ -13,21 +13,28 @@
 
     private final long mCallId;
     private final InboundRequest mRequest;
-    private final AtomicLong mUnsentBytes = new AtomicLong();
+    private final AtomicLong mTotalUnsentBytes;
+    private long mUnsentBytes;
     private long mSentBytes;
+    private boolean mIsCut;
     private boolean mHeadSent;
     private boolean mBodiless;
     private long mContentLength = UNKNOWN_LENGTH;
     private long mWrittenBytes;
 
-    private Exchange(long callId, InboundRequest request) {
+    private Exchange(long callId, InboundRequest request, AtomicLong totalUnsentBytes) {
         mCallId = callId;
         mRequest = request;
+        mTotalUnsentBytes = totalUnsentBytes;
     }
 
-    /** Returns an exchange whose response has not started. */
-    static Exchange of(long callId, InboundRequest request) {
-        return new Exchange(callId, request);
+    /**
+     * Returns an exchange whose response has not started.
+     *
+     * @param totalUnsentBytes sum of the unsent bytes of all exchanges that are not cut
+     */
+    static Exchange of(long callId, InboundRequest request, AtomicLong totalUnsentBytes) {
+        return new Exchange(callId, request, totalUnsentBytes);
     }
 
     /** Returns the number by which inputs and effects refer to this exchange. */
@@ -40,23 +47,50 @@
     }
 
     /** Adds to the number of unsent bytes and returns the new number. Thread-safe. */
-    long addUnsentBytes(long bytes) {
-        return mUnsentBytes.addAndGet(bytes);
+    synchronized long addUnsentBytes(long bytes) {
+        mUnsentBytes += bytes;
+        addToTotal(bytes);
+        return mUnsentBytes;
     }
 
     /** Records that the socket accepted bytes, or that they were discarded. */
-    void onSent(long bytes) {
-        mUnsentBytes.addAndGet(-bytes);
+    synchronized void onSent(long bytes) {
+        mUnsentBytes -= bytes;
         mSentBytes += bytes;
+        addToTotal(-bytes);
     }
 
-    /** Returns the number of bytes that wait to be sent. Thread-safe. */
-    long unsentBytes() {
-        return mUnsentBytes.get();
+    private void addToTotal(long bytes) {
+        if (!mIsCut) {
+            mTotalUnsentBytes.addAndGet(bytes);
+        }
+    }
+
+    /**
+     * Notes that the response is cut, so that its unsent bytes are discarded soon; returns false if
+     * it had been cut before. Thread-safe.
+     */
+    synchronized boolean cut() {
+        if (mIsCut) {
+            return false;
+        }
+        mTotalUnsentBytes.addAndGet(-mUnsentBytes);
+        mIsCut = true;
+        return true;
+    }
+
+    /** Returns the number of bytes that wait to be sent; 0 if the response is cut. Thread-safe. */
+    synchronized long unsentBytes() {
+        return mIsCut ? 0 : mUnsentBytes;
+    }
+
+    /** Returns whether no bytes wait to be sent, also if the response is cut. Thread-safe. */
+    synchronized boolean isSent() {
+        return mUnsentBytes == 0;
     }
 
     /** Returns the number of bytes reported to {@link #onSent}. */
-    long sentBytes() {
+    synchronized long sentBytes() {
         return mSentBytes;
     }
 
--- a/src/main/java/org/coltsfootproxy/net/FrontConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/FrontConnection.java
@@ -243,6 +243,15 @@
         onResponseEnd();
     }
 
+    /** Calls a listener when all that was written so far is sent or discarded. */
+    void whenSent(Runnable listener) {
+        if (mWriter.lastWrite() == null) {
+            listener.run();
+        } else {
+            mWriter.lastWrite().addListener(f -> listener.run());
+        }
+    }
+
     /** Aborts the response in a way that the caller can detect. */
     void abort(Exchange exchange) {
         if (exchange != mCurrent) {
@@ -252,9 +261,9 @@
         mContext.close();
     }
 
-    /** Closes the connection of a caller that doesn't read its response. */
+    /** Closes the connection of a caller that doesn't read its response, which may have ended. */
     void abortUnread(Exchange exchange) {
-        if (exchange == mCurrent) {
+        if (exchange == mCurrent || !exchange.isSent()) {
             mFront.events().log(EventCode.CALLER_CUT, mContext.channel().remoteAddress() + "");
             mFront.events().count(Metric.CALLERS_CUT, "");
             mContext.close();
--- a/src/main/java/org/coltsfootproxy/net/HttpFront.java
+++ b/src/main/java/org/coltsfootproxy/net/HttpFront.java
@@ -19,12 +19,14 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.Metric;
@@ -46,12 +48,20 @@
     private static final int LISTEN_BACKLOG = 1024;
     private static final int FLUSH_AFTER_WRITES = 256;
 
+    /** Responses with the most unsent bytes allowed that may wait at the same time. */
+    private static final long MAX_FULL_RESPONSES = 4;
+
     private final HttpFrontSettings mSettings;
     private final InputSink mSink;
     private final NetEvents mEvents;
     private final EventLoopGroup mLoops;
     private final ChannelGroup mChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Map<Long, OpenCall> mOpenCalls = new ConcurrentHashMap<>();
+    private final AtomicLong mUnsentBytes = new AtomicLong();
+
+    /** Calls whose responses have ended and may still wait to be sent. */
+    private final Map<Long, OpenCall> mEndedCalls = new ConcurrentHashMap<>();
+
     private final AtomicLong mNextCallId = new AtomicLong(1);
     private Channel mServer;
     private volatile boolean mDraining;
@@ -130,7 +140,8 @@
      * Sends a chunk of a response without delay.
      *
      * <p>If the unsent bytes exceed {@link HttpFrontSettings#maxUnsentBytes}, the caller's
-     * connection is closed instead.
+     * connection is closed instead. If those of all responses exceed {@link #MAX_FULL_RESPONSES}
+     * times as many, the connection of the response with the most unsent bytes is closed.
      */
     public void execute(Effect.HttpChunk chunk) {
         OpenCall open = mOpenCalls.get(chunk.call());
@@ -138,17 +149,37 @@
             return;
         }
         long unsentBytes = open.exchange().addUnsentBytes(chunk.bytes().length);
-        BiConsumer<FrontConnection, Exchange> task =
-                unsentBytes > mSettings.maxUnsentBytes()
-                        ? FrontConnection::abortUnread
-                        : (connection, exchange) -> connection.writeChunk(exchange, chunk.bytes());
-        runOnEventLoop(chunk.call(), task);
+        if (unsentBytes > mSettings.maxUnsentBytes()) {
+            cut(open);
+        } else if (mUnsentBytes.get() > MAX_FULL_RESPONSES * mSettings.maxUnsentBytes()) {
+            Stream.of(mOpenCalls, mEndedCalls)
+                    .flatMap(calls -> calls.values().stream())
+                    .max(Comparator.comparingLong(o -> o.exchange().unsentBytes()))
+                    .ifPresent(this::cut);
+        }
+        runOnEventLoop(
+                open, (connection, exchange) -> connection.writeChunk(exchange, chunk.bytes()));
+    }
+
+    private void cut(OpenCall open) {
+        if (open.exchange().cut()) {
+            runOnEventLoop(open, FrontConnection::abortUnread);
+        }
     }
 
     /** Ends the response to a call. */
     public void execute(Effect.HttpEnd end) {
-        runOnEventLoop(end.call(), FrontConnection::endResponse);
-        mOpenCalls.remove(end.call());
+        OpenCall open = mOpenCalls.get(end.call());
+        if (open != null) {
+            mEndedCalls.put(end.call(), open);
+            mOpenCalls.remove(end.call());
+            runOnEventLoop(
+                    open,
+                    (connection, exchange) -> {
+                        connection.endResponse(exchange);
+                        connection.whenSent(() -> mEndedCalls.remove(end.call()));
+                    });
+        }
     }
 
     /** Aborts the response to a call in a way that the caller can detect. */
@@ -158,8 +189,11 @@
     }
 
     private void runOnEventLoop(long callId, BiConsumer<FrontConnection, Exchange> task) {
-        Optional.ofNullable(mOpenCalls.get(callId))
-                .ifPresent(o -> o.channel().eventLoop().execute(() -> run(o, task)));
+        Optional.ofNullable(mOpenCalls.get(callId)).ifPresent(open -> runOnEventLoop(open, task));
+    }
+
+    private void runOnEventLoop(OpenCall open, BiConsumer<FrontConnection, Exchange> task) {
+        open.channel().eventLoop().execute(() -> run(open, task));
     }
 
     private void run(OpenCall open, BiConsumer<FrontConnection, Exchange> task) {
@@ -206,6 +240,11 @@
         return mOpenCalls.size();
     }
 
+    /** Returns the bytes of all responses that wait to be sent. */
+    long unsentBytes() {
+        return mUnsentBytes.get();
+    }
+
     /** Returns the number of open caller connections. */
     public int openConnections() {
         return mChannels.size();
@@ -222,7 +261,7 @@
     }
 
     Exchange register(FrontConnection connection, Channel channel, InboundRequest request) {
-        Exchange exchange = Exchange.of(mNextCallId.getAndIncrement(), request);
+        Exchange exchange = Exchange.of(mNextCallId.getAndIncrement(), request, mUnsentBytes);
         mOpenCalls.put(exchange.callId(), new OpenCall(connection, exchange, channel));
         return exchange;
     }
--- a/src/test/java/org/coltsfootproxy/net/HttpFrontTest.java
+++ b/src/test/java/org/coltsfootproxy/net/HttpFrontTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.coltsfootproxy.base.EventCode;
 import org.coltsfootproxy.base.ProxyException;
@@ -231,6 +232,80 @@
         }
     }
 
+    /** Guards against a heap that fills with responses which many callers read slowly. */
+    @Test
+    public void theUnsentBytesOfAllCallersTogetherAreBounded() throws Exception {
+        int maxUnsentBytes = 1 << 20;
+        int callers = 16;
+        restart(defaults().withBounds(100, maxUnsentBytes, Duration.ofSeconds(20)));
+        List<RawHttp> connections = new ArrayList<>();
+        List<Long> calls = new ArrayList<>();
+        for (int n = 0; n < callers; n++) {
+            connections.add(new RawHttp(mAddress));
+            calls.add(call(connections.get(n), GET + "\r\n").call());
+            mFront.execute(new Effect.HttpHead(calls.get(n), 200, List.of()));
+        }
+        byte[] chunk = new byte[16 << 10];
+        long highest = 0;
+        for (int sent = 0; sent < 64 * maxUnsentBytes / callers; sent += chunk.length) {
+            for (long call : calls) {
+                mFront.execute(new Effect.HttpChunk(call, chunk));
+            }
+            highest = Math.max(highest, mFront.unsentBytes());
+        }
+        assertTrue(highest <= 4L * maxUnsentBytes + chunk.length, highest + " bytes");
+        try (RawHttp caller = new RawHttp(mAddress)) {
+            respond(call(caller, GET + "\r\n").call(), "small");
+            assertTrue(caller.readUntil("small").startsWith("HTTP/1.1 200"));
+        }
+        for (RawHttp connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Guards against callers that are cut in the place of those that do not read. */
+    @Test
+    public void endedResponsesThatAreNotReadAreCutBeforeSmallerOnes() throws Exception {
+        int maxUnsentBytes = 1 << 20;
+        restart(defaults().withBounds(100, maxUnsentBytes, Duration.ofSeconds(20)));
+        List<RawHttp> unread = new ArrayList<>();
+        for (int n = 0; n < 12; n++) {
+            unread.add(new RawHttp(mAddress));
+            long call = call(unread.get(n), GET + "\r\n").call();
+            mFront.execute(new Effect.HttpHead(call, 200, List.of()));
+            mFront.execute(new Effect.HttpChunk(call, new byte[maxUnsentBytes]));
+            mFront.execute(new Effect.HttpEnd(call));
+            try (RawHttp caller = new RawHttp(mAddress)) {
+                String body = "b".repeat(1 << 10);
+                respond(call(caller, GET + "\r\n").call(), body);
+                assertTrue(caller.readUntil(body).startsWith("HTTP/1.1 200"));
+            }
+        }
+        assertTrue(mFront.unsentBytes() <= 5L * maxUnsentBytes, mFront.unsentBytes() + " bytes");
+        for (RawHttp connection : unread) {
+            connection.close();
+        }
+    }
+
+    /** Guards against callers that are cut for the bytes of responses which have ended. */
+    @Test
+    public void responsesThatWereSentOrCutLeaveRoomForOthers() throws Exception {
+        restart(defaults().withBounds(100, 1 << 16, Duration.ofSeconds(20)));
+        for (int n = 0; n < 50; n++) {
+            try (RawHttp caller = new RawHttp(mAddress);
+                    RawHttp slow = new RawHttp(mAddress)) {
+                long cut = call(slow, GET + "\r\n").call();
+                mFront.execute(new Effect.HttpHead(cut, 200, List.of()));
+                mFront.execute(new Effect.HttpChunk(cut, new byte[1 << 17]));
+                assertEquals(mSink.next(), new Input.HttpDisconnected(cut));
+                String body = "b".repeat(1 << 15);
+                respond(call(caller, GET + "\r\n").call(), body);
+                caller.readUntil(body);
+            }
+        }
+        assertEquals(mFront.unsentBytes(), 0);
+    }
+
     @Test
     public void aCallerThatStopsReadingIsDisconnectedAfterTheStallTimeout() throws Exception {
         restart(defaults().withBounds(10, 1 << 30, Duration.ofMillis(200)));
