The rest of an answer that is not needed is read up to 64 KiB

What callers saw, as far as shown: a target that refuses a call, or answers with 500, and then sends without end was read until the time limit of the call, on the one network thread that serves all targets.

Cause: TargetCalls.ignore forgot the call, and nobody cancelled it.

Evidence: TargetCallsTest.anIgnoredAnswerWithoutEndIsCancelled got no cancel within 4 MiB before the change.

Change: the bytes of an ignored answer are counted, and above 64 KiB the call is cancelled, which closes its connection. A shorter rest still leaves the connection open for the next call.

--- a/src/main/java/org/coltsfootproxy/direct/TargetCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetCalls.java
@@ -8,6 +8,9 @@
 
 /** The calls in flight to targets, each with the handler of its answer. */
 public final class TargetCalls {
+    /** Bytes of an ignored answer above which its connection is closed instead of reused. */
+    static final int MAX_IGNORED_BYTES = 64 << 10;
+
     private final Map<Long, Handler> mOpen = new HashMap<>();
     private long mLastCall;
 
@@ -52,9 +55,45 @@
         }
     }
 
-    /** Discards the rest of an answer, so that its connection can be reused. */
+    /**
+     * Discards the rest of an answer, so that its connection can be reused; if it has more than
+     * {@link #MAX_IGNORED_BYTES}, the call is cancelled.
+     */
     void ignore(long call) {
-        mOpen.remove(call);
+        mOpen.computeIfPresent(call, (number, handler) -> new Discarder(call));
+    }
+
+    /** Discards an answer. */
+    private final class Discarder implements Handler {
+        private final long mCall;
+        private long mBytes;
+
+        Discarder(long call) {
+            mCall = call;
+        }
+
+        @Override
+        public void head(Input.TargetHead head, long nowNanos, Effects out) {
+            // The head is not needed.
+        }
+
+        @Override
+        public void chunk(byte[] bytes, long nowNanos, Effects out) {
+            mBytes += bytes.length;
+            if (mBytes > MAX_IGNORED_BYTES) {
+                cancel(mCall, out);
+            }
+        }
+
+        @Override
+        public void ended(Input.TargetEnd end, long nowNanos, Effects out) {
+            // Nobody waits for the end.
+        }
+
+        @Override
+        public void failed(Input.TargetFailed failure, long nowNanos, Effects out) {
+            // Nobody waits for the answer.
+        }
     }
 
     /** Passes an input of a target to its handler; returns false for any other input. */
