A list of targets is read up to 8 MiB

What callers saw, as far as shown: a list whose pages never end was kept page by page, up to 1,000 pages of 8 MiB each, in the heap of the control host that reads it (192 MB). Found while looking for neighbours of endless answers; not seen with real processes.

Cause: TargetListReader limited the bytes of a page and the number of pages, not the bytes of the list.

Change: a list may have 8 MiB, some 30,000 targets, and a page 2 MiB, since a page is decoded as a whole. A longer one is not used; the last list stays in force, as after any failed read.

--- a/src/main/java/org/coltsfootproxy/direct/TargetListReader.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetListReader.java
@@ -32,7 +32,10 @@
     private static final int MAX_PAGES = 1_000;
 
     /** Size above which a page is not read any further. */
-    private static final int MAX_PAGE_BYTES = 8 << 20;
+    static final int MAX_PAGE_BYTES = 2 << 20;
+
+    /** Size above which a list is not read any further; some 30,000 targets. */
+    static final int MAX_LIST_BYTES = 8 << 20;
 
     private static final int OK = 200;
 
@@ -44,6 +47,7 @@
     private boolean mIsReading;
     private boolean mHasFailed;
     private int mPages;
+    private long mBytes;
     private int mDamaged;
     private int mLastDamaged;
 
@@ -74,6 +78,7 @@
             mIsReading = true;
             mTargets.clear();
             mPages = 0;
+            mBytes = 0;
             mDamaged = 0;
             readPage(mProtocol.firstPath(), out);
         }
@@ -110,9 +115,13 @@
         @Override
         public void chunk(byte[] bytes, long nowNanos, Effects out) {
             mBody.writeBytes(bytes);
+            mBytes += bytes.length;
             if (mBody.size() > MAX_PAGE_BYTES) {
                 mCalls.cancel(mCall, out);
                 fail("a page has more than " + MAX_PAGE_BYTES + " bytes", out);
+            } else if (mBytes > MAX_LIST_BYTES) {
+                mCalls.cancel(mCall, out);
+                fail("the list has more than " + MAX_LIST_BYTES + " bytes", out);
             }
         }
 
