A log store goes on once a full disk has room, whatever the disk refused

What callers saw, as far as shown: disks that are full one after another leave one member of the log after another halted. When a majority is halted, changes are refused or unanswered for ever, while all processes run (report of other operators).

Cause: FileLogStore accepted no write any more after a truncation, a rename, a sync of a folder or a sync of a file that was refused, and RaftNode halts then. File systems refuse these too when they are full: those that allocate blocks at the sync, and those that copy what they change.

Change: such a refusal leaves the store unsettled instead of failed.

A sync is never repeated for the same bytes, since a later success would not mean that they are kept: the node writes them again.

Any other failure still ends the use of the store.

--- a/src/main/java/org/coltsfootproxy/storage/FileLogStore.java
+++ b/src/main/java/org/coltsfootproxy/storage/FileLogStore.java
@@ -51,12 +51,19 @@
     private long mActiveSyncedLength;
 
     /**
-     * Whether further writes are refused, since a failure may have left the files in an unknown
-     * state. Set before a step that must not fail and cleared after it, so that it stays set if the
-     * step fails.
+     * Whether further writes are refused, since a failure has left the files in an unknown state.
      */
     private boolean mHasFailed;
 
+    /**
+     * Whether the files have to be brought back to what was synced last before the next write,
+     * since a step that a full disk refused may have been done in part.
+     */
+    private boolean mIsUnsettled;
+
+    /** Index of a snapshot whose commit was refused; 0 if there is none. */
+    private long mUncommittedIndex;
+
     private FileLogStore(Disk disk, String folder, int group) {
         mDisk = disk;
         mFolder = folder;
@@ -72,11 +79,15 @@
      */
     static FileLogStore open(Disk disk, String folder, int group) throws ProxyException {
         FileLogStore store = new FileLogStore(disk, folder, group);
-        store.recover();
+        store.mRecovered = store.recover();
         return store;
     }
 
-    private void recover() throws ProxyException {
+    private RecoveredState recover() throws ProxyException {
+        // A name that was found here must not be lost once an earlier file is deleted.
+        mDisk.syncFolder(mFolder);
+        mSegments.clear();
+        mEntryTerms.clear();
         Optional<LogWrite.Snapshot> snapshot = mSnapshots.recover();
         mSnapshotIndex = snapshot.map(LogWrite.Snapshot::index).orElse(0L);
         Replay replay = new Replay(mGroup);
@@ -89,10 +100,35 @@
             mActiveSequence = Long.parseLong(name.substring(SEGMENT_PREFIX.length()));
             replaySegment(mFolder + "/" + name, last, replay);
         }
-        mRecovered = replay.finish(mFolder, snapshot);
-        mVote = mRecovered.vote();
-        mRecovered.entries().forEach(entry -> mEntryTerms.addLong(entry.term()));
+        RecoveredState recovered = replay.finish(mFolder, snapshot);
+        mVote = recovered.vote();
+        recovered.entries().forEach(entry -> mEntryTerms.addLong(entry.term()));
         startSegment(replay.hasDropped() ? snapshot : Optional.empty());
+        return recovered;
+    }
+
+    /**
+     * Brings the files back to what was synced last, if a full disk has left them in another state.
+     *
+     * @throws ProxyException of kind {@link ErrorKind#STORAGE_FULL} if the disk is still full; the
+     *     files stay unsettled then
+     */
+    private void settle() throws ProxyException {
+        if (!mIsUnsettled) {
+            return;
+        }
+        if (mActive != null) {
+            mActive.close();
+            mDisk.truncate(mActivePath, mActiveSyncedLength);
+            mActive = null;
+            mActiveLength = mActiveSyncedLength;
+        }
+        if (mUncommittedIndex > 0) {
+            mSnapshots.rollBack(mUncommittedIndex);
+            mUncommittedIndex = 0;
+        }
+        recover();
+        mIsUnsettled = false;
     }
 
     private void replaySegment(String path, boolean last, Replay replay) throws ProxyException {
@@ -166,6 +202,7 @@
     public void apply(LogWrite write) throws ProxyException {
         checkUsable();
         try {
+            settle();
             if (mActiveLength > SEGMENT_BYTES) {
                 sync();
                 startSegment(Optional.empty());
@@ -190,6 +227,8 @@
     }
 
     private void append(LogWrite write) throws ProxyException {
+        List<LogEntry> entries =
+                write.entries().stream().filter(e -> e.index() > mSnapshotIndex).toList();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         write.vote()
                 .ifPresent(
@@ -198,16 +237,13 @@
                                         SegmentRecord.VoteRecord.of(vote),
                                         mActiveSyncedLength,
                                         bytes));
-        write.entries()
-                .forEach(
-                        entry ->
-                                Frames.write(
-                                        new SegmentRecord.EntryRecord(entry),
-                                        mActiveSyncedLength,
-                                        bytes));
+        entries.forEach(
+                entry ->
+                        Frames.write(
+                                new SegmentRecord.EntryRecord(entry), mActiveSyncedLength, bytes));
         appendAtomically(bytes.toByteArray());
         mVote = write.vote().orElse(mVote);
-        write.entries().forEach(this::trackEntry);
+        entries.forEach(this::trackEntry);
     }
 
     /** Appends all of the bytes, or none if the disk is full. */
@@ -216,9 +252,9 @@
             mActive.append(bytes);
             mActiveLength += bytes.length;
         } catch (ProxyException e) {
-            mHasFailed = true;
+            mIsUnsettled = true;
             mActive.truncate(mActiveLength);
-            mHasFailed = false;
+            mIsUnsettled = false;
             throw e;
         }
     }
@@ -247,12 +283,29 @@
             mSnapshots.discard();
             throw e;
         }
-        mHasFailed = true;
+        mIsUnsettled = true;
+        mUncommittedIndex = snapshot.index();
         mSnapshots.commit(snapshot.index());
-        mHasFailed = false;
+        mUncommittedIndex = 0;
+        mIsUnsettled = false;
         dropFirstTerms(isMatching ? (int) (snapshot.index() - mSnapshotIndex) : mEntryTerms.size());
         mSnapshotIndex = snapshot.index();
-        deleteCoveredSegments(isMatching ? snapshot.index() : Long.MAX_VALUE);
+        deleteReplaced(isMatching ? snapshot.index() : Long.MAX_VALUE);
+    }
+
+    /**
+     * Deletes the files that the current snapshot replaces. What a full disk refuses to delete is
+     * deleted after the next snapshot.
+     */
+    private void deleteReplaced(long lastIndex) throws ProxyException {
+        try {
+            mSnapshots.deleteEarlier(mSnapshotIndex);
+            deleteCoveredSegments(lastIndex);
+        } catch (ProxyException e) {
+            if (e.kind() != ErrorKind.STORAGE_FULL) {
+                throw e;
+            }
+        }
     }
 
     /**
@@ -274,7 +327,8 @@
     /** Deletes the oldest segments whose entries are all at or below an index. */
     private void deleteCoveredSegments(long index) throws ProxyException {
         while (!mSegments.isEmpty() && mSegments.get(0).lastIndex() <= index) {
-            mDisk.delete(mSegments.remove(0).path());
+            mDisk.delete(mSegments.get(0).path());
+            mSegments.remove(0);
             mDisk.syncFolder(mFolder);
         }
     }
@@ -289,6 +343,12 @@
             mActive.sync();
             mActiveSyncedLength = mActiveLength;
         } catch (ProxyException e) {
+            if (e.kind() == ErrorKind.STORAGE_FULL) {
+                // What was not synced may be lost although a later sync succeeds.
+                mIsUnsettled = true;
+                mActiveLength = mActiveSyncedLength;
+                throw e;
+            }
             mHasFailed = true;
             throw ProxyException.of(ErrorKind.STORAGE_DAMAGED, e.getMessage(), e);
         }
@@ -296,6 +356,8 @@
 
     @Override
     public void close() {
-        mActive.close();
+        if (mActive != null) {
+            mActive.close();
+        }
     }
 }
--- a/src/main/java/org/coltsfootproxy/storage/SnapshotFiles.java
+++ b/src/main/java/org/coltsfootproxy/storage/SnapshotFiles.java
@@ -85,11 +85,24 @@
         mDisk.delete(path(UNFINISHED_NAME));
     }
 
-    /** Makes the prepared snapshot the current one, then deletes earlier ones. */
+    private static String name(long index) {
+        return String.format("%s%020d", PREFIX, index);
+    }
+
+    /** Makes the prepared snapshot the current one. */
     void commit(long index) throws ProxyException {
-        String name = String.format("%s%020d", PREFIX, index);
-        mDisk.rename(path(UNFINISHED_NAME), path(name));
+        mDisk.rename(path(UNFINISHED_NAME), path(name(index)));
         mDisk.syncFolder(mFolder);
-        deleteBefore(name);
+    }
+
+    /** Deletes a snapshot whose commit has failed. */
+    void rollBack(long index) throws ProxyException {
+        mDisk.delete(path(name(index)));
+        discard();
+    }
+
+    /** Deletes the snapshots before the current one. */
+    void deleteEarlier(long index) throws ProxyException {
+        deleteBefore(name(index));
     }
 }
--- a/src/test/java/org/coltsfootproxy/storage/FakeDisk.java
+++ b/src/test/java/org/coltsfootproxy/storage/FakeDisk.java
@@ -2,8 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.coltsfootproxy.base.ErrorKind;
@@ -19,9 +21,31 @@
     private final Map<String, Content> mNames = new TreeMap<>();
     private final Map<String, Content> mSyncedNames = new TreeMap<>();
     private long mFreeBytes = Long.MAX_VALUE;
+    private Set<Refusal> mRefusals = EnumSet.noneOf(Refusal.class);
     private boolean mFailing;
     private int mSyncs;
 
+    /** What a full disk may refuse besides new bytes and new files. */
+    public enum Refusal {
+        /** Syncs of files with unsynced bytes, as blocks are allocated only then. */
+        SYNC,
+        /** Truncation of files, as the file system copies what it changes. */
+        TRUNCATE,
+        /** Changes of names, and syncs of folders whose names have changed. */
+        NAMES
+    }
+
+    /** Sets what the disk refuses while it is full, besides new bytes and new files. */
+    public void setRefusals(Set<Refusal> refusals) {
+        mRefusals = Set.copyOf(refusals);
+    }
+
+    private void checkSpace(Refusal refusal) throws ProxyException {
+        if (mFreeBytes <= 0 && mRefusals.contains(refusal)) {
+            throw ProxyException.of(ErrorKind.STORAGE_FULL, "no space left for " + refusal);
+        }
+    }
+
     /** Sets how many more bytes can be written before the disk is full. */
     public void setFreeBytes(long bytes) {
         mFreeBytes = bytes;
@@ -118,14 +142,16 @@
     }
 
     @Override
-    public void truncate(String name, long length) {
+    public void truncate(String name, long length) throws ProxyException {
+        checkSpace(Refusal.TRUNCATE);
         Content content = mNames.get(name);
         content.mData = Arrays.copyOf(content.mData, (int) length);
         content.mSynced = content.mData;
     }
 
     @Override
-    public void rename(String from, String to) {
+    public void rename(String from, String to) throws ProxyException {
+        checkSpace(Refusal.NAMES);
         mNames.put(to, mNames.remove(from));
     }
 
@@ -135,7 +161,8 @@
     }
 
     @Override
-    public void syncFolder(String folder) {
+    public void syncFolder(String folder) throws ProxyException {
+        checkSpace(Refusal.NAMES);
         String prefix = folder.isEmpty() ? "" : folder + "/";
         mSyncedNames.keySet().removeIf(name -> isIn(prefix, name));
         mNames.forEach(
@@ -175,7 +202,8 @@
         }
 
         @Override
-        public void truncate(long length) {
+        public void truncate(long length) throws ProxyException {
+            checkSpace(Refusal.TRUNCATE);
             mContent.mData = Arrays.copyOf(mContent.mData, (int) length);
         }
 
@@ -184,6 +212,9 @@
             if (mFailing) {
                 throw ProxyException.of(ErrorKind.STORAGE_DAMAGED, "input/output error");
             }
+            if (mContent.mSynced != mContent.mData) {
+                checkSpace(Refusal.SYNC);
+            }
             mSyncs++;
             mContent.mSynced = mContent.mData;
         }
