A target that sends on after a refusal is avoided for a while

A target that answers 500, or refuses, and then sends without end frees its slot at once, so that it looked like the least loaded one and got the next calls as well. The cancel of such an answer now counts as a failed call of the target, which keeps it out of the choice for a time that doubles. Shown by the count in TargetCallsTest.

--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -213,7 +213,7 @@
                 mTargets.saidLeaving(target, now, out);
             }
             if (answer.verdict() == TargetAnswer.Verdict.UNSIGNED) {
-                mCalls.ignore(mRequest.targetCall());
+                mCalls.ignore(mRequest.targetCall(), target::callFailed);
                 String why = "the target's success answer lacks its signature";
                 attemptFailed(mRequest, ErrorKind.ANSWER_LOST, Ran.MAYBE, why, now, out);
             } else if (answer.verdict() != TargetAnswer.Verdict.RAN) {
@@ -307,7 +307,7 @@
         } else {
             target.refused(now);
         }
-        mCalls.ignore(request.targetCall());
+        mCalls.ignore(request.targetCall(), target::callFailed);
         releaseTarget(request);
         request.budget().lastSendNotRun();
         DirectCallLog.attemptEnded(request, target, "refused with " + answer.status(), Ran.NO, out);
@@ -362,8 +362,9 @@
     private void retryAfterAnswer(
             DirectRequest request, TargetAnswer answer, long now, Effects out) {
         String why = "the target answered " + answer.status();
-        DirectCallLog.attemptEnded(request, request.target().orElseThrow(), why, Ran.YES, out);
-        mCalls.ignore(request.targetCall());
+        Target target = request.target().orElseThrow();
+        DirectCallLog.attemptEnded(request, target, why, Ran.YES, out);
+        mCalls.ignore(request.targetCall(), target::callFailed);
         releaseTarget(request);
         retryElsewhere(request, why, now, out);
     }
--- a/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
+++ b/src/main/java/org/coltsfootproxy/direct/ItemWorker.java
@@ -321,7 +321,7 @@
                 mRun.answerStarted(now);
                 return;
             }
-            mCalls.ignore(mRun.targetCall());
+            mCalls.ignore(mRun.targetCall(), target::callFailed);
             attemptRefused(mRun, target, answer, now, out);
         }
 
--- a/src/main/java/org/coltsfootproxy/direct/TargetCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/TargetCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongConsumer;
 import org.coltsfootproxy.node.Effect;
 import org.coltsfootproxy.node.Effects;
 import org.coltsfootproxy.node.Input;
@@ -58,18 +59,22 @@
     /**
      * Discards the rest of an answer, so that its connection can be reused; if it has more than
      * {@link #MAX_IGNORED_BYTES}, the call is cancelled.
+     *
+     * @param cancelled called with the time if the call is cancelled
      */
-    void ignore(long call) {
-        mOpen.computeIfPresent(call, (number, handler) -> new Discarder(call));
+    void ignore(long call, LongConsumer cancelled) {
+        mOpen.computeIfPresent(call, (number, handler) -> new Discarder(call, cancelled));
     }
 
     /** Discards an answer. */
     private final class Discarder implements Handler {
         private final long mCall;
+        private final LongConsumer mCancelled;
         private long mBytes;
 
-        Discarder(long call) {
+        Discarder(long call, LongConsumer cancelled) {
             mCall = call;
+            mCancelled = cancelled;
         }
 
         @Override
@@ -82,6 +87,7 @@
             mBytes += bytes.length;
             if (mBytes > MAX_IGNORED_BYTES) {
                 cancel(mCall, out);
+                mCancelled.accept(nowNanos);
             }
         }
 
--- a/src/test/java/org/coltsfootproxy/direct/TargetCallsTest.java
+++ b/src/test/java/org/coltsfootproxy/direct/TargetCallsTest.java
@@ -17,12 +17,13 @@
 
     private final TargetCalls mCalls = TargetCalls.create();
     private final List<Effect> mEffects = new ArrayList<>();
+    private int mCancelled;
 
     /** Ignores the whole answer once its head has arrived. */
     private final class Refusing implements TargetCalls.Handler {
         @Override
         public void head(Input.TargetHead head, long nowNanos, Effects out) {
-            mCalls.ignore(head.call());
+            mCalls.ignore(head.call(), now -> mCancelled++);
         }
 
         @Override
@@ -43,6 +44,7 @@
 
     private long callThatIsRefused() {
         mEffects.clear();
+        mCancelled = 0;
         long number = mCalls.nextCall();
         var call =
                 new Effect.TargetCall(
@@ -66,6 +68,7 @@
         assertTrue(read <= TargetCalls.MAX_IGNORED_BYTES + BLOCK_BYTES, read + " bytes");
         mCalls.handle(new Input.TargetChunk(call, new byte[BLOCK_BYTES]), 0, mEffects::add);
         assertEquals(mEffects.size(), 1);
+        assertEquals(mCancelled, 1);
     }
 
     @Test
@@ -74,5 +77,6 @@
         mCalls.handle(new Input.TargetChunk(call, new byte[BLOCK_BYTES]), 0, mEffects::add);
         mCalls.handle(new Input.TargetEnd(call), 0, mEffects::add);
         assertEquals(mEffects, List.of());
+        assertEquals(mCancelled, 0);
     }
 }
