--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -125,8 +125,7 @@
             return;
         }
         String detail = "no target of " + request.service() + " can take the request";
-        Failure noTargetFailure = Failure.notRun(ErrorKind.NO_TARGET, detail, RETRY_AFTER_MILLIS);
-        send(request, noTargetFailure, now, out);
+        send(request, Failure.notRun(ErrorKind.NO_TARGET, detail, RETRY_AFTER_MILLIS), now, out);
     }
 
     /**
