A log store reports no write as synced that it has dropped

DiskWriter syncs once more after a failed write, and would have reported the dropped writes as kept.

The second case was found by reading; aSnapshotThatIsWrittenAgainIsNeverLost guards against it.

--- a/src/main/java/org/coltsfootproxy/storage/FileLogStore.java
+++ b/src/main/java/org/coltsfootproxy/storage/FileLogStore.java
@@ -61,6 +61,9 @@
      */
     private boolean mIsUnsettled;
 
+    /** Whether bytes whose sync was refused are dropped, so that no later sync may succeed. */
+    private boolean mHasDropped;
+
     /** Index of a snapshot whose commit was refused; 0 if there is none. */
     private long mUncommittedIndex;
 
@@ -121,7 +124,6 @@
             mActive.close();
             mDisk.truncate(mActivePath, mActiveSyncedLength);
             mActive = null;
-            mActiveLength = mActiveSyncedLength;
         }
         if (mUncommittedIndex > 0) {
             mSnapshots.rollBack(mUncommittedIndex);
@@ -129,6 +131,7 @@
         }
         recover();
         mIsUnsettled = false;
+        mHasDropped = false;
     }
 
     private void replaySegment(String path, boolean last, Replay replay) throws ProxyException {
@@ -274,6 +277,10 @@
      * segment has a reset record, which takes effect only once the snapshot is committed.
      */
     private void applySnapshot(LogWrite.Snapshot snapshot) throws ProxyException {
+        if (snapshot.index() <= mSnapshotIndex) {
+            // Its write was reported as failed because of a later write in the same batch.
+            return;
+        }
         sync();
         boolean isMatching = matchesLog(snapshot);
         mSnapshots.prepare(snapshot);
@@ -336,7 +343,11 @@
     @Override
     public void sync() throws ProxyException {
         checkUsable();
-        if (mActiveSyncedLength == mActiveLength) {
+        if (mHasDropped) {
+            throw ProxyException.of(
+                    ErrorKind.STORAGE_FULL, "folder " + mFolder + " was full at the last sync");
+        }
+        if (mActive == null || mActiveSyncedLength == mActiveLength) {
             return;
         }
         try {
@@ -346,7 +357,7 @@
             if (e.kind() == ErrorKind.STORAGE_FULL) {
                 // What was not synced may be lost although a later sync succeeds.
                 mIsUnsettled = true;
-                mActiveLength = mActiveSyncedLength;
+                mHasDropped = true;
                 throw e;
             }
             mHasFailed = true;
--- a/src/test/java/org/coltsfootproxy/storage/FileLogStoreTest.java
+++ b/src/test/java/org/coltsfootproxy/storage/FileLogStoreTest.java
@@ -8,8 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.HostId;
@@ -122,6 +124,138 @@
         }
     }
 
+    /** Guards against writes that are lost after a full disk has refused more than new bytes. */
+    @Test
+    public void fullDisksThatRefuseAnyStepLoseNoSyncedData() throws ProxyException {
+        for (int seed = 0; seed < 600; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            FakeDisk disk = new FakeDisk();
+            for (int run = 0; run < 6; run++) {
+                new RefusedRun(disk, random).runUntilCrash("seed " + seed + " run " + run);
+            }
+        }
+    }
+
+    /**
+     * Writes as a node does: what follows the last synced state is written again after a failure.
+     */
+    private static final class RefusedRun {
+        private final FakeDisk mDisk;
+        private final SplittableRandom mRandom;
+        private final LogStore mStore;
+        private final List<Model> mPossible = new ArrayList<>();
+        private Model mSynced;
+        private boolean mHasFailed;
+
+        RefusedRun(FakeDisk disk, SplittableRandom random) throws ProxyException {
+            mDisk = disk;
+            mRandom = random;
+            mStore = open(disk);
+            mSynced = Model.of(mStore.recovered());
+            mPossible.add(mSynced);
+        }
+
+        private Model current() {
+            return mPossible.get(mPossible.size() - 1);
+        }
+
+        void runUntilCrash(String name) throws ProxyException {
+            for (int i = mRandom.nextInt(40); i > 0; i--) {
+                Set<FakeDisk.Refusal> refusals = EnumSet.noneOf(FakeDisk.Refusal.class);
+                for (FakeDisk.Refusal refusal : FakeDisk.Refusal.values()) {
+                    if (mRandom.nextBoolean()) {
+                        refusals.add(refusal);
+                    }
+                }
+                mDisk.setRefusals(refusals);
+                mDisk.setFreeBytes(mRandom.nextInt(4) == 0 ? mRandom.nextInt(200) : Long.MAX_VALUE);
+                step();
+            }
+            mDisk.setFreeBytes(Long.MAX_VALUE);
+            mDisk.crash(mRandom);
+            Model actual = Model.of(open(mDisk).recovered());
+            assertTrue(mPossible.contains(actual), name + ": " + actual + " of " + mPossible);
+        }
+
+        private void step() {
+            Model before = current();
+            List<Model> after = new ArrayList<>();
+            LogWrite write = mHasFailed ? writeAgain(after) : randomWrite(before, after, mRandom);
+            try {
+                mStore.apply(write);
+                mPossible.addAll(after);
+                mHasFailed = false;
+                if (write.snapshot().isPresent()) {
+                    // A node takes snapshots of what is synced.
+                    mSynced = current();
+                }
+            } catch (ProxyException e) {
+                assertEquals(e.kind(), ErrorKind.STORAGE_FULL, e.getMessage());
+                // A part of the write may be on disk until the next one.
+                mPossible.addAll(0, after);
+                boolean isRepeated = mHasFailed;
+                mHasFailed = true;
+                if (!isRepeated) {
+                    sync();
+                }
+                return;
+            }
+            if (mRandom.nextInt(3) == 0) {
+                sync();
+            }
+        }
+
+        private void sync() {
+            try {
+                mStore.sync();
+                mSynced = current();
+                if (!mHasFailed) {
+                    mPossible.subList(0, mPossible.size() - 1).clear();
+                }
+            } catch (ProxyException e) {
+                assertEquals(e.kind(), ErrorKind.STORAGE_FULL, e.getMessage());
+                mHasFailed = true;
+            }
+        }
+
+        private LogWrite writeAgain(List<Model> after) {
+            long term = Math.max(current().term(), mSynced.term()) + 1;
+            mPossible.forEach(model -> after.add(model.withTerm(term)));
+            Model next = mSynced.withTerm(term);
+            after.add(next);
+            List<LogEntry> entries = new ArrayList<>();
+            for (int i = 1 + mRandom.nextInt(3); i > 0; i--) {
+                long index = next.last() + 1;
+                entries.add(entry(index, term));
+                next = next.withEntry(index, term);
+                after.add(next);
+            }
+            return LogWrite.of(vote(term), entries);
+        }
+    }
+
+    /** Guards against the loss of the only snapshot if it is written again and refused then. */
+    @Test
+    public void aSnapshotThatIsWrittenAgainIsNeverLost() throws ProxyException {
+        FakeDisk disk = new FakeDisk();
+        LogStore store = open(disk);
+        store.apply(LogWrite.of(vote(1), List.of(entry(1, 1), entry(2, 1))));
+        LogWrite snapshot = LogWrite.of(new LogWrite.Snapshot(2, 1, NO_MEMBERS, new byte[9]));
+        store.apply(snapshot);
+        disk.setRefusals(EnumSet.of(FakeDisk.Refusal.NAMES));
+        disk.setFreeBytes(0);
+        try {
+            store.apply(snapshot);
+        } catch (ProxyException e) {
+            assertEquals(e.kind(), ErrorKind.STORAGE_FULL, e.getMessage());
+        }
+        disk.setFreeBytes(Long.MAX_VALUE);
+        store.apply(LogWrite.of(vote(2), List.of(entry(3, 2))));
+        store.sync();
+        disk.crash(new SplittableRandom(1));
+        assertEquals(Model.of(open(disk).recovered()), new Model(2, 2, List.of(2L)));
+    }
+
     private static LogWrite randomWrite(Model current, List<Model> after, SplittableRandom random) {
         if (random.nextInt(8) == 0) {
             long index = current.snapshot() + 1 + random.nextInt(current.terms().size() + 3);
