Responses in progress keep no body of their request

HttpFront knows ended responses until they are sent, and with them their requests, whose bodies may have 4 MB each. The body has been handed to the node by then; the exchange keeps the rest. A response whose end fails is forgotten as well.

--- a/src/main/java/org/coltsfootproxy/net/HttpFront.java
+++ b/src/main/java/org/coltsfootproxy/net/HttpFront.java
@@ -176,8 +176,11 @@
             runOnEventLoop(
                     open,
                     (connection, exchange) -> {
-                        connection.endResponse(exchange);
-                        connection.whenSent(() -> mEndedCalls.remove(end.call()));
+                        try {
+                            connection.endResponse(exchange);
+                        } finally {
+                            connection.whenSent(() -> mEndedCalls.remove(end.call()));
+                        }
                     });
         }
     }
@@ -261,7 +264,8 @@
     }
 
     Exchange register(FrontConnection connection, Channel channel, InboundRequest request) {
-        Exchange exchange = Exchange.of(mNextCallId.getAndIncrement(), request, mUnsentBytes);
+        Exchange exchange =
+                Exchange.of(mNextCallId.getAndIncrement(), request.withoutBody(), mUnsentBytes);
         mOpenCalls.put(exchange.callId(), new OpenCall(connection, exchange, channel));
         return exchange;
     }
--- a/src/main/java/org/coltsfootproxy/net/InboundRequest.java
+++ b/src/main/java/org/coltsfootproxy/net/InboundRequest.java
@@ -20,6 +20,14 @@
         boolean keepAlive,
         boolean acceptsChunked,
         long receivedNanos) {
+    private static final byte[] NO_BODY = {};
+
+    /** Returns this request without its body. */
+    InboundRequest withoutBody() {
+        return new InboundRequest(
+                method, path, headers, NO_BODY, keepAlive, acceptsChunked, receivedNanos);
+    }
+
     /** Returns whether the method is HEAD, so that the response has no body. */
     boolean isHead() {
         return method.equals("HEAD");
