--- a/src/test/java/org/coltsfootproxy/consensus/FullDisksInTurnTest.java
+++ b/src/test/java/org/coltsfootproxy/consensus/FullDisksInTurnTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.BiFunction;
 import java.util.stream.LongStream;
 import org.coltsfootproxy.storage.FakeDisk;
 import org.testng.annotations.DataProvider;
@@ -94,12 +93,12 @@
             TestHost host = next(cluster, order, round);
             host.disk().setRefusals(refused);
             host.disk().setFreeBytes(random.nextInt(3) == 0 ? 0 : random.nextInt(2_000));
-            change(cluster, Duration.ofMillis(500 + random.nextInt(2_500)));
+            proposeFor(cluster, Duration.ofMillis(500 + random.nextInt(2_500)));
             disturb(cluster, host, meanwhile);
-            change(cluster, Duration.ofMillis(500 + random.nextInt(1_500)));
+            proposeFor(cluster, Duration.ofMillis(500 + random.nextInt(1_500)));
             host.disk().setFreeBytes(Long.MAX_VALUE);
             startIfDown(cluster, host);
-            change(cluster, Duration.ofMillis(random.nextInt(2_500)));
+            proposeFor(cluster, Duration.ofMillis(random.nextInt(2_500)));
         }
         assertAcknowledged(cluster);
         cluster.recoverAndVerify();
@@ -124,17 +123,17 @@
             case HANDOVER -> cluster.leader().ifPresent(cluster::transferLeadership);
             case RESTART -> {
                 cluster.crash(host);
-                change(cluster, Duration.ofMillis(300));
+                proposeFor(cluster, Duration.ofMillis(300));
             }
             case MEMBERS ->
                     cluster.leader()
                             .ifPresent(
                                     leader ->
                                             cluster.changeMembers(
-                                                    leader, change(cluster, leader, host)));
+                                                    leader, memberChange(cluster, leader, host)));
             case ROOM_FOR_A_MOMENT -> {
                 host.disk().setFreeBytes(cluster.random().nextInt(4_000));
-                change(cluster, Duration.ofMillis(cluster.random().nextInt(1_500)));
+                proposeFor(cluster, Duration.ofMillis(cluster.random().nextInt(1_500)));
                 host.disk().setFreeBytes(0);
             }
             default -> {
@@ -143,13 +142,10 @@
         }
     }
 
-    private static MemberChange change(TestCluster cluster, TestHost leader, TestHost host) {
-        BiFunction<TestHost, TestHost, MemberChange> removal =
-                (from, other) -> new MemberChange.Remove(other.id());
-        boolean isComplete =
-                cluster.status(leader).members().voters().size() == cluster.hosts().size();
-        return isComplete && host != leader
-                ? removal.apply(leader, host)
+    private static MemberChange memberChange(TestCluster cluster, TestHost leader, TestHost host) {
+        int voters = cluster.status(leader).members().voters().size();
+        return voters == cluster.hosts().size() && host != leader
+                ? new MemberChange.Remove(host.id())
                 : new MemberChange.Add(host.id());
     }
 
@@ -160,7 +156,7 @@
     }
 
     /** Proposes at the leader, if there is one, at intervals. */
-    private static void change(TestCluster cluster, Duration duration) {
+    private static void proposeFor(TestCluster cluster, Duration duration) {
         long end = cluster.timeNanos() + duration.toNanos();
         while (cluster.timeNanos() < end) {
             cluster.leader().ifPresent(cluster::propose);
@@ -172,7 +168,7 @@
         int before = cluster.oracle().acknowledgedCount();
         long end = cluster.timeNanos() + ACKNOWLEDGE_LIMIT.toNanos();
         while (cluster.oracle().acknowledgedCount() == before && cluster.timeNanos() < end) {
-            change(cluster, PROPOSAL_INTERVAL);
+            proposeFor(cluster, PROPOSAL_INTERVAL);
         }
         assertTrue(
                 cluster.oracle().acknowledgedCount() > before,
@@ -182,7 +178,7 @@
 
     private static void assertAllApply(TestCluster cluster) {
         long index = cluster.awaitLeader().node().appliedIndex();
-        change(cluster, CATCH_UP_LIMIT);
+        proposeFor(cluster, CATCH_UP_LIMIT);
         assertTrue(
                 cluster.hosts().stream().allMatch(host -> host.node().appliedIndex() > index),
                 cluster.hosts().stream().map(cluster::status).toList().toString());
