--- a/src/test/java/org/coltsfootproxy/platform/RunLimitTest.java
+++ b/src/test/java/org/coltsfootproxy/platform/RunLimitTest.java
@@ -59,23 +59,29 @@
     public void noRequestRunsAtMoreTargetsThanItsRouteAllows() {
         for (long seed = 0; seed < 20; seed++) {
             PlatformSimulation simulation = startWithManyTargets(seed);
-            Random random = new Random(seed);
-            List<String> paths = MAX_RUNS.keySet().stream().sorted().toList();
-            List<String> sent = new ArrayList<>();
-            for (int n = 0; n < 400; n++) {
-                simulation.mTargets.values().forEach(target -> changeBehaviour(target, random));
-                String path = paths.get(random.nextInt(paths.size()));
-                sent.add(path);
-                simulation.request(simulation.entry(n % 2), "q" + n, path);
-                simulation.run(random.nextInt(60) * MILLI_NANOS);
-            }
-            simulation.run(6 * SECOND_NANOS);
+            List<String> sent = sendWithRandomFaults(simulation, seed);
             for (int n = 0; n < sent.size(); n++) {
                 assertRunsAllowed(simulation, "q" + n, sent.get(n), "seed " + seed);
             }
         }
     }
 
+    /** Sends the requests q0, q1 and so on while targets fail; returns their paths. */
+    private static List<String> sendWithRandomFaults(PlatformSimulation simulation, long seed) {
+        Random random = new Random(seed);
+        List<String> paths = MAX_RUNS.keySet().stream().sorted().toList();
+        List<String> sent = new ArrayList<>();
+        for (int n = 0; n < 400; n++) {
+            simulation.mTargets.values().forEach(target -> changeBehaviour(target, random));
+            String path = paths.get(random.nextInt(paths.size()));
+            sent.add(path);
+            simulation.request(simulation.entry(n % 2), "q" + n, path);
+            simulation.run(random.nextInt(60) * MILLI_NANOS);
+        }
+        simulation.run(6 * SECOND_NANOS);
+        return sent;
+    }
+
     private static void changeBehaviour(SimulatedTarget target, Random random) {
         if (random.nextInt(4) > 0) {
             return;
@@ -109,6 +115,46 @@
         }
     }
 
+    /** Guards against requests that go from target to target while all of them are full. */
+    @Test
+    public void aRequestThatFullTargetsRefuseIsSentToNoMoreOfThemThanItsRouteAllows() {
+        PlatformSimulation simulation = startWithManyTargets(7);
+        for (SimulatedTarget target : simulation.mTargets.values()) {
+            target.mSlots = 0;
+            target.mQueueCapacity = 0;
+        }
+        Answer stream = simulation.request(simulation.entry(0), "q1", "/ask/1");
+        Answer single = simulation.request(simulation.entry(0), "q2", "/swap/1");
+        simulation.run(SECOND_NANOS);
+
+        assertEquals(targetsReached(simulation, "q1"), 2, "targets of a route with two attempts");
+        assertEquals(targetsReached(simulation, "q2"), 1, "targets of a route with one attempt");
+        assertEquals(stream.mStatus, 503, stream.toString());
+        assertEquals(single.mStatus, 503, single.toString());
+    }
+
+    /** Guards against any other way of ending an attempt that leads to one target too many. */
+    @Test
+    public void noRequestIsSentToMoreTargetsThanItsRouteAllows() {
+        for (long seed = 0; seed < 20; seed++) {
+            PlatformSimulation simulation = startWithManyTargets(seed);
+            List<String> sent = sendWithRandomFaults(simulation, seed);
+            for (int n = 0; n < sent.size(); n++) {
+                long reached = targetsReached(simulation, "q" + n);
+                assertTrue(
+                        reached <= MAX_RUNS.get(sent.get(n)),
+                        "seed " + seed + ": q" + n + " of " + sent.get(n) + ": " + reached);
+            }
+        }
+    }
+
+    /** Returns the number of targets that a request has reached, refusals included. */
+    private static long targetsReached(PlatformSimulation simulation, String request) {
+        return simulation.mTargets.values().stream()
+                .filter(t -> t.mArrivals.stream().anyMatch(run -> run.mRequest.equals(request)))
+                .count();
+    }
+
     /** Guards against targets that get the time again that a request has waited in its entry. */
     @Test
     public void theTimeThatARequestHasWaitedInItsEntryIsNotLeft() {
