A response that arrived before its request could be written is read

What callers saw: an item that fails at each run ran again although its target had answered 500 or 422, as the answer was lost and not counted. An online request with a long body whose target had answered and closed ended as "may have run" instead of with that answer.

Cause: a target answers before it has read the request and closes, which resets the connection. The write that is still in progress fails first. The network library closes the channel on a failed write, and TargetConnection failed the call at once, while the complete answer was in the receive buffer of the kernel.

Class: two ways to learn of the end of a connection, of which the first one decides although the other one has more.

Change: channels to targets are not closed automatically on a failed write; the call fails when the connection's end is read. A response without length is still cut by a failed write, as its end can't be told from the end of the connection.

All tests of the package pass (2,797 with data rows).

Looked for elsewhere: entries close connections to callers in two steps (FrontConnection.closeLingering), so that an early answer of theirs is not lost.

--- a/src/main/java/org/coltsfootproxy/net/TargetConnection.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetConnection.java
@@ -16,10 +16,9 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
-import java.util.ArrayDeque;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.coltsfootproxy.base.ErrorKind;
 import org.coltsfootproxy.base.EventCode;
@@ -36,9 +35,6 @@
 final class TargetConnection extends ChannelInboundHandlerAdapter {
     private static final int SWITCHING_PROTOCOLS = 101;
 
-    /** Number of calls on the connection whose correlation values are remembered. */
-    private static final int MAX_REMEMBERED_CALLS = 64;
-
     /** Bytes of a body that are forwarded at a time; one read delivers about as many. */
     private static final int MAX_FORWARDED_BYTES = 64 << 10;
 
@@ -54,11 +50,14 @@
     private boolean mResponseEnded;
     private boolean mIsForOtherCall;
     private long mBytesWithoutProgress;
-    private final Queue<String> mRememberedCalls = new ArrayDeque<>();
+    private final CarriedCalls mCarriedCalls = new CarriedCalls();
 
     /** Content that was read and not forwarded yet; null if there is none. */
     private ByteArrayOutputStream mBody;
 
+    /** Why the request of the call can't be written; empty unless that failed. */
+    private Optional<String> mWriteFailure = Optional.empty();
+
     private OptionalLong mKeepAliveNanos = OptionalLong.empty();
     private ScheduledFuture<?> mIdleTimer;
 
@@ -117,30 +116,25 @@
      * response that the target repeats here would be taken for the response to this call.
      */
     boolean hasCarried(PendingCall pending) {
-        return correlation(pending).filter(mRememberedCalls::contains).isPresent();
+        return mCarriedCalls.contains(correlation(pending));
     }
 
     private Optional<String> correlation(PendingCall pending) {
         return mPool.dialect().correlationHeader().flatMap(pending.request()::header);
     }
 
-    private void remember(PendingCall pending) {
-        correlation(pending).ifPresent(mRememberedCalls::add);
-        if (mRememberedCalls.size() > MAX_REMEMBERED_CALLS) {
-            mRememberedCalls.remove();
-        }
-    }
-
     /** Sends a call. */
     void send(PendingCall pending) {
         stopIdleTimer();
-        remember(pending);
+        mCarriedCalls.add(correlation(pending));
         mPendingCall = pending;
         mResponseEnded = false;
         mIsInterim = false;
         mIsForOtherCall = false;
         mBytesWithoutProgress = 0;
         mBody = null;
+        mEndsByClose = false;
+        mWriteFailure = Optional.empty();
         pending.assignTo(this);
         FullHttpRequest request =
                 TargetRequestEncoder.encode(
@@ -158,17 +152,24 @@
         mChannel.writeAndFlush(request).addListener(written -> requestWritten(written, pending));
     }
 
-    /** Ends the call if its request can't be written. */
+    /**
+     * Notes whether the request was written. If the target closed the connection before it had read
+     * the request, what it had sent until then is still read: it may be a complete response.
+     */
     private void requestWritten(Future<?> written, PendingCall pending) {
         mRequestWritten = written.isSuccess();
         if (mRequestWritten) {
             return;
         }
-        // The close that follows must not end a response without length.
-        if (mPendingCall == pending) {
-            failIfOpen("can't write the request: " + written.cause().getMessage());
+        String detail = "can't write the request: " + written.cause().getMessage();
+        if (mPendingCall != pending) {
+            mChannel.close();
+        } else if (mEndsByClose || !(written.cause() instanceof IOException)) {
+            failIfOpen(detail);
+            mChannel.close();
+        } else {
+            mWriteFailure = Optional.of(detail);
         }
-        mChannel.close();
     }
 
     private void failIfOpen(String detail) {
@@ -279,6 +280,11 @@
                 !isFramed(head)
                         && !ResponseCheck.isBodiless(
                                 head.status().code(), mPendingCall.request().method());
+        if (mEndsByClose && mWriteFailure.isPresent()) {
+            // The connection is broken, so its end can't be told from the end of the response.
+            fail(ErrorKind.ANSWER_CUT, mWriteFailure.get());
+            return;
+        }
         mKeepAliveNanos = KeepAlive.idleNanos(head.headers().get("keep-alive"));
         mForwarder.forward(
                 new Input.TargetHead(
@@ -381,7 +387,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopIdleTimer();
         mPool.onClosed(this);
-        failIfOpen("the target closed the connection");
+        failIfOpen(mWriteFailure.orElse("the target closed the connection"));
     }
 
     @Override
--- a/src/main/java/org/coltsfootproxy/net/TargetPool.java
+++ b/src/main/java/org/coltsfootproxy/net/TargetPool.java
@@ -150,6 +150,8 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                // A failed write must not discard a response that has arrived.
+                .option(ChannelOption.AUTO_CLOSE, false)
                 .option(
                         ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) mSettings.connectTimeout().toMillis())
