A request is sent to at most as many targets as its route allows

What callers saw: under overload, a request went from one full target to the next, up to six of them, before it was refused.

Cause: RunBudget bounded the runs of a request by `max_attempts` and gave a send back when its target refused it. PROTOCOL calls `max_attempts` "the maximum number of replicas to which one client attempt may be sent".

Class: a limit on effects (runs) in place of a limit on attempts (sends), so that repeats pile up just when targets are full.

Change: SendBudget counts each target that something of the request was written to. Only a send of which nothing was written, such as a refused connection, is given back. A request that all its targets have refused gets a Retry-After that spreads the returns over the slots, as for requests that the entry refuses, and is not refused again by an entry when it returns. Log event 402 names `targets` and `maxTargets` in place of `runs` and `maxRuns`.

--- a/src/main/java/org/coltsfootproxy/config/RoutePolicy.java
+++ b/src/main/java/org/coltsfootproxy/config/RoutePolicy.java
@@ -12,7 +12,8 @@
  *
  * @param split services that share the requests; empty if the service of the route serves them all
  * @param resumable whether an interrupted stream of events may be resumed at another target
- * @param maxRuns maximum number of targets that may run one request, at least 1
+ * @param maxTargets maximum number of targets that one request may be sent to, and of failed runs
+ *     of a batch item, at least 1
  * @param goalMillis time in which callers expect an answer or its first event, in milliseconds; 0
  *     if not stated
  * @param eventGapMillis longest pause that callers expect between events, in milliseconds; 0 if not
@@ -24,7 +25,7 @@
         RequestKind kind,
         List<Share> split,
         boolean resumable,
-        int maxRuns,
+        int maxTargets,
         long goalMillis,
         long eventGapMillis,
         long jobGoalMillis) {
@@ -51,7 +52,7 @@
                 split.isEmpty() || split.stream().anyMatch(share -> share.weight() > 0),
                 "all weights of %s are 0",
                 split);
-        checkArgument(maxRuns > 0, "maxRuns %s is below 1", maxRuns);
+        checkArgument(maxTargets > 0, "maxTargets %s is below 1", maxTargets);
         checkArgument(goalMillis >= 0, "goalMillis %s is below 0", goalMillis);
         checkArgument(eventGapMillis >= 0, "eventGapMillis %s is below 0", eventGapMillis);
         checkArgument(jobGoalMillis >= 0, "jobGoalMillis %s is below 0", jobGoalMillis);
--- a/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCallLog.java
@@ -31,8 +31,8 @@
                 LogField.of("expectedMillis", expectedMillis(request)),
                 LogField.of("listing", listing),
                 LogField.of("send", request.budget().sends()),
-                LogField.of("runs", request.budget().runs()),
-                LogField.of("maxRuns", request.budget().maxRuns()),
+                LogField.of("targets", request.budget().targets()),
+                LogField.of("maxTargets", request.budget().maxTargets()),
                 LogField.of("after", lastEvent(request)),
                 LogField.of("leftMillis", TimeUnit.NANOSECONDS.toMillis(remainingNanos)));
     }
--- a/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectCalls.java
@@ -46,6 +46,8 @@
     /** Retry-after time for a caller whose request no target could accept. */
     private static final long RETRY_AFTER_MILLIS = 250;
 
+    private static final String ALL_FULL = "no target has a free slot";
+
     private final DirectCallerAnswers mAnswers;
     private final TargetProtocol mProtocol;
     private final TargetCalls mCalls;
@@ -308,11 +310,11 @@
         }
         mCalls.ignore(request.targetCall(), target::callFailed);
         releaseTarget(request);
-        request.budget().lastSendNotRun();
         DirectCallLog.attemptEnded(request, target, "refused with " + answer.status(), Ran.NO, out);
         Failure failure =
-                Failure.notRun(
-                        ErrorKind.OVERLOADED, "no target has a free slot", RETRY_AFTER_MILLIS);
+                request.budget().allowsSend()
+                        ? Failure.notRun(ErrorKind.OVERLOADED, ALL_FULL, RETRY_AFTER_MILLIS)
+                        : mLoadShedder.refusedByTargets(request, ALL_FULL, now);
         send(request, failure, now, out);
     }
 
@@ -377,7 +379,7 @@
         DirectCallLog.attemptEnded(request, target, kind.label() + ": " + why, ran, out);
         boolean isAnswering = request.isIn(DirectState.ANSWERING);
         if (ran == Ran.NO) {
-            request.budget().lastSendNotRun();
+            request.budget().lastSendNotWritten();
             send(request, Failure.notRun(ErrorKind.NO_TARGET, why, RETRY_AFTER_MILLIS), now, out);
         } else if (isAnswering && !(request.isResumable() && request.hasEventStream())) {
             abortAnswer(request, why, now, out);
--- a/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectJobs.java
@@ -116,7 +116,7 @@
                 due,
                 JobSpec.RELATIVE,
                 job.items().size(),
-                route.policy().maxRuns(),
+                route.policy().maxTargets(),
                 allowedRegions.map(r -> r.stream().sorted().toList()).orElse(null));
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
+++ b/src/main/java/org/coltsfootproxy/direct/DirectRequest.java
@@ -52,7 +52,7 @@
     private final long mDeadline;
     private final Set<TargetId> mTried = new HashSet<>();
     private final EventReader mEvents = new EventReader();
-    private final RunBudget mBudget;
+    private final SendBudget mBudget;
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private Optional<Set<DataCentre>> mAllowedDataCentres = Optional.empty();
     private DirectState mState = DirectState.CHART.initial();
@@ -94,7 +94,7 @@
         mArrived = arrived;
         mLastActivity = arrived;
         mDeadline = deadline;
-        mBudget = RunBudget.of(route.policy().maxRuns());
+        mBudget = SendBudget.of(route.policy().maxTargets());
         resumption.filter(r -> isResumable()).ifPresent(r -> mEvents.resumeAfter(r.lastEvent()));
     }
 
@@ -259,8 +259,8 @@
         transition(DirectState.Event.SEND);
     }
 
-    /** Returns how often the request has been sent and what that has used of its route's runs. */
-    RunBudget budget() {
+    /** Returns how often the request has been sent and how many targets it has reached. */
+    SendBudget budget() {
         return mBudget;
     }
 
--- a/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
+++ b/src/main/java/org/coltsfootproxy/direct/LoadShedder.java
@@ -211,6 +211,21 @@
         return OptionalLong.of(Math.max(1, TimeUnit.NANOSECONDS.toMillis(retryAfter)));
     }
 
+    /**
+     * Returns the failure of a request that has been refused by all targets that its route allows.
+     * Its retry is not refused again.
+     */
+    Failure refusedByTargets(DirectRequest request, String detail, long nowNanos) {
+        ServiceId service = request.service();
+        long goal = TimeUnit.MILLISECONDS.toNanos(request.route().policy().goalMillis());
+        double hold = mMeanHoldNanos.getOrDefault(service, INITIAL_HOLD_FRACTION * goal);
+        remember(request.contentHash(), nowNanos);
+        mUnreported.add(request.contentHash());
+        long retryAfter = nextSlotAt(service, hold, 0, nowNanos) - nowNanos;
+        return Failure.notRun(
+                ErrorKind.OVERLOADED, detail, TimeUnit.NANOSECONDS.toMillis(retryAfter));
+    }
+
     /** Returns the queueing time, in nanoseconds, at the target with the shortest one. */
     private double waitNanos(
             ServiceId service,
--- a/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
+++ b/src/main/java/org/coltsfootproxy/platform/PlatformConfig.java
@@ -46,9 +46,9 @@
      * once, {@code engine.kv_capacity_tokens} the tokens that its memory holds, {@code goal_ms} the
      * time goal for the response or its first event, {@code gap_aim_ms} the longest expected pause
      * between events, {@code run_target_ms} the time within which a batch job is due, and {@code
-     * max_attempts} the most targets that may run a request. A service with {@code cold_per_s}
-     * names how many requests a second its cold targets take. {@code priority} is the rank of a
-     * route's or a tenant's requests, 0 is the most urgent.
+     * max_attempts} the most targets that a request may be sent to. A service with {@code
+     * cold_per_s} names how many requests a second its cold targets take. {@code priority} is the
+     * rank of a route's or a tenant's requests, 0 is the most urgent.
      *
      * @throws ProxyException of kind {@link ErrorKind#INVALID_TICKET} if the document is not valid
      */
