--- a/src/test/java/org/coltsfootproxy/soak/SoakFleet.java
+++ b/src/test/java/org/coltsfootproxy/soak/SoakFleet.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.io.MoreFiles;
+import com.google.common.io.RecursiveDeleteOption;
 import java.io.BufferedInputStream;
 import java.io.File;
 import java.io.IOException;
@@ -252,6 +254,20 @@
         machine.mProcess.destroyForcibly();
     }
 
+    /**
+     * Kills all processes, removes the files of one machine and starts all again; only control
+     * hosts and stores have files.
+     */
+    void killAllAndWipe(Machine wiped) throws IOException {
+        mMachines.forEach(this::kill);
+        StandInTarget.sleep(RESTART_DELAY_MILLIS);
+        MoreFiles.deleteRecursively(
+                mFolder.resolve(wiped.mName).resolve("data"), RecursiveDeleteOption.ALLOW_INSECURE);
+        for (Machine machine : mMachines) {
+            start(machine);
+        }
+    }
+
     /** Sends a signal to a machine's process. */
     void signal(Machine machine, String name) {
         try {
@@ -298,6 +314,27 @@
         return false;
     }
 
+    /** Returns the version of the configuration that a control host answers with; 0 without one. */
+    int configVersion() {
+        return all("core").stream().mapToInt(this::configVersion).max().orElse(0);
+    }
+
+    private int configVersion(Machine core) {
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(core.mIp, mPort + 2), 1_000);
+            socket.setSoTimeout(4_000);
+            socket.getOutputStream()
+                    .write(
+                            Wire.ascii(
+                                    "GET /coltsfootproxy/config HTTP/1.1\r\nHost: control\r\n"
+                                            + "Connection: close\r\n\r\n"));
+            var in = new BufferedInputStream(socket.getInputStream());
+            return JSON.readTree(Wire.body(in, Wire.head(in))).path("version").asInt();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Returns whether an entry says that it takes calls. */
     boolean isReady(Machine front) {
         return status(
--- a/src/test/java/org/coltsfootproxy/soak/StandInTarget.java
+++ b/src/test/java/org/coltsfootproxy/soak/StandInTarget.java
@@ -83,6 +83,10 @@
         thread.start();
     }
 
+    boolean isReady() {
+        return mState.equals("ready");
+    }
+
     void drain() {
         mState = "draining";
     }
