Soak: second attempts have the content of the first

A host recognises a request that it has refused by its content. Unused parts of the callers and the fleet are removed.

--- a/src/test/java/org/coltsfootproxy/soak/OnlineCallers.java
+++ b/src/test/java/org/coltsfootproxy/soak/OnlineCallers.java
@@ -27,6 +27,7 @@
     private static final double TROUGH = 0.391;
     private static final double CREST = 1.91;
     private static final int REQUEST_BYTES = 1_500;
+    private static final int ID_LENGTH = 16;
 
     private final SoakFleet mFleet;
     private final SoakPlan mPlan;
@@ -67,11 +68,11 @@
     /** Calls once and, as the deployment's callers do, once more after a failure. */
     private void call(Route route, String id, int entry) {
         long deadline = mLog.millis() + route.deadlineMillis();
-        Attempt attempt = new Attempt(route, id + "-0", "", 0);
+        Attempt attempt = new Attempt(route, id + "-0", "");
         attempt.run(entry, deadline);
         if (attempt.mayRepeat() && deadline - mLog.millis() > 50) {
             StandInTarget.sleep(Math.min(attempt.mRetryMillis, (deadline - mLog.millis()) / 3));
-            Attempt second = new Attempt(route, id + "-1", attempt.mLastEvent, attempt.mEvents);
+            Attempt second = new Attempt(route, id + "-1", attempt.mLastEvent);
             second.run(entry + 1, deadline);
             attempt = second;
         }
@@ -104,15 +105,13 @@
         private final Route mRoute;
         private final String mId;
         private String mLastEvent;
-        private int mEvents;
         private String mOutcome = "no answer";
         private long mRetryMillis;
 
-        Attempt(Route route, String id, String lastEvent, int events) {
+        Attempt(Route route, String id, String lastEvent) {
             mRoute = route;
             mId = id;
             mLastEvent = lastEvent;
-            mEvents = events;
         }
 
         boolean mayRepeat() {
@@ -146,8 +145,9 @@
         }
 
         private void write(Caller caller, long left) throws IOException {
-            // Each request is new: a host relates requests with the same content to each other.
-            byte[] body = Wire.ascii(Strings.padEnd(mId, REQUEST_BYTES, ' '));
+            // A host recognises the second attempt by the content, and relates no other requests.
+            String content = mId.substring(0, ID_LENGTH);
+            byte[] body = Wire.ascii(Strings.padEnd(content, REQUEST_BYTES, ' '));
             String head =
                     "POST "
                             + mRoute.prefix()
@@ -197,7 +197,6 @@
                 int id = text.lastIndexOf("id: ");
                 if (id >= 0) {
                     mLastEvent = text.substring(id + 4, text.indexOf('\n', id)).trim();
-                    mEvents++;
                 }
             }
         }
--- a/src/test/java/org/coltsfootproxy/soak/SoakFleet.java
+++ b/src/test/java/org/coltsfootproxy/soak/SoakFleet.java
@@ -25,7 +25,7 @@
 import java.util.stream.Stream;
 
 /** Runs the programs of the deploy file as processes, each with a loopback address of its own. */
-final class SoakFleet implements AutoCloseable {
+final class SoakFleet {
     static final List<String> ZONES = List.of("solway", "forth", "minch", "moray");
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String SETTINGS_PLACE = "/etc/coltsfootproxy/settings.json";
@@ -386,9 +386,4 @@
             files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
         }
     }
-
-    @Override
-    public void close() throws IOException {
-        close(false);
-    }
 }
